Decision modules: config acceptance, wire codec, membership, distribution, limits, routing, gate

Cause: the product needs its decisions testable apart from I/O, under injected time and seeds. Change: core, config, wire, membership, distribution, limits, routing and gate as libraries that read no clock and own no thread.

--- /dev/null
+++ b/src/celeryramp/config/availability_zone.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+namespace celeryramp {
+
+/*! @brief Whether a zone takes new work. */
+enum class ZoneStatus { InService, OutOfService };
+
+/*! @brief A part of the site that fails and is maintained as one. */
+struct AvailabilityZone
+{
+    std::string name;
+    std::string region;
+    ZoneStatus status = ZoneStatus::InService;
+};
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/config/fwd.h
@@ -0,0 +1,22 @@
+#pragma once
+
+/*! @file
+ *  Forward declarations of the config module: model, validation and acceptance of published
+ *  configurations.
+ */
+
+namespace celeryramp {
+
+struct AvailabilityZone;
+struct BackendServer;
+struct ClientAccount;
+struct ConfigDocument;
+struct ConfigError;
+struct Manifest;
+struct Route;
+struct Service;
+struct WorkClass;
+class Acceptance;
+class Snapshot;
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/distribution/distributor.cpp
@@ -0,0 +1,262 @@
+#include "distribution/distributor.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "config/delta.h"
+
+namespace celeryramp {
+
+namespace internal {
+
+constexpr std::size_t kRepairNeighbours = 3;
+constexpr std::uint32_t kNeverConfirmedMs = std::numeric_limits<std::uint32_t>::max();
+
+[[nodiscard]] const ConfigDocument *findBase(const Acceptance &acceptance, const ConfigStamp &stamp)
+{
+    for (const auto &document : acceptance.history()) {
+        if (document.manifest.version == stamp.version && document.stamp() == stamp) {
+            return &document;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace internal
+
+Distributor::Distributor(std::string self, std::string zone, std::uint64_t incarnation)
+    : m_self{std::move(self)}, m_zone{std::move(zone)}, m_sequence{incarnation}
+{
+}
+
+bool Distributor::onPlatformDocument(ConfigDocument document, const IsUsable &isUsable,
+                                     TimePoint now, Outbox &out)
+{
+    confirm(0, now);
+    if (!accept(std::move(document), now)) {
+        return false;
+    }
+    announceAsRoot(true, isUsable, now, out);
+    return true;
+}
+
+void Distributor::onPlatformConfirmed(TimePoint now)
+{
+    confirm(0, now);
+}
+
+void Distributor::onAnnounce(const std::string &from, const AnnounceMessage &message,
+                             const IsUsable &isUsable, TimePoint now, Outbox &out)
+{
+    const ConfigStamp stamp{message.version, message.digest};
+    const bool isFirstOfSequence = noteSequence(message);
+    if (stamp == m_acceptance.stamp()) {
+        confirm(message.confirmedAgoMs, now);
+    }
+    if (stamp < m_acceptance.stamp()) {
+        out.send(from, announcement({}, now));
+        return;
+    }
+    if (m_acceptance.isNewer(stamp) && !m_acceptance.wasRejected(stamp)) {
+        Pull pull{from, stamp, message.root, message.sequence, now};
+        if (m_pull && !(m_pull->wanted < stamp)) {
+            m_alternative = std::move(pull);
+        } else {
+            startPull(std::move(pull), false, out);
+        }
+        return;
+    }
+    if (isFirstOfSequence) {
+        announceDown(message, isUsable, out);
+    }
+}
+
+void Distributor::onPull(const std::string &from, const PullMessage &message, Outbox &out)
+{
+    const auto &stamp = m_acceptance.stamp();
+    const ConfigStamp have{message.haveVersion, message.haveDigest};
+    if (stamp.version == 0 || have == stamp) {
+        out.send(from, DocumentMessage{stamp.version == 0 ? 0 : stamp.version, true, {}});
+        return;
+    }
+    if (const auto *base = internal::findBase(m_acceptance, have); base != nullptr) {
+        ++m_counters.deltasSent;
+        out.send(from, DocumentMessage{stamp.version, true,
+                                       {makeDelta(*base, m_acceptance.document())}});
+        return;
+    }
+    ++m_counters.wholesSent;
+    out.send(from, DocumentMessage{stamp.version, false, {packDocument(m_acceptance.document())}});
+}
+
+bool Distributor::onDocument(const std::string &from, const DocumentMessage &message,
+                             const IsUsable &isUsable, TimePoint now, Outbox &out)
+{
+    Pull answered{from, {}, {}, 0, now};
+    if (m_pull && m_pull->peer == from) {
+        answered = *std::exchange(m_pull, std::nullopt);
+        answered.sentAt = now;
+    }
+    if (message.bytes.data.empty()) {
+        return false;
+    }
+    auto document = message.delta ? applyDelta(m_acceptance.document(), message.bytes.data)
+                                  : unpackDocument(message.bytes.data);
+    if (!document) {
+        if (message.delta && m_acceptance.stamp().version < message.version) {
+            ++m_counters.deltasUnusable;
+            startPull(std::move(answered), true, out);
+        }
+        return false;
+    }
+    m_counters.deltasApplied += message.delta ? 1 : 0;
+    if (!accept(std::move(*document), now)) {
+        return false;
+    }
+    m_alternative.reset();
+    const auto &root = answered.root;
+    if (root.empty()) {
+        const auto neighbours
+                = m_topology.successors(m_self, internal::kRepairNeighbours, isUsable);
+        for (const auto &neighbour : neighbours) {
+            out.send(neighbour, announcement({}, now));
+        }
+    } else if (m_topology.zoneOf(root) == m_zone) {
+        auto onward = announcement(root, now);
+        onward.sequence = answered.sequence;
+        announceDown(onward, isUsable, out);
+    } else {
+        announceAsRoot(false, isUsable, now, out);
+    }
+    return true;
+}
+
+void Distributor::onHeartbeat(const HeartbeatMessage &message, TimePoint now, Outbox &out)
+{
+    const ConfigStamp theirs{message.version, message.digest};
+    if (theirs < m_acceptance.stamp()) {
+        out.send(message.server, announcement({}, now));
+        return;
+    }
+    const bool wanted = m_acceptance.isNewer(theirs) && !m_acceptance.wasRejected(theirs);
+    if (wanted && !m_pull) {
+        startPull({message.server, theirs, {}, 0, now}, false, out);
+    }
+}
+
+void Distributor::pullFrom(const std::string &peer, TimePoint now, Outbox &out)
+{
+    startPull({peer, {}, {}, 0, now}, false, out);
+}
+
+void Distributor::tick(bool isReader, const IsUsable &isUsable, TimePoint now, Outbox &out)
+{
+    if (m_pull && now - m_pull->sentAt >= kPullTimeout) {
+        ++m_counters.pullTimeouts;
+        m_pull.reset();
+        if (m_alternative && m_acceptance.isNewer(m_alternative->wanted)) {
+            auto next = *std::exchange(m_alternative, std::nullopt);
+            next.sentAt = now;
+            startPull(std::move(next), false, out);
+        }
+    }
+    const bool due = now - m_lastAnnounce >= kConfirmInterval;
+    if (isReader && due && m_acceptance.inForce()) {
+        announceAsRoot(true, isUsable, now, out);
+    }
+}
+
+Millis Distributor::confirmedAgo(TimePoint now) const
+{
+    return m_confirmedAt ? millisBetween(*m_confirmedAt, now)
+                         : Millis{internal::kNeverConfirmedMs};
+}
+
+bool Distributor::accept(ConfigDocument document, TimePoint now)
+{
+    const auto before = m_acceptance.rejections().size();
+    const auto result = m_acceptance.offer(std::move(document), now);
+    if (!result) {
+        m_counters.rejected += m_acceptance.rejections().size() != before
+                        || result.error().code != ConfigErrorCode::Stale
+                ? 1
+                : 0;
+        return false;
+    }
+    ++m_counters.accepted;
+    m_topology = Topology{*m_acceptance.inForce()};
+    return true;
+}
+
+void Distributor::announceAsRoot(bool acrossZones, const IsUsable &isUsable, TimePoint now,
+                                 Outbox &out)
+{
+    m_lastAnnounce = now;
+    auto message = announcement(m_self, now);
+    message.sequence = ++m_sequence;
+    announceDown(message, isUsable, out);
+    if (acrossZones) {
+        announceAcrossZones(message, isUsable, out);
+    }
+}
+
+void Distributor::announceAcrossZones(const AnnounceMessage &message, const IsUsable &isUsable,
+                                      Outbox &out) const
+{
+    for (const auto &zone : m_topology.zones()) {
+        if (zone == m_zone) {
+            continue;
+        }
+        const auto readers = m_topology.readers(zone, isUsable);
+        if (!readers.empty()) {
+            out.send(readers.front(), message);
+        }
+    }
+}
+
+void Distributor::announceDown(const AnnounceMessage &message, const IsUsable &isUsable,
+                               Outbox &out)
+{
+    ++m_counters.announcements;
+    for (const auto &child : m_topology.children(message.root, m_self, isUsable)) {
+        out.send(child, message);
+    }
+}
+
+bool Distributor::noteSequence(const AnnounceMessage &message)
+{
+    if (message.root.empty()) {
+        return false;
+    }
+    auto &last = m_lastSequence[message.root];
+    const bool isFirst = message.sequence > last;
+    last = std::max(last, message.sequence);
+    return isFirst;
+}
+
+void Distributor::startPull(Pull pull, bool wholeOnly, Outbox &out)
+{
+    ++m_counters.pulls;
+    const auto &have = m_acceptance.stamp();
+    out.send(pull.peer, wholeOnly ? PullMessage{} : PullMessage{have.version, have.digest});
+    m_pull = std::move(pull);
+}
+
+void Distributor::confirm(std::uint32_t agoMs, TimePoint now)
+{
+    if (agoMs == internal::kNeverConfirmedMs) {
+        return;
+    }
+    const auto at = now - Millis{agoMs};
+    m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, at) : at;
+}
+
+AnnounceMessage Distributor::announcement(const std::string &root, TimePoint now) const
+{
+    const auto ago = std::clamp<std::int64_t>(confirmedAgo(now).count(), 0,
+                                              internal::kNeverConfirmedMs);
+    return {m_acceptance.stamp().version, m_acceptance.stamp().digest, root, 0,
+            static_cast<std::uint32_t>(ago)};
+}
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/distribution/rumour_mill.cpp
@@ -0,0 +1,82 @@
+#include "distribution/rumour_mill.h"
+
+namespace celeryramp {
+
+namespace internal {
+
+constexpr std::size_t kRumourNeighbours = 3;
+
+} // namespace internal
+
+RumourMill::RumourMill(std::string self, std::string zone)
+    : m_self{std::move(self)}, m_zone{std::move(zone)}
+{
+}
+
+void RumourMill::publish(std::vector<Rumour> rumours, const Topology &topology,
+                         const IsUsable &isUsable, TimePoint now, Outbox &out)
+{
+    spread(applyAll(rumours, now), m_self, true, topology, isUsable, out);
+}
+
+std::vector<Rumour> RumourMill::onMessage(const std::string &from, const RumourMessage &message,
+                                          const Topology &topology, const IsUsable &isUsable,
+                                          TimePoint now, Outbox &out)
+{
+    auto fresh = applyAll(message.rumours, now);
+    if (message.root.empty()) {
+        if (!message.reply) {
+            out.send(from, RumourMessage{m_store.all(now), {}, true});
+        }
+        for (const auto &next : topology.successors(m_self, internal::kRumourNeighbours, isUsable)) {
+            if (!fresh.empty() && next != from) {
+                out.send(next, RumourMessage{fresh, {}, true});
+            }
+        }
+        return fresh;
+    }
+    const bool sameZone = topology.zoneOf(message.root) == m_zone;
+    spread(fresh, sameZone ? message.root : m_self, false, topology, isUsable, out);
+    return fresh;
+}
+
+void RumourMill::onHeartbeat(const HeartbeatMessage &message, TimePoint now, Outbox &out)
+{
+    if (message.rumours != m_store.digest()) {
+        out.send(message.server, RumourMessage{m_store.all(now), {}, false});
+    }
+}
+
+std::vector<Rumour> RumourMill::applyAll(const std::vector<Rumour> &rumours, TimePoint now)
+{
+    std::vector<Rumour> fresh;
+    for (const auto &rumour : rumours) {
+        if (m_store.apply(rumour, now)) {
+            fresh.push_back(rumour);
+        }
+    }
+    return fresh;
+}
+
+void RumourMill::spread(const std::vector<Rumour> &fresh, const std::string &root, bool acrossZones,
+                        const Topology &topology, const IsUsable &isUsable, Outbox &out) const
+{
+    if (fresh.empty()) {
+        return;
+    }
+    const RumourMessage message{fresh, root, false};
+    for (const auto &child : topology.children(root, m_self, isUsable)) {
+        out.send(child, message);
+    }
+    if (!acrossZones) {
+        return;
+    }
+    for (const auto &zone : topology.zones()) {
+        if (const auto readers = topology.readers(zone, isUsable);
+            zone != m_zone && !readers.empty()) {
+            out.send(readers.front(), message);
+        }
+    }
+}
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/gate/concurrency_ramp.cpp
@@ -0,0 +1,83 @@
+#include "gate/concurrency_ramp.h"
+
+#include <algorithm>
+
+namespace celeryramp {
+
+namespace internal {
+
+constexpr double kFirstLimit = 2.0;
+constexpr double kGrowthPerLimit = 0.5; /*!< Added per full round of good answers. */
+constexpr double kSmoothing = 0.05;
+constexpr double kColdFactor = 4.0; /*!< Latency over baseline that speaks of a cold server. */
+constexpr int kSlowToFall = 3;
+constexpr double kLateFactor = 0.7;
+constexpr double kShedFactor = 0.5;
+constexpr Millis kFallPause{50}; /*!< Calls under way at a fall prove nothing new. */
+constexpr double kFullShare = 0.8; /*!< Share of the limit in use that makes an answer evidence. */
+
+} // namespace internal
+
+ConcurrencyRamp::ConcurrencyRamp(int slots)
+    : m_slots{std::max(1.0, double(slots))}, m_limit{std::min(internal::kFirstLimit, m_slots)}
+{
+}
+
+void ConcurrencyRamp::reset(TimePoint now)
+{
+    m_limit = std::min(internal::kFirstLimit, m_slots);
+    m_slowInARow = 0;
+    m_lastFall = now;
+    ++m_falls;
+}
+
+void ConcurrencyRamp::onFinished(Evidence evidence, Micros latency, int running, TimePoint now)
+{
+    if (evidence == Evidence::Shed) {
+        fall(internal::kShedFactor, now);
+        return;
+    }
+    if (evidence == Evidence::Failed) {
+        fall(internal::kShedFactor, now);
+        return;
+    }
+    const auto micros = double(latency.count());
+    const bool known = m_baselineMicros > 0.0;
+    const bool slow = known && micros > internal::kColdFactor * m_baselineMicros;
+    m_slowInARow = slow || evidence == Evidence::Late ? m_slowInARow + 1 : 0;
+    if (m_slowInARow >= internal::kSlowToFall) {
+        fall(evidence == Evidence::Late ? internal::kShedFactor : internal::kLateFactor, now);
+        m_slowInARow = 0;
+    }
+    // The baseline follows slow answers too, so that a server that is slower for good is served.
+    m_baselineMicros = known ? m_baselineMicros + internal::kSmoothing * (micros - m_baselineMicros)
+                             : micros;
+    if (!slow && evidence == Evidence::InTarget) {
+        grow(running);
+    }
+}
+
+Micros ConcurrencyRamp::baseline() const noexcept
+{
+    return Micros{static_cast<std::int64_t>(m_baselineMicros)};
+}
+
+void ConcurrencyRamp::grow(int running)
+{
+    if (double(running) < internal::kFullShare * double(limit())) {
+        return;
+    }
+    m_limit = std::min(m_slots, m_limit + internal::kGrowthPerLimit / m_limit);
+}
+
+void ConcurrencyRamp::fall(double factor, TimePoint now)
+{
+    if (now - m_lastFall < internal::kFallPause) {
+        return;
+    }
+    m_lastFall = now;
+    m_limit = std::max(1.0, m_limit * factor);
+    ++m_falls;
+}
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/gate/context_table.cpp
@@ -0,0 +1,40 @@
+#include "gate/context_table.h"
+
+#include "core/hash.h"
+
+namespace celeryramp {
+
+namespace internal {
+
+constexpr std::size_t kTokenBytes = 16;
+
+} // namespace internal
+
+std::string ContextTable::open(CallContext context)
+{
+    auto token = randomHex(internal::kTokenBytes);
+    const std::lock_guard lock{m_mutex};
+    m_contexts.emplace(token, std::move(context));
+    return token;
+}
+
+std::optional<CallContext> ContextTable::find(const std::string &token) const
+{
+    const std::lock_guard lock{m_mutex};
+    const auto it = m_contexts.find(token);
+    return it == m_contexts.end() ? std::nullopt : std::optional{it->second};
+}
+
+void ContextTable::close(const std::string &token)
+{
+    const std::lock_guard lock{m_mutex};
+    m_contexts.erase(token);
+}
+
+std::size_t ContextTable::size() const
+{
+    const std::lock_guard lock{m_mutex};
+    return m_contexts.size();
+}
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/gate/context_table.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "gate/call_context.h"
+
+namespace celeryramp {
+
+/*!
+ * @brief Contexts of the calls under way at this node's backend server, by unguessable token.
+ *
+ * A token lives as long as its call. Callers cannot forge one: the table is local and tokens are
+ * taken from the loopback listener only. Safe to use from several threads.
+ */
+class ContextTable
+{
+public:
+    /*! @brief Opens a context. @return Its token. */
+    [[nodiscard]] std::string open(CallContext context);
+
+    /*! @return The context of a token, or nothing. */
+    [[nodiscard]] std::optional<CallContext> find(const std::string &token) const;
+
+    /*! @brief Ends a context; its token is worthless from now on. */
+    void close(const std::string &token);
+
+    /*! @return Number of open contexts. */
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::unordered_map<std::string, CallContext> m_contexts;
+};
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/gate/fwd.h
@@ -0,0 +1,19 @@
+#pragma once
+
+/*! @file
+ *  Forward declarations of the gate module: everything that decides whether a call reaches the
+ *  backend server beside this node.
+ */
+
+namespace celeryramp {
+
+class ConcurrencyRamp;
+class ContextTable;
+class CrashWatch;
+class FairQueue;
+class Gate;
+class LedgerHome;
+class Reservation;
+struct QueuedCall;
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/gate/gate.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/snapshot.h"
+#include "core/time.h"
+#include "gate/concurrency_ramp.h"
+#include "gate/fair_queue.h"
+#include "gate/queued_call.h"
+#include "wire/outcome.h"
+
+namespace celeryramp {
+
+/*! @brief A call that the gate refuses; it was not run and never will be. */
+struct Refusal
+{
+    QueuedCall call;
+    Reason reason = Reason::None;
+};
+
+/*! @brief Counters of a gate. */
+struct GateCounters
+{
+    std::uint64_t offered = 0;
+    std::uint64_t started = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t cancelled = 0;
+};
+
+/*! @brief What the gate needs to know of its surroundings at each decision. */
+struct GateSurroundings
+{
+    const Snapshot *snapshot = nullptr; /*!< Null before the first configuration. */
+    bool leaving = false; /*!< The server is listed as leaving. */
+    const std::set<std::string> *quarantined = nullptr; /*!< Digests not to be run. */
+};
+
+/*!
+ * @brief The only way into one backend server.
+ *
+ * All work passes here, so concurrency, ramp, drain, keys and zone status are local facts. Keys and
+ * zone status are checked again when a call leaves the queue. Decides only; the duties around it
+ * carry calls and answers.
+ */
+class Gate
+{
+public:
+    /*!
+     * @param server Name of the server behind this gate. @param slots Its slots.
+     * @param queueCapacity Calls that may wait.
+     */
+    Gate(std::string server, int slots, std::size_t queueCapacity);
+
+    /*! @brief A call arrived. @return Calls refused by this: the new one or one it displaced. */
+    [[nodiscard]] std::vector<Refusal> offer(QueuedCall call, const GateSurroundings &around,
+                                             TimePoint now);
+
+    /*!
+     * @brief Takes the next call to run, if one may run now.
+     * @param refusals Gets the calls found not to be run on the way.
+     */
+    [[nodiscard]] std::optional<QueuedCall> next(const GateSurroundings &around, TimePoint now,
+                                                 std::vector<Refusal> &refusals);
+
+    /*! @brief A call that `next` gave out has ended. */
+    void finished(const QueuedCall &call, Evidence evidence, Micros latency, TimePoint now);
+
+    /*! @return The call, when it was still waiting and will now never run. */
+    [[nodiscard]] std::optional<QueuedCall> cancel(std::uint64_t id, ReplyPath replyPath);
+
+    /*! @brief Refuses all new work from now on; calls that wait are still run. */
+    void drain() noexcept { m_draining = true; }
+
+    /*! @brief The server restarted or crashed: start small again. */
+    void serverLost(TimePoint now);
+
+    /*! @return True when nothing waits and nothing runs. */
+    [[nodiscard]] bool isIdle() const noexcept { return m_queue.size() == 0 && m_running == 0; }
+
+    [[nodiscard]] GateLoad load() const noexcept;
+    [[nodiscard]] const GateCounters &counters() const noexcept { return m_counters; }
+    [[nodiscard]] const ConcurrencyRamp &ramp() const noexcept { return m_ramp; }
+
+private:
+    /*! @return Why the call may not run now, or `None`. */
+    [[nodiscard]] Reason obstacle(const QueuedCall &call, const GateSurroundings &around,
+                                  TimePoint now) const;
+    [[nodiscard]] bool canMeetDeadline(const QueuedCall &call, TimePoint now) const;
+
+    std::string m_server;
+    ConcurrencyRamp m_ramp;
+    FairQueue m_queue;
+    GateCounters m_counters;
+    int m_running = 0;
+    bool m_draining = false;
+};
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/limits/account_share.cpp
@@ -0,0 +1,78 @@
+#include "limits/account_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/hash.h"
+
+namespace celeryramp {
+
+namespace internal {
+
+constexpr double kMaxGrantLifeSeconds = 1.0;
+constexpr std::size_t kMaxMintersPerZone = 4;
+constexpr double kBurstPerMinter = 12.0; /*!< Smaller buckets waste their fractions. */
+
+} // namespace internal
+
+std::vector<std::string> mintingZones(const Snapshot &snapshot)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, zone] : snapshot.model().zones) {
+        if (!snapshot.serversIn(name).empty()) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> mintersOf(const Snapshot &snapshot, const ClientAccount &account,
+                                   const std::string &zone)
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto *server : snapshot.serversIn(zone)) {
+        ranked.emplace_back(stableHash({account.name, server->name}), server->name);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    const auto zones = static_cast<double>(std::max<std::size_t>(1, mintingZones(snapshot).size()));
+    const auto wanted = static_cast<std::size_t>(
+            std::max(1.0, account.burst / (zones * internal::kBurstPerMinter)));
+    ranked.resize(std::min({ranked.size(), wanted, internal::kMaxMintersPerZone}));
+    std::vector<std::string> names;
+    names.reserve(ranked.size());
+    for (auto &[hash, name] : ranked) {
+        names.push_back(std::move(name));
+    }
+    return names;
+}
+
+Millis grantLife(const ClientAccount &account)
+{
+    const auto whole = account.burst / account.rate;
+    const auto life = std::min(internal::kMaxGrantLifeSeconds, whole / 2.0);
+    return Millis{std::max<std::int64_t>(1, static_cast<std::int64_t>(std::floor(life * 1000.0)))};
+}
+
+AccountShare shareOf(const Snapshot &snapshot, const ClientAccount &account,
+                     const std::string &server)
+{
+    const auto *declared = snapshot.findServer(server);
+    if (declared == nullptr) {
+        return {};
+    }
+    const auto minters = mintersOf(snapshot, account, declared->zone);
+    if (std::find(minters.begin(), minters.end(), server) == minters.end()) {
+        return {};
+    }
+    const auto divisor = static_cast<double>(mintingZones(snapshot).size() * minters.size());
+    AccountShare share;
+    share.ratePerSecond = account.rate * double(kMicroTokensPerCall) / divisor;
+    share.grantLife = grantLife(account);
+    const auto burst = account.burst * double(kMicroTokensPerCall) / divisor;
+    const auto lifeSeconds = std::chrono::duration<double>(share.grantLife).count();
+    share.capacity = std::max<MicroTokens>(
+            0, static_cast<MicroTokens>(std::floor(burst - share.ratePerSecond * lifeSeconds)));
+    return share;
+}
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/routing/retry_budget.cpp
@@ -0,0 +1,23 @@
+#include "routing/retry_budget.h"
+
+#include <algorithm>
+
+namespace celeryramp {
+
+void RetryBudget::onFirstAttempt(const std::string &service)
+{
+    auto &saved = m_saved[service];
+    saved = std::min(m_reserve, saved + m_share);
+}
+
+bool RetryBudget::trySpend(const std::string &service)
+{
+    auto &saved = m_saved[service];
+    if (saved < 1.0) {
+        return false;
+    }
+    saved -= 1.0;
+    return true;
+}
+
+} // namespace celeryramp
