Whole path as separate processes: node daemon, stand-ins of platform, backend server and caller, scenario lab

Cause: decisions need a running path to be measured on. Change: transport (websocketpp with mutual TLS and CBOR, cpp-httplib), duties, the road of a call, operator port, stand-ins, invariant checker, scenario runner.

--- a/src/celeryramp/config/json_reader.cpp
+++ b/src/celeryramp/config/json_reader.cpp
@@ -100,6 +100,13 @@
     return n;
 }
 
+std::int64_t JsonReader::integerOr(const char *name, std::int64_t low, std::int64_t high,
+                                   std::int64_t fallback)
+{
+    const bool absent = m_failed || m_object.find(name) == m_object.end();
+    return absent ? fallback : integer(name, low, high);
+}
+
 const nlohmann::json &JsonReader::object(const char *name)
 {
     const auto *value = member(name);
--- a/src/celeryramp/config/json_reader.h
+++ b/src/celeryramp/config/json_reader.h
@@ -33,6 +33,10 @@
     /*! @return A whole number member within [low, high]. */
     [[nodiscard]] std::int64_t integer(const char *name, std::int64_t low, std::int64_t high);
 
+    /*! @return A whole number member within [low, high], or the fallback when absent. */
+    [[nodiscard]] std::int64_t integerOr(const char *name, std::int64_t low, std::int64_t high,
+                                         std::int64_t fallback);
+
     /*! @return An object member. */
     [[nodiscard]] const nlohmann::json &object(const char *name);
 
--- a/src/celeryramp/config/parse.cpp
+++ b/src/celeryramp/config/parse.cpp
@@ -13,6 +13,7 @@
 
 constexpr double kMaxRate = 1e7;
 constexpr std::int64_t kMaxMillis = 600'000;
+constexpr std::int64_t kMaxFreshness = 86'400'000;
 constexpr std::int64_t kMaxSlots = 4096;
 constexpr std::size_t kHashDigits = 64;
 
@@ -70,6 +71,7 @@
             ? RepeatSafety::Idempotent
             : RepeatSafety::AtMostOnce;
     workClass.deadline = Millis{reader.integer("deadline_ms", 1, kMaxMillis)};
+    workClass.keyFreshness = Millis{reader.integerOr("key_freshness_ms", 0, kMaxFreshness, 0)};
     if (workClass.deadline < workClass.latency) {
         reader.fail(ConfigErrorCode::OutOfRange, "deadline_ms", "must not be below latency_ms");
     }
--- a/src/celeryramp/config/work_class.h
+++ b/src/celeryramp/config/work_class.h
@@ -20,6 +20,7 @@
     double success = 0.0; /*!< Share of calls to be answered within the latency, 0 to 1. */
     RepeatSafety repeat = RepeatSafety::AtMostOnce;
     Millis deadline{0}; /*!< A call is given up after this long. */
+    Millis keyFreshness{0}; /*!< Oldest configuration that keys are believed from; 0 for any. */
 };
 
 } // namespace celeryramp
--- a/src/celeryramp/gate/context_table.cpp
+++ b/src/celeryramp/gate/context_table.cpp
@@ -14,7 +14,7 @@
 {
     auto token = randomHex(internal::kTokenBytes);
     const std::lock_guard lock{m_mutex};
-    m_contexts.emplace(token, std::move(context));
+    m_contexts.emplace(token, Entry{std::move(context), false});
     return token;
 }
 
@@ -22,13 +22,27 @@
 {
     const std::lock_guard lock{m_mutex};
     const auto it = m_contexts.find(token);
-    return it == m_contexts.end() ? std::nullopt : std::optional{it->second};
+    return it == m_contexts.end() ? std::nullopt : std::optional{it->second.context};
 }
 
-void ContextTable::close(const std::string &token)
+void ContextTable::noteFailure(const std::string &token)
 {
     const std::lock_guard lock{m_mutex};
-    m_contexts.erase(token);
+    if (const auto it = m_contexts.find(token); it != m_contexts.end()) {
+        it->second.failedBelow = true;
+    }
+}
+
+bool ContextTable::close(const std::string &token)
+{
+    const std::lock_guard lock{m_mutex};
+    const auto it = m_contexts.find(token);
+    if (it == m_contexts.end()) {
+        return false;
+    }
+    const bool failedBelow = it->second.failedBelow;
+    m_contexts.erase(it);
+    return failedBelow;
 }
 
 std::size_t ContextTable::size() const
--- a/src/celeryramp/gate/context_table.h
+++ b/src/celeryramp/gate/context_table.h
@@ -24,15 +24,27 @@
     /*! @return The context of a token, or nothing. */
     [[nodiscard]] std::optional<CallContext> find(const std::string &token) const;
 
-    /*! @brief Ends a context; its token is worthless from now on. */
-    void close(const std::string &token);
+    /*! @brief A call made within the context failed, and the mesh has dealt with that. */
+    void noteFailure(const std::string &token);
+
+    /*!
+     * @brief Ends a context; its token is worthless from now on.
+     * @return True when a call made within it failed.
+     */
+    bool close(const std::string &token);
 
     /*! @return Number of open contexts. */
     [[nodiscard]] std::size_t size() const;
 
 private:
+    struct Entry
+    {
+        CallContext context;
+        bool failedBelow = false;
+    };
+
     mutable std::mutex m_mutex;
-    std::unordered_map<std::string, CallContext> m_contexts;
+    std::unordered_map<std::string, Entry> m_contexts;
 };
 
 } // namespace celeryramp
--- a/src/celeryramp/limits/wallet.h
+++ b/src/celeryramp/limits/wallet.h
@@ -66,6 +66,9 @@
     /*! @brief A minter could not be reached; the ask is given up. @return Account that asked. */
     std::string onUnreachable(std::uint64_t id, TimePoint now);
 
+    /*! @return True while an ask waits for its grant. */
+    [[nodiscard]] bool isPending(std::uint64_t id) const { return m_pending.count(id) > 0; }
+
     /*! @return Unspent, unexpired micro-tokens of an account. */
     [[nodiscard]] MicroTokens balance(const std::string &account, TimePoint now);
 
--- /dev/null
+++ b/src/celeryramp/node/control_duty.cpp
@@ -0,0 +1,456 @@
+#include "node/control_duty.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "gate/crash_watch.h"
+#include "observe/log.h"
+
+namespace celeryramp {
+
+namespace internal {
+
+constexpr std::size_t kControlRing = 8192;
+constexpr Millis kTick{100};
+constexpr Millis kSearchInterval{250};
+constexpr Millis kPauseNoticed{1500};
+constexpr Millis kRumourLife{600'000};
+constexpr std::size_t kObservers = 3;
+constexpr std::size_t kPeersAskedAtStart = 3;
+constexpr std::size_t kDigestShown = 12;
+
+[[nodiscard]] Rumour rumour(RumourKind kind, std::string subject, std::uint64_t sequence)
+{
+    return {kind, std::move(subject), sequence, static_cast<std::uint32_t>(kRumourLife.count())};
+}
+
+} // namespace internal
+
+ControlDuty::ControlDuty(const NodeSettings &settings, std::uint64_t incarnation,
+                         Cell<Snapshot> &snapshot, Cell<FleetView> &fleet, PostOffice &post,
+                         ControlHooks &hooks, MetricsRegistry &metrics)
+    : m_settings{settings},
+      m_snapshot{snapshot},
+      m_fleet{fleet},
+      m_post{post},
+      m_hooks{hooks},
+      m_ring{internal::kControlRing},
+      m_pauses{metrics.counter("pauses_total")},
+      m_suspicions{metrics.counter("suspicions_total")},
+      m_distributor{settings.server, settings.zone, incarnation},
+      m_rumours{settings.server, settings.zone},
+      m_view{m_rumours.store()},
+      m_incarnation{incarnation}
+{
+    metrics.gauge("control_ring_refused", [this] { return double(m_ring.refused()); });
+}
+
+ControlDuty::~ControlDuty()
+{
+    stop();
+}
+
+void ControlDuty::start()
+{
+    m_lastTick = Clock::now();
+    m_thread = std::thread{[this] { loop(); }};
+}
+
+void ControlDuty::stop()
+{
+    m_stopping = true;
+    m_ring.close();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+bool ControlDuty::push(ControlEvent event)
+{
+    return m_ring.push(std::move(event));
+}
+
+ConfigStamp ControlDuty::stamp() const
+{
+    const std::lock_guard lock{m_mutex};
+    return m_distributor.acceptance().stamp();
+}
+
+bool ControlDuty::isWanted(const ConfigStamp &stamp) const
+{
+    const std::lock_guard lock{m_mutex};
+    const auto &acceptance = m_distributor.acceptance();
+    return acceptance.isNewer(stamp) && !acceptance.wasRejected(stamp);
+}
+
+ConfigDocument ControlDuty::document() const
+{
+    const std::lock_guard lock{m_mutex};
+    return m_distributor.acceptance().document();
+}
+
+Millis ControlDuty::confirmedAgo(TimePoint now) const
+{
+    const std::lock_guard lock{m_mutex};
+    return m_distributor.confirmedAgo(now);
+}
+
+void ControlDuty::loop()
+{
+    while (!m_stopping) {
+        const auto event = m_ring.pop(internal::kTick);
+        const auto now = Clock::now();
+        {
+            const std::lock_guard lock{m_mutex};
+            if (now - m_lastTick >= internal::kPauseNoticed) {
+                notePause(now);
+            }
+            if (event) {
+                handle(*event, now);
+            }
+            if (now - m_lastTick >= internal::kTick) {
+                tick(now);
+            }
+        }
+        flush();
+    }
+}
+
+void ControlDuty::handle(const ControlEvent &event, TimePoint now)
+{
+    std::visit([&](const auto &typed) { handle(typed, now); }, event);
+    publishFleet();
+}
+
+void ControlDuty::handle(const PeerMessageEvent &event, TimePoint now)
+{
+    if (const auto *heartbeat = std::get_if<HeartbeatMessage>(&event.message)) {
+        onHeartbeat(*heartbeat, now);
+    } else if (const auto *announce = std::get_if<AnnounceMessage>(&event.message)) {
+        m_distributor.onAnnounce(event.from, *announce, usable(), now, m_out);
+    } else if (const auto *pull = std::get_if<PullMessage>(&event.message)) {
+        m_distributor.onPull(event.from, *pull, m_out);
+    } else if (const auto *document = std::get_if<DocumentMessage>(&event.message)) {
+        m_peerAnswered = true;
+        if (m_distributor.onDocument(event.from, *document, usable(), now, m_out)) {
+            adoptSnapshot(now);
+        }
+    } else if (const auto *message = std::get_if<RumourMessage>(&event.message)) {
+        const auto fresh = m_rumours.onMessage(event.from, *message, m_distributor.topology(),
+                                               usable(), now, m_out);
+        if (!fresh.empty()) {
+            refuteSuspicions(now);
+        }
+    }
+}
+
+void ControlDuty::handle(const PeerUpEvent &event, TimePoint now)
+{
+    const bool early = m_peersAsked < internal::kPeersAskedAtStart;
+    if (early || !m_distributor.acceptance().inForce()) {
+        ++m_peersAsked;
+        m_distributor.pullFrom(event.name, now, m_out);
+    }
+}
+
+void ControlDuty::handle(const PeerLostEvent &event, TimePoint /*now*/)
+{
+    if (event.refused) {
+        m_detector.refused(event.name);
+        return;
+    }
+    // Whoever closed: a heartbeat out of turn finds out whether somebody still listens there.
+    const auto observers = m_distributor.topology().successors(event.name, internal::kObservers,
+                                                               usable());
+    if (std::find(observers.begin(), observers.end(), m_settings.server) != observers.end()) {
+        m_out.send(event.name, HeartbeatMessage{m_settings.server, m_incarnation,
+                                                m_distributor.acceptance().stamp().version,
+                                                m_distributor.acceptance().stamp().digest,
+                                                m_rumours.store().digest()});
+    }
+}
+
+void ControlDuty::handle(const PlatformDocumentEvent &event, TimePoint now)
+{
+    if (m_distributor.onPlatformDocument(event.document, usable(), now, m_out)) {
+        adoptSnapshot(now);
+    }
+}
+
+void ControlDuty::handle(const PlatformConfirmedEvent & /*event*/, TimePoint now)
+{
+    m_distributor.onPlatformConfirmed(now);
+}
+
+void ControlDuty::handle(const InstanceListEvent &event, TimePoint now)
+{
+    if (event.list.index < m_listIndex || !m_distributor.acceptance().inForce()) {
+        return;
+    }
+    m_listIndex = event.list.index;
+    std::vector<Rumour> rumours;
+    for (const auto &[name, server] : m_distributor.acceptance().inForce()->model().servers) {
+        const bool listed = event.list.leaving.count(name) > 0;
+        const auto left = m_rumours.store().sequence(RumourKind::ListedLeaving, name).value_or(0);
+        const auto live = m_rumours.store().sequence(RumourKind::ListedLive, name).value_or(0);
+        const bool known = left > live;
+        if (listed != known && event.list.index > std::max(left, live)) {
+            const auto kind = listed ? RumourKind::ListedLeaving : RumourKind::ListedLive;
+            rumours.push_back(internal::rumour(kind, name, event.list.index));
+        }
+    }
+    publishRumours(std::move(rumours), now);
+}
+
+void ControlDuty::handle(const PublishEvent &event, TimePoint now)
+{
+    publishRumours(event.rumours, now);
+}
+
+void ControlDuty::handle(const LeaveEvent & /*event*/, TimePoint now)
+{
+    m_leaving = true;
+    publishRumours({internal::rumour(RumourKind::Leaving, m_settings.server, m_incarnation)}, now);
+    logEvent(LogLevel::Info, "control", "leaving", {{"server", m_settings.server}});
+}
+
+void ControlDuty::onHeartbeat(const HeartbeatMessage &message, TimePoint now)
+{
+    m_detector.heard(message.server, message.incarnation, now);
+    m_distributor.onHeartbeat(message, now, m_out);
+    m_rumours.onHeartbeat(message, now, m_out);
+}
+
+void ControlDuty::tick(TimePoint now)
+{
+    m_lastTick = now;
+    m_rumours.tick(now);
+    const bool reader = isReader();
+    if (reader != m_wasReader) {
+        m_wasReader = reader;
+        m_hooks.onReaderChanged(reader);
+    }
+    m_distributor.tick(reader, usable(), now, m_out);
+    if (!m_distributor.acceptance().inForce()) {
+        if (now - m_lastSearch >= internal::kSearchInterval) {
+            m_lastSearch = now;
+            m_hooks.onStillEmpty();
+        }
+        return;
+    }
+    if (now - m_lastHeartbeat >= kHeartbeatInterval) {
+        m_lastHeartbeat = now;
+        sendHeartbeats(now);
+    }
+    reportMissing(now);
+    publishFleet();
+    logRejections();
+}
+
+void ControlDuty::sendHeartbeats(TimePoint /*now*/)
+{
+    const auto &stamp = m_distributor.acceptance().stamp();
+    const HeartbeatMessage heartbeat{m_settings.server, m_incarnation, stamp.version, stamp.digest,
+                                     m_rumours.store().digest()};
+    const auto &topology = m_distributor.topology();
+    for (const auto &next :
+         topology.successors(m_settings.server, internal::kObservers, usable())) {
+        m_out.send(next, heartbeat);
+    }
+    if (!m_wasReader) {
+        return;
+    }
+    for (const auto &zone : topology.zones()) {
+        const auto readers = topology.readers(zone, usable());
+        if (zone != m_settings.zone && !readers.empty()) {
+            m_out.send(readers.front(), heartbeat);
+        }
+    }
+}
+
+void ControlDuty::reportMissing(TimePoint now)
+{
+    std::vector<Rumour> rumours;
+    for (const auto &missing : m_detector.poll(now)) {
+        const auto observers = m_distributor.topology().successors(
+                missing.server, internal::kObservers, usable());
+        if (std::find(observers.begin(), observers.end(), m_settings.server) == observers.end()) {
+            m_detector.forget(missing.server); // it reports to others now
+            continue;
+        }
+        m_suspicions.add();
+        logEvent(LogLevel::Info, "control", "suspected", {{"server", missing.server}});
+        rumours.push_back(internal::rumour(RumourKind::Suspicion,
+                                           missing.server + " " + m_settings.server,
+                                           missing.incarnation));
+    }
+    publishRumours(std::move(rumours), now);
+}
+
+void ControlDuty::refuteSuspicions(TimePoint now)
+{
+    const auto known = m_view.incarnation(m_settings.server);
+    if (known > m_incarnation) {
+        if (!m_superseded) {
+            m_superseded = true;
+            logEvent(LogLevel::Error, "control", "superseded", {{"server", m_settings.server}});
+        }
+        return;
+    }
+    const auto suspicions = m_rumours.store().withPrefix(RumourKind::Suspicion,
+                                                         m_settings.server + " ");
+    std::uint64_t highest = 0;
+    for (const auto &[subject, sequence] : suspicions) {
+        highest = std::max(highest, sequence);
+    }
+    if (highest >= m_incarnation) {
+        m_incarnation = highest + 1;
+        publishRumours({internal::rumour(RumourKind::Alive, m_settings.server, m_incarnation)},
+                       now);
+    }
+}
+
+void ControlDuty::publishRumours(std::vector<Rumour> rumours, TimePoint now)
+{
+    if (!rumours.empty()) {
+        m_rumours.publish(std::move(rumours), m_distributor.topology(), usable(), now, m_out);
+    }
+}
+
+void ControlDuty::adoptSnapshot(TimePoint now)
+{
+    const auto snapshot = m_distributor.acceptance().inForce();
+    const bool first = m_snapshot.get() == nullptr;
+    m_hooks.onSnapshot(snapshot, now);
+    m_snapshot.set(snapshot);
+    m_inForceWall = std::chrono::system_clock::now();
+    logEvent(LogLevel::Info, "control", "config-in-force",
+             {{"version", std::to_string(snapshot->stamp().version)},
+              {"digest", snapshot->stamp().digest.substr(0, internal::kDigestShown)}});
+    if (first) {
+        publishRumours({internal::rumour(RumourKind::Alive, m_settings.server, m_incarnation)},
+                       now);
+    }
+}
+
+void ControlDuty::publishFleet()
+{
+    const auto &store = m_rumours.store();
+    if (store.digest() == m_fleetDigest && m_fleet.get()->superseded == m_superseded) {
+        return;
+    }
+    m_fleetDigest = store.digest();
+    auto fleet = std::make_shared<FleetView>();
+    for (const auto &[subject, sequence] : store.withPrefix(RumourKind::Suspicion, "")) {
+        const auto server = subject.substr(0, subject.find(' '));
+        if (m_view.isDown(server)) {
+            fleet->down.insert(server);
+        }
+    }
+    for (const auto kind : {RumourKind::Leaving, RumourKind::ListedLeaving}) {
+        for (const auto &[server, sequence] : store.withPrefix(kind, "")) {
+            if (m_view.isLeaving(server)) {
+                fleet->leaving.insert(server);
+            }
+        }
+    }
+    fleet->quarantined = quarantinedDigests(store);
+    fleet->suspect = suspectDigests(store);
+    fleet->selfLeaving = fleet->leaving.count(m_settings.server) > 0;
+    fleet->superseded = m_superseded;
+    m_fleet.set(std::move(fleet));
+}
+
+void ControlDuty::notePause(TimePoint now)
+{
+    const auto pause = millisBetween(m_lastTick, now);
+    m_pauses.add();
+    m_detector.forgive(now);
+    m_hooks.onPaused(pause, now);
+    logEvent(LogLevel::Warn, "control", "paused", {{"ms", std::to_string(pause.count())}});
+    m_lastTick = now;
+}
+
+void ControlDuty::flush()
+{
+    for (auto &[server, message] : m_out.take()) {
+        m_post.post(server, std::move(message));
+    }
+}
+
+void ControlDuty::logRejections()
+{
+    const auto &rejections = m_distributor.acceptance().rejections();
+    const auto total = m_distributor.counters().rejected;
+    if (total == m_loggedRejections || rejections.empty()) {
+        return;
+    }
+    m_loggedRejections = total;
+    const auto &last = rejections.back();
+    logEvent(LogLevel::Warn, "control", "config-rejected",
+             {{"version", std::to_string(last.stamp.version)}, {"reason", last.error.text()}});
+}
+
+IsUsable ControlDuty::usable() const
+{
+    return [this](const std::string &server) { return !m_view.isDown(server); };
+}
+
+bool ControlDuty::isReader() const
+{
+    const auto readers = m_distributor.topology().readers(m_settings.zone, usable());
+    return std::find(readers.begin(), readers.end(), m_settings.server) != readers.end();
+}
+
+nlohmann::json ControlDuty::state(TimePoint now) const
+{
+    const std::lock_guard lock{m_mutex};
+    const auto &acceptance = m_distributor.acceptance();
+    auto rejections = nlohmann::json::array();
+    for (const auto &rejection : acceptance.rejections()) {
+        rejections.push_back({{"version", rejection.stamp.version},
+                              {"ago_ms", millisBetween(rejection.at, now).count()},
+                              {"reason", rejection.error.text()}});
+    }
+    auto members = nlohmann::json::object();
+    if (acceptance.inForce()) {
+        for (const auto &[name, server] : acceptance.inForce()->model().servers) {
+            if (const auto memberState = m_view.state(name); memberState != MemberState::Alive) {
+                members[name] = memberStateText(memberState);
+            }
+        }
+    }
+    const auto &counters = m_distributor.counters();
+    const auto confirmed = m_distributor.isConfirmed()
+            ? nlohmann::json(m_distributor.confirmedAgo(now).count())
+            : nlohmann::json(nullptr);
+    return {{"incarnation", m_incarnation},
+            {"superseded", m_superseded},
+            {"reader", m_wasReader},
+            {"config",
+             {{"version", acceptance.stamp().version},
+              {"digest", acceptance.stamp().digest},
+              {"confirmed_ago_ms", confirmed},
+              {"in_force_since_unix_ms", std::chrono::duration_cast<Millis>(
+                                                 m_inForceWall.time_since_epoch())
+                                                 .count()},
+              {"in_force_ms", acceptance.inForce()
+                       ? millisBetween(acceptance.acceptedAt(), now).count()
+                       : 0},
+              {"rejections", rejections}}},
+            {"members_not_alive", members},
+            {"rumours", m_rumours.store().size()},
+            {"distribution",
+             {{"accepted", counters.accepted},
+              {"rejected", counters.rejected},
+              {"deltas_sent", counters.deltasSent},
+              {"wholes_sent", counters.wholesSent},
+              {"deltas_applied", counters.deltasApplied},
+              {"deltas_unusable", counters.deltasUnusable},
+              {"pulls", counters.pulls},
+              {"pull_timeouts", counters.pullTimeouts},
+              {"announcements", counters.announcements}}}};
+}
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/node/node.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "gate/context_table.h"
+#include "node/accounts_desk.h"
+#include "node/cell.h"
+#include "node/control_duty.h"
+#include "node/gate_duty.h"
+#include "node/ledger_duty.h"
+#include "node/node_settings.h"
+#include "node/operator_port.h"
+#include "node/platform_duty.h"
+#include "node/post_office.h"
+#include "node/road.h"
+#include "node/routing_desk.h"
+#include "transport/http_listener.h"
+#include "transport/peer_mesh.h"
+
+namespace celeryramp {
+
+/*! @brief Why a node cannot start. */
+struct NodeError
+{
+    std::string reason;
+};
+
+/*! @brief One node: all duties, wired. */
+class Node : public PostOffice,
+             public PeerEvents,
+             public ControlHooks,
+             public RoadSurroundings,
+             public OperatorView
+{
+public:
+    explicit Node(NodeSettings settings);
+    ~Node() override;
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    /*! @brief Starts all duties and listeners. */
+    [[nodiscard]] Result<bool, NodeError> start();
+
+    /*! @brief Announces leaving, finishes what runs, then ends all duties. */
+    void leave();
+
+    /*! @return True when another process holds this node's slot. */
+    [[nodiscard]] bool isSuperseded() const;
+
+    LinkId post(const std::string &server, Message message, std::uint64_t token) override;
+    void answer(LinkId link, Message message) override;
+
+    void onPeerMessage(const std::string &from, LinkId link, Message message) override;
+    void onPeerUp(const std::string &name, LinkId link) override;
+    void onPeerLost(const std::string &name, LinkId link, bool refused) override;
+    void onUnsent(const std::string &name, std::uint64_t token) override;
+    [[nodiscard]] PeerPlace placeOf(const std::string &name) override;
+
+    void onSnapshot(SnapshotPtr snapshot, TimePoint now) override;
+    void onReaderChanged(bool isReader) override;
+    void onPaused(Millis pause, TimePoint now) override;
+    void onStillEmpty() override;
+
+    [[nodiscard]] bool isReady(TimePoint now) const override;
+    [[nodiscard]] bool isLeaving() const override { return m_leaving; }
+    [[nodiscard]] Millis confirmedAgo(TimePoint now) const override;
+
+    [[nodiscard]] nlohmann::json state() const override;
+    [[nodiscard]] nlohmann::json status() const override;
+    [[nodiscard]] nlohmann::json explain(const std::string &path) const override;
+    [[nodiscard]] bool ready() const override { return isReady(Clock::now()); }
+
+private:
+    void dispatch(const std::string &from, LinkId link, Message message);
+    void waitUntilIdle();
+    void stopDuties();
+
+    NodeSettings m_settings;
+    std::uint64_t m_incarnation;
+    TimePoint m_startedAt;
+    MetricsRegistry m_metrics;
+    LinkPolicy m_policy;
+    Cell<Snapshot> m_snapshot;
+    Cell<FleetView> m_fleet;
+    ContextTable m_contexts;
+    Counter &m_ringRefused;
+    PeerMesh m_mesh;
+    RoutingDesk m_routing;
+    AccountsDesk m_accounts;
+    LedgerDuty m_ledger;
+    ControlDuty m_control;
+    PlatformDuty m_platform;
+    GateDuty m_gate;
+    Road m_road;
+    HttpListener m_callers;
+    HttpListener m_inside;
+    OperatorPort m_operators;
+    std::size_t m_nextSeed = 0;
+    std::atomic<bool> m_leaving{false};
+    bool m_stopped = false;
+};
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/node/operator_port.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "node/node_settings.h"
+#include "observe/metrics_registry.h"
+#include "transport/http_listener.h"
+#include "transport/link_policy.h"
+
+namespace celeryramp {
+
+/*! @brief What the operator port shows. */
+class OperatorView
+{
+public:
+    virtual ~OperatorView() = default;
+
+    /*! @return The whole process as JSON. */
+    [[nodiscard]] virtual nlohmann::json state() const = 0;
+
+    /*! @return Version in force and its age, short. */
+    [[nodiscard]] virtual nlohmann::json status() const = 0;
+
+    /*! @return Where a call on this path would go, and why. */
+    [[nodiscard]] virtual nlohmann::json explain(const std::string &path) const = 0;
+
+    /*! @return True when calls may be served. */
+    [[nodiscard]] virtual bool ready() const = 0;
+};
+
+/*!
+ * @brief HTTP for operators: `/state`, `/status`, `/explain`, `/metrics`, `/healthz`, `/readyz`, `PUT
+ * /log-level`, and `PUT /faults` when the settings allow it. Needs a token unless on loopback.
+ */
+class OperatorPort
+{
+public:
+    OperatorPort(const NodeSettings &settings, const OperatorView &view,
+                 const MetricsRegistry &metrics, LinkPolicy &policy);
+
+    [[nodiscard]] Result<bool, ListenError> start() { return m_listener.start(); }
+    void stop() { m_listener.stop(); }
+
+private:
+    [[nodiscard]] HttpResponse serve(const HttpRequest &request);
+    [[nodiscard]] HttpResponse read(const HttpRequest &request) const;
+    [[nodiscard]] HttpResponse write(const HttpRequest &request);
+    [[nodiscard]] bool isAllowed(const HttpRequest &request) const;
+
+    const NodeSettings &m_settings;
+    const OperatorView &m_view;
+    const MetricsRegistry &m_metrics;
+    LinkPolicy &m_policy;
+    HttpListener m_listener;
+};
+
+} // namespace celeryramp
--- /dev/null
+++ b/src/celeryramp/transport/platform_client.cpp
@@ -0,0 +1,139 @@
+#include "transport/platform_client.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "config/limits.h"
+#include "config/parse.h"
+
+namespace celeryramp {
+
+namespace internal {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpNotModified = 304;
+constexpr Millis kConnectTimeout{1000};
+constexpr Millis kAnswerTimeout{3000};
+constexpr std::size_t kMaxInstanceListBytes = 4 * 1024 * 1024;
+
+[[nodiscard]] PlatformError cutError()
+{
+    return {PlatformErrorCode::Unreachable, "the way to the platform is cut"};
+}
+
+} // namespace internal
+
+class PlatformClient::Impl
+{
+public:
+    Impl(const Address &address, const LinkPolicy &policy, MetricsRegistry &metrics)
+        : m_client{address.host, address.port},
+          m_policy{policy},
+          m_reads{metrics.counter("platform_reads_total")},
+          m_failures{metrics.counter("platform_failures_total")}
+    {
+        m_client.set_keep_alive(true);
+        m_client.set_tcp_nodelay(true);
+        m_client.set_connection_timeout(internal::kConnectTimeout);
+    }
+
+    [[nodiscard]] Result<httplib::Response, PlatformError> get(const std::string &path, Millis wait)
+    {
+        if (m_policy.isPlatformCut()) {
+            m_failures.add();
+            return internal::cutError();
+        }
+        m_reads.add();
+        m_client.set_read_timeout(internal::kAnswerTimeout + wait);
+        auto result = m_client.Get(path);
+        if (m_policy.isPlatformCut()) {
+            m_failures.add();
+            return internal::cutError();
+        }
+        if (!result) {
+            m_failures.add();
+            return PlatformError{PlatformErrorCode::Unreachable, httplib::to_string(result.error())};
+        }
+        if (result->status != internal::kHttpOk && result->status != internal::kHttpNotModified) {
+            m_failures.add();
+            return PlatformError{PlatformErrorCode::Refused,
+                                 "status " + std::to_string(result->status)};
+        }
+        return *result;
+    }
+
+    void abort() { m_client.stop(); }
+
+private:
+    httplib::Client m_client;
+    const LinkPolicy &m_policy;
+    Counter &m_reads;
+    Counter &m_failures;
+};
+
+PlatformClient::PlatformClient(const Address &address, const LinkPolicy &policy,
+                               MetricsRegistry &metrics)
+    : m_impl{std::make_unique<Impl>(address, policy, metrics)}
+{
+}
+
+PlatformClient::~PlatformClient() = default;
+
+Result<std::optional<Manifest>, PlatformError> PlatformClient::readManifest(std::uint64_t known,
+                                                                            Millis wait)
+{
+    const auto query = known == 0 ? std::string{}
+                                  : "?not=" + std::to_string(known)
+                    + "&wait_ms=" + std::to_string(wait.count());
+    auto response = m_impl->get("/v1/config/manifest" + query, wait);
+    if (!response) {
+        return response.error();
+    }
+    if (response.value().status == internal::kHttpNotModified) {
+        return std::optional<Manifest>{};
+    }
+    auto manifest = parseManifest(response.value().body);
+    if (!manifest) {
+        return PlatformError{PlatformErrorCode::Malformed, manifest.error().text()};
+    }
+    return std::optional<Manifest>{std::move(manifest.value())};
+}
+
+Result<std::string, PlatformError> PlatformClient::readPart(const std::string &hash)
+{
+    auto response = m_impl->get("/v1/config/parts/" + hash, Millis{0});
+    if (!response) {
+        return response.error();
+    }
+    return std::move(response.value().body);
+}
+
+Result<InstanceList, PlatformError> PlatformClient::readInstances()
+{
+    auto response = m_impl->get("/v1/instances", Millis{0});
+    if (!response) {
+        return response.error();
+    }
+    const auto json = response.value().body.size() > internal::kMaxInstanceListBytes
+            ? nlohmann::json{}
+            : nlohmann::json::parse(response.value().body, nullptr, false);
+    try {
+        InstanceList list;
+        list.index = json.at("index").get<std::uint64_t>();
+        for (const auto &instance : json.at("instances")) {
+            if (instance.at("state").get<std::string>() == "leaving") {
+                list.leaving.insert(instance.at("server").get<std::string>());
+            }
+        }
+        return list;
+    } catch (const nlohmann::json::exception &error) {
+        return PlatformError{PlatformErrorCode::Malformed, error.what()};
+    }
+}
+
+void PlatformClient::abort()
+{
+    m_impl->abort();
+}
+
+} // namespace celeryramp
