Nested calls keep a part of each gate's concurrency; time spent in them is no evidence against the server

Cause: chain calls on one service held all of its slots while their nested calls waited behind outside ones; their time counted as the server's own, so the ramp fell to 1 and stayed there. Ruled out: lost wake-ups (gate counters moved), transport (links whole, 0 late answers). Change: nested calls queue apart, go first and keep a quarter of the limit; nested time is taken off the evidence; the demo's chain goes from service to service.

--- a/src/celeryramp/gate/context_table.cpp
+++ b/src/celeryramp/gate/context_table.cpp
@@ -14,7 +14,7 @@
 {
     auto token = randomHex(internal::kTokenBytes);
     const std::lock_guard lock{m_mutex};
-    m_contexts.emplace(token, Entry{std::move(context), false});
+    m_contexts.emplace(token, Entry{std::move(context), {}});
     return token;
 }
 
@@ -29,20 +29,28 @@
 {
     const std::lock_guard lock{m_mutex};
     if (const auto it = m_contexts.find(token); it != m_contexts.end()) {
-        it->second.failedBelow = true;
+        it->second.summary.failedBelow = true;
     }
 }
 
-bool ContextTable::close(const std::string &token)
+void ContextTable::noteNested(const std::string &token, Micros time)
+{
+    const std::lock_guard lock{m_mutex};
+    if (const auto it = m_contexts.find(token); it != m_contexts.end()) {
+        it->second.summary.nested += time;
+    }
+}
+
+ContextSummary ContextTable::close(const std::string &token)
 {
     const std::lock_guard lock{m_mutex};
     const auto it = m_contexts.find(token);
     if (it == m_contexts.end()) {
-        return false;
+        return {};
     }
-    const bool failedBelow = it->second.failedBelow;
+    const auto summary = it->second.summary;
     m_contexts.erase(it);
-    return failedBelow;
+    return summary;
 }
 
 std::size_t ContextTable::size() const
--- a/src/celeryramp/gate/context_table.h
+++ b/src/celeryramp/gate/context_table.h
@@ -9,6 +9,13 @@
 
 namespace celeryramp {
 
+/*! @brief What happened within a context. */
+struct ContextSummary
+{
+    bool failedBelow = false; /*!< A call made within it failed, and the mesh has dealt with that. */
+    Micros nested{0}; /*!< Time that calls made within it took; overlapping ones add up. */
+};
+
 /*!
  * @brief Contexts of the calls under way at this node's backend server, by unguessable token.
  *
@@ -27,11 +34,11 @@
     /*! @brief A call made within the context failed, and the mesh has dealt with that. */
     void noteFailure(const std::string &token);
 
-    /*!
-     * @brief Ends a context; its token is worthless from now on.
-     * @return True when a call made within it failed.
-     */
-    bool close(const std::string &token);
+    /*! @brief A call made within the context took this long. */
+    void noteNested(const std::string &token, Micros time);
+
+    /*! @brief Ends a context; its token is worthless from now on. @return What happened within. */
+    ContextSummary close(const std::string &token);
 
     /*! @return Number of open contexts. */
     [[nodiscard]] std::size_t size() const;
@@ -40,7 +47,7 @@
     struct Entry
     {
         CallContext context;
-        bool failedBelow = false;
+        ContextSummary summary;
     };
 
     mutable std::mutex m_mutex;
--- a/src/celeryramp/gate/gate.cpp
+++ b/src/celeryramp/gate/gate.cpp
@@ -4,8 +4,14 @@
 
 namespace celeryramp {
 
+namespace internal {
+
+constexpr int kNestedPart = 4; /*!< One in so many of the limit is kept for nested calls. */
+
+} // namespace internal
+
 Gate::Gate(std::string server, int slots, std::size_t queueCapacity)
-    : m_server{std::move(server)}, m_ramp{slots}, m_queue{queueCapacity}
+    : m_server{std::move(server)}, m_ramp{slots}, m_nested{queueCapacity}, m_outside{queueCapacity}
 {
 }
 
@@ -19,7 +25,7 @@
     }
     if (reason != Reason::None) {
         refusals.push_back({std::move(call), reason});
-    } else if (auto loser = m_queue.push(std::move(call))) {
+    } else if (auto loser = (call.call.depth > 0 ? m_nested : m_outside).push(std::move(call))) {
         refusals.push_back({std::move(*loser), Reason::QueueFull});
     }
     m_counters.refused += refusals.size();
@@ -29,12 +35,14 @@
 std::optional<QueuedCall> Gate::next(const GateSurroundings &around, TimePoint now,
                                      std::vector<Refusal> &refusals)
 {
-    for (auto &overdue : m_queue.takeOverdue(now)) {
-        refusals.push_back({std::move(overdue), Reason::TooLate});
-        ++m_counters.refused;
+    for (auto *queue : {&m_nested, &m_outside}) {
+        for (auto &overdue : queue->takeOverdue(now)) {
+            refusals.push_back({std::move(overdue), Reason::TooLate});
+            ++m_counters.refused;
+        }
     }
     while (m_running < m_ramp.limit()) {
-        auto call = m_queue.pop();
+        auto call = popNext();
         if (!call) {
             return std::nullopt;
         }
@@ -58,7 +66,10 @@
 
 std::optional<QueuedCall> Gate::cancel(std::uint64_t id, ReplyPath replyPath)
 {
-    auto call = m_queue.remove(id, replyPath);
+    auto call = m_nested.remove(id, replyPath);
+    if (!call) {
+        call = m_outside.remove(id, replyPath);
+    }
     m_counters.cancelled += call ? 1 : 0;
     return call;
 }
@@ -70,7 +81,7 @@
 
 GateLoad Gate::load() const noexcept
 {
-    return {static_cast<std::uint32_t>(m_running), static_cast<std::uint32_t>(m_queue.size()),
+    return {static_cast<std::uint32_t>(m_running), static_cast<std::uint32_t>(waiting()),
             static_cast<std::uint32_t>(m_ramp.limit())};
 }
 
@@ -102,9 +113,18 @@
     return Reason::None;
 }
 
+std::optional<QueuedCall> Gate::popNext()
+{
+    if (auto call = m_nested.pop()) {
+        return call;
+    }
+    const auto kept = m_ramp.limit() / internal::kNestedPart;
+    return m_running < m_ramp.limit() - kept ? m_outside.pop() : std::nullopt;
+}
+
 bool Gate::canMeetDeadline(const QueuedCall &call, TimePoint now) const
 {
-    const auto ahead = static_cast<int>(m_queue.size()) + m_running;
+    const auto ahead = static_cast<int>(waiting()) + m_running;
     const auto wait = m_ramp.baseline() * ahead / std::max(1, m_ramp.limit());
     return now + wait < call.deadline;
 }
--- a/src/celeryramp/gate/gate.h
+++ b/src/celeryramp/gate/gate.h
@@ -45,8 +45,9 @@
  * @brief The only way into one backend server.
  *
  * All work passes here, so concurrency, ramp, drain, keys and zone status are local facts. Keys and
- * zone status are checked again when a call leaves the queue. Decides only; the duties around it
- * carry calls and answers.
+ * zone status are checked again when a call leaves the queue. Nested calls go before outside ones
+ * and have a part of the concurrency to themselves, since each holds up a slot of its caller.
+ * Decides only; the duties around it carry calls and answers.
  */
 class Gate
 {
@@ -81,7 +82,7 @@
     void serverLost(TimePoint now);
 
     /*! @return True when nothing waits and nothing runs. */
-    [[nodiscard]] bool isIdle() const noexcept { return m_queue.size() == 0 && m_running == 0; }
+    [[nodiscard]] bool isIdle() const noexcept { return waiting() == 0 && m_running == 0; }
 
     [[nodiscard]] GateLoad load() const noexcept;
     [[nodiscard]] const GateCounters &counters() const noexcept { return m_counters; }
@@ -91,11 +92,17 @@
     /*! @return Why the call may not run now, or `None`. */
     [[nodiscard]] Reason obstacle(const QueuedCall &call, const GateSurroundings &around,
                                   TimePoint now) const;
+    [[nodiscard]] std::size_t waiting() const noexcept
+    {
+        return m_nested.size() + m_outside.size();
+    }
+    [[nodiscard]] std::optional<QueuedCall> popNext();
     [[nodiscard]] bool canMeetDeadline(const QueuedCall &call, TimePoint now) const;
 
     std::string m_server;
     ConcurrencyRamp m_ramp;
-    FairQueue m_queue;
+    FairQueue m_nested; /*!< Calls of other backend servers, whose slots wait for them. */
+    FairQueue m_outside;
     GateCounters m_counters;
     int m_running = 0;
     bool m_draining = false;
--- a/src/celeryramp/node/gate_duty.cpp
+++ b/src/celeryramp/node/gate_duty.cpp
@@ -185,10 +185,12 @@
     const auto token = m_contexts.open({call.call.account, call.call.keyId, call.call.chain,
                                         call.call.depth, call.deadline});
     auto reply = client.call(call.call, {token, remaining});
-    const bool failedBelow = m_contexts.close(token);
+    const auto within = m_contexts.close(token);
     const auto end = Clock::now();
-    const auto latency = std::chrono::duration_cast<Micros>(end - start);
-    if (failedBelow && reply.status >= internal::kHttpServerError) {
+    // Time that the server waited for its own calls says nothing about the server itself.
+    const auto whole = std::chrono::duration_cast<Micros>(end - start);
+    const auto latency = std::max(Micros{0}, whole - within.nested);
+    if (within.failedBelow && reply.status >= internal::kHttpServerError) {
         reply.headers.emplace_back(kRetriedHeader, "1");
     }
     if (reply.end == BackendEnd::TimedOut) {
--- a/src/celeryramp/node/road.cpp
+++ b/src/celeryramp/node/road.cpp
@@ -152,7 +152,11 @@
     const auto result = travel(call, request);
     settle(call, result);
     auto response = answer(call, result);
-    m_latency.record(std::chrono::duration_cast<Micros>(Clock::now() - call.startedAt));
+    const auto taken = std::chrono::duration_cast<Micros>(Clock::now() - call.startedAt);
+    m_latency.record(taken);
+    if (door == Door::Inside) {
+        m_contexts.noteNested(call.contextToken, taken);
+    }
     response.closeConnection = m_around.isLeaving() && door == Door::Outside;
     return response;
 }
--- a/standin/backend/backend.cpp
+++ b/standin/backend/backend.cpp
@@ -27,6 +27,15 @@
     return std::atoi(request.query(name).c_str());
 }
 
+/*! `/chain/2` with `of=4` goes on to `/chain/3`, and that to `/chain/0`. */
+std::string nextPath(const HttpRequest &request)
+{
+    const auto slash = request.path.rfind('/');
+    const auto of = std::max(1, intQuery(request, "of"));
+    const auto here = std::atoi(request.path.c_str() + slash + 1);
+    return request.path.substr(0, slash + 1) + std::to_string((here + 1) % of);
+}
+
 /*! True when a header carries what looks like a key; the mesh must strip them all. */
 bool carriesKey(const HttpRequest &request)
 {
@@ -125,7 +134,8 @@
     httplib::Headers headers{
             {celeryramp::kContextHeader, request.header(celeryramp::kContextHeader)},
             {"X-Call-Id", request.header("X-Call-Id")}};
-    auto target = request.path + "?depth=" + std::to_string(depth);
+    auto target = nextPath(request) + "?depth=" + std::to_string(depth)
+            + "&of=" + request.query("of");
     if (request.query("leaf_fail") == "1") {
         target += "&leaf_fail=1";
     }
--- a/standin/lab/deployment.cpp
+++ b/standin/lab/deployment.cpp
@@ -119,8 +119,12 @@
                           {"access", "account"}});
     }
     const auto &first = m_shape.services.front();
-    routes.push_back(
-            {{"path", "/chain"}, {"service", first}, {"class", "chain"}, {"access", "account"}});
+    for (std::size_t i = 0; i < m_shape.services.size(); ++i) {
+        routes.push_back({{"path", "/chain/" + std::to_string(i)},
+                          {"service", m_shape.services[i]},
+                          {"class", "chain"},
+                          {"access", "account"}});
+    }
     routes.push_back(
             {{"path", "/public"}, {"service", first}, {"class", "lookup"}, {"access", "open"}});
     routes.push_back({{"path", "/internal"},
