--- a/src/celeryramp/config/service.h
+++ b/src/celeryramp/config/service.h
@@ -5,8 +5,7 @@
 namespace celeryramp {
 
 /*! @brief A named set of interchangeable backend servers. */
-struct Service
-{
+struct Service {
     std::string name;
 };
 
--- a/src/celeryramp/config/snapshot.h
+++ b/src/celeryramp/config/snapshot.h
@@ -21,8 +21,7 @@
 namespace celeryramp {
 
 /*! @brief All entities of one configuration, as read from its parts. */
-struct ConfigModel
-{
+struct ConfigModel {
     std::map<std::string, AvailabilityZone> zones;
     std::map<std::string, Service> services;
     std::map<std::string, WorkClass> classes;
@@ -36,8 +35,7 @@
  * @brief Immutable, validated configuration with the lookups that requests need.
  * Built only from models that passed validation, so that no lookup meets a dangling name.
  */
-class Snapshot
-{
+class Snapshot {
 public:
     /*! @param stamp Version and digest. @param model A validated model. */
     Snapshot(ConfigStamp stamp, ConfigModel model);
@@ -58,8 +56,8 @@
     [[nodiscard]] bool isKeyGranted(const std::string &keyId, const std::string &account) const;
 
     /*! @return Servers of one service in a zone; empty when there are none. */
-    [[nodiscard]] gsl::span<const BackendServer *const>
-    serversOf(const std::string &service, const std::string &zone) const;
+    [[nodiscard]] gsl::span<const BackendServer *const> serversOf(const std::string &service,
+                                                                  const std::string &zone) const;
 
     /*! @return Servers of one zone in name order. */
     [[nodiscard]] gsl::span<const BackendServer *const> serversIn(const std::string &zone) const;
--- a/src/celeryramp/distribution/rumour_mill.h
+++ b/src/celeryramp/distribution/rumour_mill.h
@@ -14,8 +14,7 @@
  * @brief Spreads small facts: down the tree at once, repaired by heartbeat digests.
  * A wrong membership view costs a repair; the facts themselves are hints.
  */
-class RumourMill
-{
+class RumourMill {
 public:
     /*! @param self Name of this node's server. @param zone Its zone. */
     RumourMill(std::string self, std::string zone);
@@ -26,8 +25,8 @@
 
     /*! @brief A peer sent facts. @return Those that were new here. */
     std::vector<Rumour> onMessage(const std::string &from, const RumourMessage &message,
-                                  const Topology &topology, const IsUsable &isUsable,
-                                  TimePoint now, Outbox &out);
+                                  const Topology &topology, const IsUsable &isUsable, TimePoint now,
+                                  Outbox &out);
 
     /*! @brief A peer's heartbeat tells its digest; a difference starts an exchange. */
     void onHeartbeat(const HeartbeatMessage &message, TimePoint now, Outbox &out);
--- a/src/celeryramp/gate/reservation.cpp
+++ b/src/celeryramp/gate/reservation.cpp
@@ -7,7 +7,7 @@
 namespace celeryramp {
 
 Reservation::Reservation(std::vector<std::string> homes, TimePoint startedAt)
-    : m_homes{std::move(homes)}, m_startedAt{startedAt}
+    : m_homes {std::move(homes)}, m_startedAt {startedAt}
 {
 }
 
--- a/src/celeryramp/limits/account_share.h
+++ b/src/celeryramp/limits/account_share.h
@@ -17,11 +17,10 @@
  * capacity c and each grant lives for `grantLife`; with `c = (r/n) * (b/r - grantLife)` all grants
  * spent in a window W sum up to at most r * W + b, whatever is lost, delayed or partitioned.
  */
-struct AccountShare
-{
+struct AccountShare {
     double ratePerSecond = 0.0; /*!< Micro-tokens minted per second. */
     MicroTokens capacity = 0; /*!< Largest bucket level. */
-    Millis grantLife{0}; /*!< Life of a grant, counted by the asker from before it asked. */
+    Millis grantLife {0}; /*!< Life of a grant, counted by the asker from before it asked. */
 };
 
 /*!
@@ -29,9 +28,8 @@
  * The divisor is what the configuration declares, never who is alive.
  * @return Server names, best first; empty when the zone declares no server.
  */
-[[nodiscard]] std::vector<std::string> mintersOf(const Snapshot &snapshot,
-                                                 const ClientAccount &account,
-                                                 const std::string &zone);
+[[nodiscard]] std::vector<std::string>
+mintersOf(const Snapshot &snapshot, const ClientAccount &account, const std::string &zone);
 
 /*! @return All zones that declare servers. */
 [[nodiscard]] std::vector<std::string> mintingZones(const Snapshot &snapshot);
--- a/src/celeryramp/membership/topology.h
+++ b/src/celeryramp/membership/topology.h
@@ -21,8 +21,7 @@
  * between nodes: then an announcement misses some nodes or reaches some twice, which the heartbeat
  * digests repair; no promise depends on it.
  */
-class Topology
-{
+class Topology {
 public:
     /*! @brief A topology without members. */
     Topology() = default;
@@ -47,9 +46,8 @@
      * @brief Children of `server` in the tree of its zone rooted at `root`.
      * The children of an unusable child are adopted.
      */
-    [[nodiscard]] std::vector<std::string> children(const std::string &root,
-                                                    const std::string &server,
-                                                    const IsUsable &isUsable) const;
+    [[nodiscard]] std::vector<std::string>
+    children(const std::string &root, const std::string &server, const IsUsable &isUsable) const;
 
     /*! @return The servers of a zone that read the platform: the first usable ones by hash. */
     [[nodiscard]] std::vector<std::string> readers(const std::string &zone,
--- a/src/celeryramp/node/control_duty.cpp
+++ b/src/celeryramp/node/control_duty.cpp
@@ -12,10 +12,10 @@
 namespace internal {
 
 constexpr std::size_t kControlRing = 8192;
-constexpr Millis kTick{100};
-constexpr Millis kSearchInterval{250};
-constexpr Millis kPauseNoticed{1500};
-constexpr Millis kRumourLife{600'000};
+constexpr Millis kTick {100};
+constexpr Millis kSearchInterval {250};
+constexpr Millis kPauseNoticed {1500};
+constexpr Millis kRumourLife {600'000};
 constexpr std::size_t kObservers = 3;
 constexpr std::size_t kPeersAskedAtStart = 3;
 constexpr std::size_t kDigestShown = 12;
@@ -30,18 +30,13 @@
 ControlDuty::ControlDuty(const NodeSettings &settings, std::uint64_t incarnation,
                          Cell<Snapshot> &snapshot, Cell<FleetView> &fleet, PostOffice &post,
                          ControlHooks &hooks, MetricsRegistry &metrics)
-    : m_settings{settings},
-      m_snapshot{snapshot},
-      m_fleet{fleet},
-      m_post{post},
-      m_hooks{hooks},
-      m_ring{internal::kControlRing},
-      m_pauses{metrics.counter("pauses_total")},
-      m_suspicions{metrics.counter("suspicions_total")},
-      m_distributor{settings.server, settings.zone, incarnation},
-      m_rumours{settings.server, settings.zone},
-      m_view{m_rumours.store()},
-      m_incarnation{incarnation}
+    : m_settings {settings}, m_snapshot {snapshot}, m_fleet {fleet}, m_post {post}, m_hooks {hooks},
+      m_ring {internal::kControlRing}, m_pauses {metrics.counter("pauses_total")},
+      m_suspicions {metrics.counter("suspicions_total")}, m_distributor {settings.server,
+                                                                         settings.zone,
+                                                                         incarnation},
+      m_rumours {settings.server, settings.zone}, m_view {m_rumours.store()}, m_incarnation {
+                                                                                      incarnation}
 {
     metrics.gauge("control_ring_refused", [this] { return double(m_ring.refused()); });
 }
@@ -54,7 +49,7 @@
 void ControlDuty::start()
 {
     m_lastTick = Clock::now();
-    m_thread = std::thread{[this] { loop(); }};
+    m_thread = std::thread {[this] { loop(); }};
 }
 
 void ControlDuty::stop()
@@ -73,26 +68,26 @@
 
 ConfigStamp ControlDuty::stamp() const
 {
-    const std::lock_guard lock{m_mutex};
+    const std::lock_guard lock {m_mutex};
     return m_distributor.acceptance().stamp();
 }
 
 bool ControlDuty::isWanted(const ConfigStamp &stamp) const
 {
-    const std::lock_guard lock{m_mutex};
+    const std::lock_guard lock {m_mutex};
     const auto &acceptance = m_distributor.acceptance();
     return acceptance.isNewer(stamp) && !acceptance.wasRejected(stamp);
 }
 
 ConfigDocument ControlDuty::document() const
 {
-    const std::lock_guard lock{m_mutex};
+    const std::lock_guard lock {m_mutex};
     return m_distributor.acceptance().document();
 }
 
 Millis ControlDuty::confirmedAgo(TimePoint now) const
 {
-    const std::lock_guard lock{m_mutex};
+    const std::lock_guard lock {m_mutex};
     return m_distributor.confirmedAgo(now);
 }
 
@@ -102,7 +97,7 @@
         const auto event = m_ring.pop(internal::kTick);
         const auto now = Clock::now();
         {
-            const std::lock_guard lock{m_mutex};
+            const std::lock_guard lock {m_mutex};
             if (now - m_lastTick >= internal::kPauseNoticed) {
                 notePause(now);
             }
@@ -161,13 +156,14 @@
         return;
     }
     // Whoever closed: a heartbeat out of turn finds out whether somebody still listens there.
-    const auto observers = m_distributor.topology().successors(event.name, internal::kObservers,
-                                                               usable());
+    const auto observers
+            = m_distributor.topology().successors(event.name, internal::kObservers, usable());
     if (std::find(observers.begin(), observers.end(), m_settings.server) != observers.end()) {
-        m_out.send(event.name, HeartbeatMessage{m_settings.server, m_incarnation,
-                                                m_distributor.acceptance().stamp().version,
-                                                m_distributor.acceptance().stamp().digest,
-                                                m_rumours.store().digest()});
+        m_out.send(event.name,
+                   HeartbeatMessage {m_settings.server, m_incarnation,
+                                     m_distributor.acceptance().stamp().version,
+                                     m_distributor.acceptance().stamp().digest,
+                                     m_rumours.store().digest()});
     }
 }
 
@@ -251,8 +247,8 @@
 void ControlDuty::sendHeartbeats(TimePoint /*now*/)
 {
     const auto &stamp = m_distributor.acceptance().stamp();
-    const HeartbeatMessage heartbeat{m_settings.server, m_incarnation, stamp.version, stamp.digest,
-                                     m_rumours.store().digest()};
+    const HeartbeatMessage heartbeat {m_settings.server, m_incarnation, stamp.version, stamp.digest,
+                                      m_rumours.store().digest()};
     const auto &topology = m_distributor.topology();
     for (const auto &next :
          topology.successors(m_settings.server, internal::kObservers, usable())) {
@@ -273,8 +269,8 @@
 {
     std::vector<Rumour> rumours;
     for (const auto &missing : m_detector.poll(now)) {
-        const auto observers = m_distributor.topology().successors(
-                missing.server, internal::kObservers, usable());
+        const auto observers = m_distributor.topology().successors(missing.server,
+                                                                   internal::kObservers, usable());
         if (std::find(observers.begin(), observers.end(), m_settings.server) == observers.end()) {
             m_detector.forget(missing.server); // it reports to others now
             continue;
@@ -298,8 +294,8 @@
         }
         return;
     }
-    const auto suspicions = m_rumours.store().withPrefix(RumourKind::Suspicion,
-                                                         m_settings.server + " ");
+    const auto suspicions
+            = m_rumours.store().withPrefix(RumourKind::Suspicion, m_settings.server + " ");
     std::uint64_t highest = 0;
     for (const auto &[subject, sequence] : suspicions) {
         highest = std::max(highest, sequence);
@@ -405,7 +401,7 @@
 
 nlohmann::json ControlDuty::state(TimePoint now) const
 {
-    const std::lock_guard lock{m_mutex};
+    const std::lock_guard lock {m_mutex};
     const auto &acceptance = m_distributor.acceptance();
     auto rejections = nlohmann::json::array();
     for (const auto &rejection : acceptance.rejections()) {
@@ -432,12 +428,10 @@
              {{"version", acceptance.stamp().version},
               {"digest", acceptance.stamp().digest},
               {"confirmed_ago_ms", confirmed},
-              {"in_force_since_unix_ms", std::chrono::duration_cast<Millis>(
-                                                 m_inForceWall.time_since_epoch())
-                                                 .count()},
-              {"in_force_ms", acceptance.inForce()
-                       ? millisBetween(acceptance.acceptedAt(), now).count()
-                       : 0},
+              {"in_force_since_unix_ms",
+               std::chrono::duration_cast<Millis>(m_inForceWall.time_since_epoch()).count()},
+              {"in_force_ms",
+               acceptance.inForce() ? millisBetween(acceptance.acceptedAt(), now).count() : 0},
               {"rejections", rejections}}},
             {"members_not_alive", members},
             {"rumours", m_rumours.store().size()},
--- a/src/celeryramp/node/control_duty.h
+++ b/src/celeryramp/node/control_duty.h
@@ -23,8 +23,7 @@
 namespace celeryramp {
 
 /*! @brief What the control duty asks of its surroundings. */
-class ControlHooks
-{
+class ControlHooks {
 public:
     virtual ~ControlHooks() = default;
 
@@ -45,8 +44,7 @@
  * @brief The duty that owns configuration, membership and small facts.
  * Its ring is bounded; what finds it full is dropped, counted and repaired by later heartbeats.
  */
-class ControlDuty
-{
+class ControlDuty {
 public:
     ControlDuty(const NodeSettings &settings, std::uint64_t incarnation, Cell<Snapshot> &snapshot,
                 Cell<FleetView> &fleet, PostOffice &post, ControlHooks &hooks,
@@ -123,7 +121,7 @@
     std::uint64_t m_fleetDigest = 0;
     std::uint64_t m_loggedRejections = 0;
     std::size_t m_peersAsked = 0;
-    std::atomic<bool> m_peerAnswered{false};
+    std::atomic<bool> m_peerAnswered {false};
     bool m_leaving = false;
     bool m_superseded = false;
     bool m_wasReader = false;
@@ -131,7 +129,7 @@
     TimePoint m_lastTick;
     TimePoint m_lastHeartbeat;
     TimePoint m_lastSearch;
-    std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_stopping {false};
     std::thread m_thread;
 };
 
--- a/src/celeryramp/node/post_office.h
+++ b/src/celeryramp/node/post_office.h
@@ -9,8 +9,7 @@
 namespace celeryramp {
 
 /*! @brief Sends to any server's node, this one included. */
-class PostOffice
-{
+class PostOffice {
 public:
     virtual ~PostOffice() = default;
 
--- a/src/celeryramp/transport/headers.cpp
+++ b/src/celeryramp/transport/headers.cpp
@@ -8,10 +8,10 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, 14> kHopHeaders{
-        "connection",        "keep-alive", "transfer-encoding", "te",          "trailer",
-        "upgrade",           "host",       "content-length",    "remote_addr", "remote_port",
-        "proxy-connection",  "expect",     "local_addr",        "local_port"};
+constexpr std::array<std::string_view, 14> kHopHeaders {
+        "connection",       "keep-alive", "transfer-encoding", "te",          "trailer",
+        "upgrade",          "host",       "content-length",    "remote_addr", "remote_port",
+        "proxy-connection", "expect",     "local_addr",        "local_port"};
 constexpr std::string_view kReservedPrefix = "celeryramp-";
 
 [[nodiscard]] char lower(char c) noexcept
@@ -23,9 +23,9 @@
 
 bool sameHeader(std::string_view a, std::string_view b) noexcept
 {
-    return a.size() == b.size()
-            && std::equal(a.begin(), a.end(), b.begin(),
-                          [](char x, char y) { return internal::lower(x) == internal::lower(y); });
+    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
+               return internal::lower(x) == internal::lower(y);
+           });
 }
 
 bool isHopHeader(std::string_view name) noexcept
--- a/src/celeryramp/transport/platform_client.h
+++ b/src/celeryramp/transport/platform_client.h
@@ -10,16 +10,15 @@
 namespace celeryramp {
 
 /*! @brief Reads the platform over HTTP; used by one thread. */
-class PlatformClient : public PlatformSource
-{
+class PlatformClient : public PlatformSource {
 public:
     PlatformClient(const Address &address, const LinkPolicy &policy, MetricsRegistry &metrics);
     ~PlatformClient() override;
     PlatformClient(const PlatformClient &) = delete;
     PlatformClient &operator=(const PlatformClient &) = delete;
 
-    [[nodiscard]] Result<std::optional<Manifest>, PlatformError>
-    readManifest(std::uint64_t known, Millis wait) override;
+    [[nodiscard]] Result<std::optional<Manifest>, PlatformError> readManifest(std::uint64_t known,
+                                                                              Millis wait) override;
     [[nodiscard]] Result<std::string, PlatformError> readPart(const std::string &hash) override;
     [[nodiscard]] Result<InstanceList, PlatformError> readInstances() override;
 
--- a/src/celeryramp/transport/platform_source.h
+++ b/src/celeryramp/transport/platform_source.h
@@ -19,29 +19,26 @@
 };
 
 /*! @brief Error of a platform read. */
-struct PlatformError
-{
+struct PlatformError {
     PlatformErrorCode code = PlatformErrorCode::Unreachable;
     std::string reason;
 };
 
 /*! @brief The platform's lagging list of instances. */
-struct InstanceList
-{
+struct InstanceList {
     std::uint64_t index = 0; /*!< Rises with each change. */
     std::set<std::string> leaving; /*!< Servers that are listed as leaving. */
 };
 
 /*! @brief Reads of the platform's configuration service. Nothing is ever written. */
-class PlatformSource
-{
+class PlatformSource {
 public:
     virtual ~PlatformSource() = default;
 
     /*!
      * @brief Reads the manifest, or waits for one that differs.
-     * @param known Version to wait past; 0 reads at once. @param wait How long the platform may hold
-     * the answer back.
+     * @param known Version to wait past; 0 reads at once. @param wait How long the platform may
+     * hold the answer back.
      * @return The manifest; nothing when none differed in time.
      */
     [[nodiscard]] virtual Result<std::optional<Manifest>, PlatformError>
--- a/src/celeryramp/wire/call_message.h
+++ b/src/celeryramp/wire/call_message.h
@@ -14,8 +14,7 @@
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
 /*! @brief A caller's request on its way from the entry node to a gate. */
-struct CallMessage
-{
+struct CallMessage {
     std::uint64_t id = 0; /*!< Unique per sending node and attempt. */
     std::string request; /*!< Identity of the request, the same over all attempts. */
     std::string chain; /*!< Identity of the outside call that caused this one. */
@@ -43,8 +42,7 @@
 };
 
 /*! @brief Pressure on a gate, carried by each of its answers. */
-struct GateLoad
-{
+struct GateLoad {
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     std::uint32_t limit = 1; /*!< Concurrency the gate presently allows. */
@@ -57,8 +55,7 @@
 };
 
 /*! @brief A gate's answer to a call. */
-struct AnswerMessage
-{
+struct AnswerMessage {
     std::uint64_t id = 0; /*!< Identity of the attempt this answers. */
     std::string request; /*!< Identity of the request, checked against the waiting one. */
     Outcome outcome = Outcome::Unknown;
@@ -77,8 +74,7 @@
 };
 
 /*! @brief Withdraws a call whose caller no longer waits. */
-struct CancelMessage
-{
+struct CancelMessage {
     std::uint64_t id = 0;
 
     template <typename Archive>
--- a/src/celeryramp/wire/codec.cpp
+++ b/src/celeryramp/wire/codec.cpp
@@ -13,14 +13,12 @@
 using Json = nlohmann::json;
 
 /*! Thrown inside this file only, and turned into a WireError at its border. */
-class ShapeError : public std::runtime_error
-{
+class ShapeError : public std::runtime_error {
 public:
     using std::runtime_error::runtime_error;
 };
 
-class Writer
-{
+class Writer {
 public:
     template <typename... Fields>
     void operator()(const Fields &...fields)
@@ -79,13 +77,12 @@
     Json m_out = Json::array();
 };
 
-class Reader
-{
+class Reader {
 public:
-    explicit Reader(Json &in) : m_in{in}
+    explicit Reader(Json &in) : m_in {in}
     {
         if (!in.is_array()) {
-            throw ShapeError{"expected an array"};
+            throw ShapeError {"expected an array"};
         }
     }
 
@@ -94,7 +91,7 @@
     {
         (read(next(), fields), ...);
         if (m_next != m_in.size()) {
-            throw ShapeError{"too many fields"};
+            throw ShapeError {"too many fields"};
         }
     }
 
@@ -102,7 +99,7 @@
     [[nodiscard]] Json &next()
     {
         if (m_next >= m_in.size()) {
-            throw ShapeError{"too few fields"};
+            throw ShapeError {"too few fields"};
         }
         return m_in[m_next++];
     }
@@ -128,7 +125,7 @@
     static void require(bool holds, const char *reason)
     {
         if (!holds) {
-            throw ShapeError{reason};
+            throw ShapeError {reason};
         }
     }
 
@@ -196,7 +193,7 @@
     template <typename Struct>
     static void structured(Json &in, Struct &value)
     {
-        Reader reader{in};
+        Reader reader {in};
         value.visit(reader);
     }
 
@@ -208,15 +205,15 @@
 [[nodiscard]] Result<Message, WireError> decodeAs(std::size_t type, Json &fields)
 {
     if constexpr (Index == std::variant_size_v<Message>) {
-        return WireError{WireErrorCode::UnknownType, "type " + std::to_string(type)};
+        return WireError {WireErrorCode::UnknownType, "type " + std::to_string(type)};
     } else {
         if (type != Index) {
             return decodeAs<Index + 1>(type, fields);
         }
         std::variant_alternative_t<Index, Message> message;
-        Reader reader{fields};
+        Reader reader {fields};
         message.visit(reader);
-        return Message{std::move(message)};
+        return Message {std::move(message)};
     }
 }
 
@@ -241,16 +238,16 @@
 Result<Message, WireError> decode(std::string_view frame)
 {
     if (frame.size() > kMaxFrameBytes) {
-        return WireError{WireErrorCode::TooLarge, std::to_string(frame.size()) + " bytes"};
+        return WireError {WireErrorCode::TooLarge, std::to_string(frame.size()) + " bytes"};
     }
     auto json = internal::Json::from_cbor(frame.begin(), frame.end(), true, false);
     if (!json.is_array() || json.size() != 2 || !json[0].is_number_unsigned()) {
-        return WireError{WireErrorCode::Malformed, "expected type and fields"};
+        return WireError {WireErrorCode::Malformed, "expected type and fields"};
     }
     try {
         return internal::decodeAs(json[0].get<std::size_t>(), json[1]);
     } catch (const internal::ShapeError &error) {
-        return WireError{WireErrorCode::Malformed, error.what()};
+        return WireError {WireErrorCode::Malformed, error.what()};
     }
 }
 
--- a/src/celeryramp/wire/codec.h
+++ b/src/celeryramp/wire/codec.h
@@ -26,8 +26,7 @@
 };
 
 /*! @brief Error of the wire layer. */
-struct WireError
-{
+struct WireError {
     WireErrorCode code = WireErrorCode::Malformed;
     std::string reason;
 };
--- a/src/celeryramp/wire/control_messages.h
+++ b/src/celeryramp/wire/control_messages.h
@@ -9,8 +9,7 @@
 namespace celeryramp {
 
 /*! @brief First frame of each side of a connection. */
-struct HelloMessage
-{
+struct HelloMessage {
     std::string server; /*!< Name of the backend server whose slot the node holds. */
     std::string zone;
     std::uint64_t incarnation = 0;
@@ -23,8 +22,7 @@
 };
 
 /*! @brief Sign of life with digests that show who is behind. */
-struct HeartbeatMessage
-{
+struct HeartbeatMessage {
     std::string server;
     std::uint64_t incarnation = 0;
     std::uint64_t version = 0; /*!< Configuration version in force; 0 before the first. */
@@ -39,8 +37,7 @@
 };
 
 /*! @brief Says that a configuration is to be had from the sender. */
-struct AnnounceMessage
-{
+struct AnnounceMessage {
     std::uint64_t version = 0;
     std::string digest;
     std::string root; /*!< Server at the root of the tree this travels on; empty off the tree. */
@@ -55,8 +52,7 @@
 };
 
 /*! @brief Asks for the configuration in force at the receiver. */
-struct PullMessage
-{
+struct PullMessage {
     std::uint64_t haveVersion = 0;
     std::string haveDigest;
 
@@ -68,8 +64,7 @@
 };
 
 /*! @brief A configuration, whole or as a delta from what the asker has. */
-struct DocumentMessage
-{
+struct DocumentMessage {
     std::uint64_t version = 0; /*!< 0 when the sender has none. */
     bool delta = false;
     Bytes bytes;
@@ -92,8 +87,7 @@
 };
 
 /*! @brief One small fact; the highest sequence per kind and subject wins. */
-struct Rumour
-{
+struct Rumour {
     RumourKind kind = RumourKind::Alive;
     std::string subject;
     std::uint64_t sequence = 0;
@@ -107,8 +101,7 @@
 };
 
 /*! @brief Rumours on their way down a tree, or the whole store to repair a difference. */
-struct RumourMessage
-{
+struct RumourMessage {
     std::vector<Rumour> rumours;
     std::string root; /*!< Root of the tree, or empty for a repair between two nodes. */
     bool reply = false; /*!< Answers a repair; is not answered itself. */
--- a/src/celeryramp/wire/ledger_messages.h
+++ b/src/celeryramp/wire/ledger_messages.h
@@ -15,8 +15,7 @@
 };
 
 /*! @brief What a ledger home knows of one idempotency key. */
-struct LedgerRecord
-{
+struct LedgerRecord {
     std::string key; /*!< Account and idempotency key. */
     std::string digest; /*!< Digest of the request. */
     std::string attempt; /*!< The request that holds the reservation. */
@@ -34,8 +33,7 @@
 };
 
 /*! @brief Asks a home to reserve a key for an attempt. */
-struct ReserveMessage
-{
+struct ReserveMessage {
     std::uint64_t id = 0;
     std::string key;
     std::string digest;
@@ -57,8 +55,7 @@
 };
 
 /*! @brief A home's vote on a reservation. */
-struct VoteMessage
-{
+struct VoteMessage {
     std::uint64_t id = 0;
     std::string home;
     Vote vote = Vote::Abstained;
@@ -72,8 +69,7 @@
 };
 
 /*! @brief Ends a reservation: with the answer, or as certainly not run. */
-struct CompleteMessage
-{
+struct CompleteMessage {
     LedgerRecord record;
     bool release = false; /*!< The attempt was not run and never will be. */
 
@@ -85,8 +81,7 @@
 };
 
 /*! @brief Asks a home for all records it shares with a new incarnation. */
-struct RecoverMessage
-{
+struct RecoverMessage {
     std::string server;
 
     template <typename Archive>
@@ -97,8 +92,7 @@
 };
 
 /*! @brief Records for a recovering home. */
-struct RecordsMessage
-{
+struct RecordsMessage {
     std::string server; /*!< Sender. */
     bool complete = false; /*!< The sender vouches for all its records. */
     std::vector<LedgerRecord> records;
--- a/src/celeryramp/wire/limit_messages.h
+++ b/src/celeryramp/wire/limit_messages.h
@@ -6,8 +6,7 @@
 namespace celeryramp {
 
 /*! @brief Asks a minter for prepaid tokens. */
-struct TokenRequestMessage
-{
+struct TokenRequestMessage {
     std::uint64_t id = 0;
     std::string account;
     std::int64_t microTokens = 0;
@@ -20,8 +19,7 @@
 };
 
 /*! @brief Tokens debited at the minter before this is sent. */
-struct TokenGrantMessage
-{
+struct TokenGrantMessage {
     std::uint64_t id = 0; /*!< Identity of the request. */
     std::string account;
     std::string minter;
--- a/standin/checker/checker.cpp
+++ b/standin/checker/checker.cpp
@@ -41,8 +41,7 @@
     }
     std::map<std::string, int> starts;
     for (const auto &run : history.runs) {
-        if (run.event == "start" && sentOnce.count(run.call) > 0
-            && ++starts[run.call] == 2) {
+        if (run.event == "start" && sentOnce.count(run.call) > 0 && ++starts[run.call] == 2) {
             tell(violations, "at-most-once", run.call + " ran more than once");
         }
     }
@@ -53,8 +52,8 @@
 {
     for (const auto &send : history.sends) {
         if (send.outcome == "not-run" && starts.count(send.request) > 0) {
-            tell(violations, "not-run", send.call + " was told not-run and ran at "
-                         + starts.at(send.request)->server);
+            tell(violations, "not-run",
+                 send.call + " was told not-run and ran at " + starts.at(send.request)->server);
         }
     }
 }
@@ -69,8 +68,7 @@
     }
 }
 
-void checkAccounts(const RunHistory &history, const StartsByRequest &starts,
-                   Violations &violations)
+void checkAccounts(const RunHistory &history, const StartsByRequest &starts, Violations &violations)
 {
     for (const auto &run : history.runs) {
         if (run.keySeen) {
@@ -81,8 +79,8 @@
         const auto it = starts.find(send.request);
         if (it != starts.end() && it->second->account != send.account
             && !it->second->account.empty()) {
-            tell(violations, "keys", send.call + " of " + send.account + " ran for "
-                         + it->second->account);
+            tell(violations, "keys",
+                 send.call + " of " + send.account + " ran for " + it->second->account);
         }
     }
 }
@@ -98,16 +96,15 @@
         for (const auto &span : history.keysWithdrawn) {
             const auto at = it->second->at;
             if (send.key == span.name && at > span.from + kInForceMicros && at < span.until) {
-                tell(violations, "withdrawn-key", send.call + " ran with the withdrawn key "
-                             + span.name);
+                tell(violations, "withdrawn-key",
+                     send.call + " ran with the withdrawn key " + span.name);
             }
         }
     }
 }
 
 void checkSpans(const RunHistory &history, const std::vector<ForbiddenSpan> &spans,
-                const std::string &promise, std::string RunRecord::*member,
-                Violations &violations)
+                const std::string &promise, std::string RunRecord::*member, Violations &violations)
 {
     for (const auto &run : history.runs) {
         if (run.event != "start") {
@@ -116,8 +113,8 @@
         for (const auto &span : spans) {
             const bool inside = run.at > span.from + kInForceMicros && run.at < span.until;
             if (inside && run.*member == span.name) {
-                tell(violations, promise, run.call + " started at " + run.server + " in "
-                             + run.zone);
+                tell(violations, promise,
+                     run.call + " started at " + run.server + " in " + run.zone);
             }
         }
     }
@@ -127,8 +124,7 @@
 {
     std::map<std::string, std::int64_t> upAt;
     auto runs = history.runs;
-    std::sort(runs.begin(), runs.end(),
-              [](const auto &a, const auto &b) { return a.at < b.at; });
+    std::sort(runs.begin(), runs.end(), [](const auto &a, const auto &b) { return a.at < b.at; });
     for (const auto &run : runs) {
         if (run.event == "up") {
             upAt[run.server] = run.at;
@@ -168,8 +164,8 @@
         excess = std::max(excess, admitted - limit.rate * delay - limit.burst);
     }
     if (excess > 0.0) {
-        tell(violations, "rate", account + " exceeded its rate and burst by "
-                     + std::to_string(excess) + " calls");
+        tell(violations, "rate",
+             account + " exceeded its rate and burst by " + std::to_string(excess) + " calls");
     }
 }
 
@@ -195,10 +191,10 @@
     send.targetMs = line.at("target_ms").get<double>();
     send.sentAt = line.at("t").get<std::int64_t>();
     send.dueAt = line.value("due", send.sentAt);
-    send.endAt = line.value("end", std::int64_t{0});
-    send.outcome = line.value("outcome", std::string{});
-    send.reason = line.value("reason", std::string{});
-    send.request = line.value("request", std::string{});
+    send.endAt = line.value("end", std::int64_t {0});
+    send.outcome = line.value("outcome", std::string {});
+    send.reason = line.value("reason", std::string {});
+    send.request = line.value("request", std::string {});
     send.status = line.value("status", 0);
     send.own = line.value("own", false);
     send.replayed = line.value("replayed", false);
@@ -211,11 +207,11 @@
     run.at = line.at("t").get<std::int64_t>();
     run.event = line.at("event").get<std::string>();
     run.server = line.at("server").get<std::string>();
-    run.zone = line.value("zone", std::string{});
-    run.request = line.value("request", std::string{});
-    run.call = line.value("call", std::string{});
-    run.account = line.value("account", std::string{});
-    run.path = line.value("path", std::string{});
+    run.zone = line.value("zone", std::string {});
+    run.request = line.value("request", std::string {});
+    run.call = line.value("call", std::string {});
+    run.account = line.value("account", std::string {});
+    run.path = line.value("path", std::string {});
     run.keySeen = line.value("key_seen", false);
     return run;
 }
@@ -244,13 +240,13 @@
 void readJournal(const std::string &path, RunHistory &history)
 {
     std::map<std::pair<std::string, int>, std::size_t> places;
-    std::ifstream in{path};
+    std::ifstream in {path};
     for (std::string text; std::getline(in, text);) {
         const auto line = nlohmann::json::parse(text, nullptr, false);
         if (!line.is_object()) {
             continue; // the writer was killed in mid-line
         }
-        const auto event = line.value("event", std::string{});
+        const auto event = line.value("event", std::string {});
         if (!line.contains("node")) {
             history.runs.push_back(runOf(line));
             continue;
--- a/standin/lab/deployment.cpp
+++ b/standin/lab/deployment.cpp
@@ -14,8 +14,7 @@
 constexpr std::uint16_t kPortsPerServer = 5;
 constexpr const char *kHost = "127.0.0.1";
 
-struct ClassShape
-{
+struct ClassShape {
     const char *name;
     int latencyMs;
     double success;
@@ -23,9 +22,9 @@
     int deadlineMs;
 };
 
-constexpr ClassShape kIdempotentClass{"lookup", 50, 0.999, "idempotent", 1000};
-constexpr ClassShape kOnceClass{"record", 150, 0.999, "at-most-once", 3000};
-constexpr ClassShape kChainClass{"chain", 400, 0.99, "idempotent", 5000};
+constexpr ClassShape kIdempotentClass {"lookup", 50, 0.999, "idempotent", 1000};
+constexpr ClassShape kOnceClass {"record", 150, 0.999, "at-most-once", 3000};
+constexpr ClassShape kChainClass {"chain", 400, 0.99, "idempotent", 5000};
 
 nlohmann::json classJson(const ClassShape &shape)
 {
@@ -59,7 +58,7 @@
         shape.slots = 18;
         return shape;
     }
-    throw std::invalid_argument{"no deployment named " + name + "; known: souss, hokkaido"};
+    throw std::invalid_argument {"no deployment named " + name + "; known: souss, hokkaido"};
 }
 
 DeploymentShape fleetShape(int nodes)
@@ -74,7 +73,7 @@
     return shape;
 }
 
-Deployment::Deployment(DeploymentShape shape, std::uint16_t basePort) : m_shape{std::move(shape)}
+Deployment::Deployment(DeploymentShape shape, std::uint16_t basePort) : m_shape {std::move(shape)}
 {
     m_platform = at(basePort);
     auto port = static_cast<std::uint16_t>(basePort + 1);
@@ -165,7 +164,7 @@
             return place;
         }
     }
-    throw std::invalid_argument{"no server named " + name};
+    throw std::invalid_argument {"no server named " + name};
 }
 
 std::map<std::string, std::string> Deployment::parts() const
--- a/standin/lab/report.cpp
+++ b/standin/lab/report.cpp
@@ -11,8 +11,7 @@
 constexpr std::size_t kMaxTold = 20;
 constexpr double kMicrosPerMilli = 1000.0;
 
-struct Row
-{
+struct Row {
     std::size_t calls = 0;
     std::size_t answered = 0;
     std::size_t notRun = 0;
@@ -84,10 +83,10 @@
     }
     out << '\n';
     for (const auto &convergence : report.convergences) {
-        out << "in force everywhere: " << convergence.change << ", version "
-            << convergence.version << ": p50 " << convergence.quantile(0.5) << " ms, p99 "
-            << convergence.quantile(0.99) << " ms, max " << convergence.quantile(1.0) << " ms on "
-            << convergence.millis.size() << " nodes\n";
+        out << "in force everywhere: " << convergence.change << ", version " << convergence.version
+            << ": p50 " << convergence.quantile(0.5) << " ms, p99 " << convergence.quantile(0.99)
+            << " ms, max " << convergence.quantile(1.0) << " ms on " << convergence.millis.size()
+            << " nodes\n";
     }
     for (const auto &failure : report.failures) {
         out << "not as expected: " << failure << '\n';
--- a/standin/lab/scenario.cpp
+++ b/standin/lab/scenario.cpp
@@ -41,7 +41,7 @@
     std::vector<std::string> items;
     if (const auto *array = table[key].as_array()) {
         for (const auto &element : *array) {
-            items.push_back(element.value_or(std::string{}));
+            items.push_back(element.value_or(std::string {}));
         }
     }
     return items;
@@ -50,9 +50,9 @@
 /*! `{first}`, `{second}` and so on stand for the services of the deployment. */
 std::string fillServices(std::string path, const DeploymentShape &shape)
 {
-    constexpr std::array kNames{"{first}", "{second}", "{third}", "{fourth}"};
+    constexpr std::array kNames {"{first}", "{second}", "{third}", "{fourth}"};
     for (std::size_t i = 0; i < kNames.size() && i < shape.services.size(); ++i) {
-        const std::string name{kNames[i]};
+        const std::string name {kNames[i]};
         if (const auto at = path.find(name); at != std::string::npos) {
             path.replace(at, name.size(), shape.services[i]);
         }
@@ -73,7 +73,7 @@
 
 } // namespace
 
-Scenario::Scenario(const std::string &path) : m_table{toml::parse_file(path)} { }
+Scenario::Scenario(const std::string &path) : m_table {toml::parse_file(path)} { }
 
 std::string Scenario::deployment() const
 {
@@ -108,7 +108,7 @@
     if (const auto *steps = m_table["step"].as_array()) {
         for (const auto &entry : *steps) {
             const auto &step = *entry.as_table();
-            const std::chrono::milliseconds at{integer(step, "at_ms", 0)};
+            const std::chrono::milliseconds at {integer(step, "at_ms", 0)};
             std::this_thread::sleep_until(start + at);
             perform(site, step);
         }
@@ -146,46 +146,46 @@
             kinds.push_back(kindOf(*kind.as_table(), site.deployment().shape()));
         }
     }
-    site.startCaller("caller", {{"name", "c" + std::to_string(seed)},
-                                {"targets", site.targets()},
-                                {"accounts", accounts},
-                                {"kinds", kinds},
-                                {"seconds", real(*load, "seconds", 5.0)},
-                                {"seed", seed},
-                                {"threads_per_zone", integer(*load, "threads_per_zone", 32)},
-                                {"resend_share", real(*load, "resend_share", 0.0)},
-                                {"retries_of_unknown", integer(*load, "retries_of_unknown", 0)}});
+    site.startCaller("caller",
+                     {{"name", "c" + std::to_string(seed)},
+                      {"targets", site.targets()},
+                      {"accounts", accounts},
+                      {"kinds", kinds},
+                      {"seconds", real(*load, "seconds", 5.0)},
+                      {"seed", seed},
+                      {"threads_per_zone", integer(*load, "threads_per_zone", 32)},
+                      {"resend_share", real(*load, "resend_share", 0.0)},
+                      {"retries_of_unknown", integer(*load, "retries_of_unknown", 0)}});
     m_callers.emplace_back("caller");
 }
 
 void Scenario::perform(Site &site, const toml::table &step)
 {
-    struct Entry
-    {
+    struct Entry {
         const char *name;
         Action action;
     };
-    static constexpr std::array kActions{Entry{"publish", &Scenario::publish},
-                                         Entry{"publish-bad", &Scenario::publishBad},
-                                         Entry{"withdraw-key", &Scenario::withdrawKey},
-                                         Entry{"zone-out", &Scenario::zoneOut},
-                                         Entry{"zone-in", &Scenario::zoneIn},
-                                         Entry{"set-rate", &Scenario::setRate},
-                                         Entry{"kill-nodes", &Scenario::killNodes},
-                                         Entry{"start-nodes", &Scenario::startNodes},
-                                         Entry{"stop-nodes", &Scenario::stopNodes},
-                                         Entry{"freeze-nodes", &Scenario::freezeNodes},
-                                         Entry{"thaw-nodes", &Scenario::thawNodes},
-                                         Entry{"kill-backends", &Scenario::killBackends},
-                                         Entry{"start-backends", &Scenario::startBackends},
-                                         Entry{"turn-cold", &Scenario::turnCold},
-                                         Entry{"cut", &Scenario::cut},
-                                         Entry{"heal", &Scenario::heal},
-                                         Entry{"platform", &Scenario::platformFault},
-                                         Entry{"list-leaving", &Scenario::listLeaving},
-                                         Entry{"expect-version", &Scenario::expectVersion},
-                                         Entry{"expect-state", &Scenario::expectState},
-                                         Entry{"call", &Scenario::call}};
+    static constexpr std::array kActions {Entry {"publish", &Scenario::publish},
+                                          Entry {"publish-bad", &Scenario::publishBad},
+                                          Entry {"withdraw-key", &Scenario::withdrawKey},
+                                          Entry {"zone-out", &Scenario::zoneOut},
+                                          Entry {"zone-in", &Scenario::zoneIn},
+                                          Entry {"set-rate", &Scenario::setRate},
+                                          Entry {"kill-nodes", &Scenario::killNodes},
+                                          Entry {"start-nodes", &Scenario::startNodes},
+                                          Entry {"stop-nodes", &Scenario::stopNodes},
+                                          Entry {"freeze-nodes", &Scenario::freezeNodes},
+                                          Entry {"thaw-nodes", &Scenario::thawNodes},
+                                          Entry {"kill-backends", &Scenario::killBackends},
+                                          Entry {"start-backends", &Scenario::startBackends},
+                                          Entry {"turn-cold", &Scenario::turnCold},
+                                          Entry {"cut", &Scenario::cut},
+                                          Entry {"heal", &Scenario::heal},
+                                          Entry {"platform", &Scenario::platformFault},
+                                          Entry {"list-leaving", &Scenario::listLeaving},
+                                          Entry {"expect-version", &Scenario::expectVersion},
+                                          Entry {"expect-state", &Scenario::expectState},
+                                          Entry {"call", &Scenario::call}};
     const auto name = text(step, "do");
     for (const auto &entry : kActions) {
         if (name == entry.name) {
@@ -193,7 +193,7 @@
             return;
         }
     }
-    throw std::invalid_argument{"no step named " + name};
+    throw std::invalid_argument {"no step named " + name};
 }
 
 std::vector<std::string> Scenario::servers(const Site &site, const toml::table &step) const
@@ -240,7 +240,7 @@
 {
     auto parts = site.deployment().parts();
     const auto kind = text(step, "kind", "truncated");
-    nlohmann::json body{{"transient", true}};
+    nlohmann::json body {{"transient", true}};
     if (kind == "truncated") {
         body["parts"] = {{"services", parts["services"].substr(0, parts["services"].size() / 2)}};
     } else if (kind == "dangling") {
@@ -385,8 +385,7 @@
     for (const auto &place : site.deployment().servers()) {
         const bool own = isApart(place.zone);
         const auto delay = site.deployment().shape().zoneDelayMs;
-        auto query = "cut_zones=" + (own ? outside : inside) + "&delay_ms="
-                + std::to_string(delay);
+        auto query = "cut_zones=" + (own ? outside : inside) + "&delay_ms=" + std::to_string(delay);
         if (own && platform) {
             query += "&cut_platform=1";
         }
@@ -424,8 +423,8 @@
     const auto within = static_cast<int>(integer(step, "within_ms", kConvergeTimeoutMs));
     const auto names = servers(site, step);
     const auto wanted = names.empty() ? site.deployment().servers().size() : names.size();
-    const auto seen = site.awaitVersion(text(step, "name", "expected version"), m_version, within,
-                                        names);
+    const auto seen
+            = site.awaitVersion(text(step, "name", "expected version"), m_version, within, names);
     if (seen.millis.size() != wanted) {
         fail("version " + std::to_string(m_version) + " is in force on "
              + std::to_string(seen.millis.size()) + " of " + std::to_string(wanted) + " nodes");
@@ -436,11 +435,11 @@
 /*! Compares a member of `/state`, by JSON pointer, with `equals`, `at_least` or `at_most`. */
 void Scenario::expectState(Site &site, const toml::table &step)
 {
-    const auto pointer = nlohmann::json::json_pointer{text(step, "pointer")};
+    const auto pointer = nlohmann::json::json_pointer {text(step, "pointer")};
     for (const auto &server : servers(site, step)) {
         const auto state = site.state(server);
         const auto value = state.is_object() && state.contains(pointer) ? state.at(pointer)
-                                                                        : nlohmann::json{};
+                                                                        : nlohmann::json {};
         const auto place = server + " " + text(step, "pointer") + " is " + value.dump();
         if (const auto wanted = step["equals"].value<std::string>();
             wanted && value.dump() != *wanted) {
@@ -461,10 +460,10 @@
 void Scenario::call(Site &site, const toml::table &step)
 {
     const auto &place = site.deployment().server(text(step, "server"));
-    httplib::Client client{place.callers.host, place.callers.port};
-    client.set_read_timeout(std::chrono::seconds{10});
+    httplib::Client client {place.callers.host, place.callers.port};
+    client.set_read_timeout(std::chrono::seconds {10});
     const auto id = "hand-" + std::to_string(++m_calls);
-    httplib::Headers headers{{"X-Call-Id", id}};
+    httplib::Headers headers {{"X-Call-Id", id}};
     for (const auto &account : site.deployment().accounts()) {
         if (account.name == text(step, "account")) {
             headers.emplace(celeryramp::kKeyHeader, "Bearer " + account.key);
@@ -479,8 +478,8 @@
             ? client.Post(path, headers, text(step, "body"), "text/plain")
             : client.Get(path, headers);
     const auto status = result ? result->status : 0;
-    const auto outcome = result ? result->get_header_value(celeryramp::kOutcomeHeader)
-                                : std::string{"lost"};
+    const auto outcome
+            = result ? result->get_header_value(celeryramp::kOutcomeHeader) : std::string {"lost"};
     const auto wanted = integer(step, "status", 200);
     if (status != wanted) {
         fail("call " + method + " " + path + " got " + std::to_string(status) + " " + outcome
--- a/standin/lab/scenario.h
+++ b/standin/lab/scenario.h
@@ -11,8 +11,7 @@
 namespace standin {
 
 /*! @brief What a scenario found. */
-struct ScenarioReport
-{
+struct ScenarioReport {
     std::vector<Convergence> convergences;
     std::vector<Violation> violations;
     std::vector<std::string> failures; /*!< Expectations that did not come true. */
@@ -23,8 +22,7 @@
  *
  * The language is described in docs/SCENARIOS.md.
  */
-class Scenario
-{
+class Scenario {
 public:
     /*! @param path TOML file. Throws on a file that cannot be read or parsed. */
     explicit Scenario(const std::string &path);
@@ -73,8 +71,7 @@
     void converge(Site &site, const std::string &change, std::uint64_t version,
                   const toml::table &step);
     void fail(std::string text) { m_report.failures.push_back(std::move(text)); }
-    [[nodiscard]] std::vector<std::string> servers(const Site &site,
-                                                   const toml::table &step) const;
+    [[nodiscard]] std::vector<std::string> servers(const Site &site, const toml::table &step) const;
 
     toml::table m_table;
     ScenarioReport m_report;
--- a/standin/lab/site.h
+++ b/standin/lab/site.h
@@ -16,24 +16,21 @@
 namespace standin {
 
 /*! @brief Where the lab finds programs and puts files. */
-struct SitePaths
-{
+struct SitePaths {
     std::string programs; /*!< Folder of the built programs. */
     std::string certs;
     std::string out; /*!< Logs, settings and journals; emptied at start. */
 };
 
 /*! @brief How backend servers of a site behave. */
-struct BackendTuning
-{
+struct BackendTuning {
     int workMicros = 2000;
     int warmMs = 1000;
     double coldFactor = 4.0;
 };
 
 /*! @brief When a version came in force on each node, after its publication. */
-struct Convergence
-{
+struct Convergence {
     std::string change;
     std::uint64_t version = 0;
     std::map<std::string, double> millis; /*!< By server; nodes that lack it are absent. */
@@ -43,8 +40,7 @@
 };
 
 /*! @brief A running deployment: platform, backend servers, nodes, callers. */
-class Site
-{
+class Site {
 public:
     Site(DeploymentShape shape, SitePaths paths, std::uint16_t basePort, BackendTuning tuning);
 
