--- a/apps/celeryrampd.cpp
+++ b/apps/celeryrampd.cpp
@@ -18,13 +18,13 @@
 constexpr int kExitSettings = 2;
 constexpr int kExitStart = 1;
 constexpr int kExitSuperseded = 3;
-constexpr celeryramp::Millis kSupersededPoll {200};
+constexpr celeryramp::Millis kSupersededPoll{200};
 
 /*! Waits for a signal of the set, at most as long as told. @return The signal, or 0. */
 int waitForSignal(const sigset_t &signals, celeryramp::Millis timeout)
 {
     const auto n = timeout.count();
-    const timespec wait {static_cast<time_t>(n / 1000), static_cast<long>(n % 1000) * 1'000'000};
+    const timespec wait{static_cast<time_t>(n / 1000), static_cast<long>(n % 1000) * 1'000'000};
     const int signal = sigtimedwait(&signals, nullptr, &wait);
     return signal > 0 ? signal : 0;
 }
@@ -32,7 +32,7 @@
 int run(celeryramp::NodeSettings settings, const sigset_t &signals)
 {
     celeryramp::startLog(settings.logLevel);
-    celeryramp::Node node {std::move(settings)};
+    celeryramp::Node node{std::move(settings)};
     if (const auto started = node.start(); !started) {
         std::cerr << "celeryrampd: " << started.error().reason << '\n';
         return kExitStart;
@@ -43,7 +43,7 @@
             return kExitSuperseded;
         }
     }
-    std::thread second {[&signals] {
+    std::thread second{[&signals] {
         int signal = 0;
         sigwait(&signals, &signal);
         _exit(kExitStart);
@@ -57,7 +57,7 @@
 
 int main(int argc, char **argv)
 {
-    cxxopts::Options options {"celeryrampd", "The node beside one backend server"};
+    cxxopts::Options options{"celeryrampd", "The node beside one backend server"};
     options.add_options()("settings", "Settings file (TOML)", cxxopts::value<std::string>())(
             "check-settings", "Check the settings file and end")("version", "Print the version")(
             "help", "Print this help");
--- a/src/celeryramp/config/acceptance.cpp
+++ b/src/celeryramp/config/acceptance.cpp
@@ -17,14 +17,14 @@
 {
     const auto stamp = document.stamp();
     if (stamp == m_stamp || stamp.version < m_stamp.version) {
-        return ConfigError {ConfigErrorCode::Stale, "manifest", "/version",
-                            "version " + std::to_string(stamp.version)
-                                    + " is not above the one in force"};
+        return ConfigError{ConfigErrorCode::Stale, "manifest", "/version",
+                           "version " + std::to_string(stamp.version)
+                                   + " is not above the one in force"};
     }
     if (!isNewer(stamp)) {
-        ConfigError error {ConfigErrorCode::Conflict, "manifest", "/version",
-                           "version " + std::to_string(stamp.version)
-                                   + " is in force with other content"};
+        ConfigError error{ConfigErrorCode::Conflict, "manifest", "/version",
+                          "version " + std::to_string(stamp.version)
+                                  + " is in force with other content"};
         recordRejection(stamp, error, now);
         return error;
     }
--- a/src/celeryramp/config/acceptance.h
+++ b/src/celeryramp/config/acceptance.h
@@ -12,7 +12,8 @@
 namespace celeryramp {
 
 /*! @brief A version that was refused, kept for operators. */
-struct Rejection {
+struct Rejection
+{
     ConfigStamp stamp;
     ConfigError error;
     TimePoint at;
@@ -24,7 +25,8 @@
  * Order is total: version, then digest. A document is validated wholly before anything changes,
  * so that a bad one changes nothing. Does no I/O and owns no thread.
  */
-class Acceptance {
+class Acceptance
+{
 public:
     /*!
      * @brief Offers a complete document.
--- a/src/celeryramp/config/api_key.h
+++ b/src/celeryramp/config/api_key.h
@@ -5,7 +5,8 @@
 namespace celeryramp {
 
 /*! @brief A published key: only a salted hash of its secret is known. */
-struct ApiKey {
+struct ApiKey
+{
     std::string id; /*!< Part of the key before the dot; public. */
     std::string account;
     std::string salt; /*!< Hexadecimal text prepended to the secret. */
--- a/src/celeryramp/config/availability_zone.h
+++ b/src/celeryramp/config/availability_zone.h
@@ -8,7 +8,8 @@
 enum class ZoneStatus { InService, OutOfService };
 
 /*! @brief A part of the site that fails and is maintained as one. */
-struct AvailabilityZone {
+struct AvailabilityZone
+{
     std::string name;
     std::string region;
     ZoneStatus status = ZoneStatus::InService;
--- a/src/celeryramp/config/backend_server.h
+++ b/src/celeryramp/config/backend_server.h
@@ -7,7 +7,8 @@
 namespace celeryramp {
 
 /*! @brief One instance of a service and the node in its slot. */
-struct BackendServer {
+struct BackendServer
+{
     std::string name;
     std::string service;
     std::string zone;
--- a/src/celeryramp/config/config_document.h
+++ b/src/celeryramp/config/config_document.h
@@ -8,7 +8,8 @@
 namespace celeryramp {
 
 /*! @brief A manifest with the text of all its parts, not yet validated. */
-struct ConfigDocument {
+struct ConfigDocument
+{
     Manifest manifest;
     std::map<std::string, std::string> parts; /*!< Part name to published bytes. */
 
--- a/src/celeryramp/config/config_error.h
+++ b/src/celeryramp/config/config_error.h
@@ -19,7 +19,8 @@
 };
 
 /*! @brief Error of the config layer: what, where and why. */
-struct ConfigError {
+struct ConfigError
+{
     ConfigErrorCode code = ConfigErrorCode::Syntax;
     std::string part; /*!< Part name, or `manifest`. */
     std::string place; /*!< JSON pointer inside the part. */
--- a/src/celeryramp/config/delta.cpp
+++ b/src/celeryramp/config/delta.cpp
@@ -33,7 +33,7 @@
                                  const std::string &name)
 {
     const auto it = parts.find(name);
-    return it == parts.end() ? std::string {} : it->second;
+    return it == parts.end() ? std::string{} : it->second;
 }
 
 [[nodiscard]] std::string rebuild(const std::string &base, const Json &change)
@@ -66,7 +66,7 @@
         if (!manifest) {
             return std::nullopt;
         }
-        ConfigDocument document {manifest.value(), base.parts};
+        ConfigDocument document{manifest.value(), base.parts};
         for (const auto &[name, change] : json.at("changes").items()) {
             document.parts[name] = internal::rebuild(internal::textOr(base.parts, name), change);
         }
@@ -95,7 +95,7 @@
         if (!manifest) {
             return std::nullopt;
         }
-        ConfigDocument document {manifest.value(), {}};
+        ConfigDocument document{manifest.value(), {}};
         json.at("parts").get_to(document.parts);
         return document;
     } catch (const internal::Json::exception &) {
--- a/src/celeryramp/config/json_reader.cpp
+++ b/src/celeryramp/config/json_reader.cpp
@@ -16,7 +16,7 @@
 } // namespace internal
 
 JsonReader::JsonReader(const nlohmann::json &object, std::string part, std::string place)
-    : m_object {object}, m_part {std::move(part)}, m_place {std::move(place)}
+    : m_object{object}, m_part{std::move(part)}, m_place{std::move(place)}
 {
     if (!m_object.is_object()) {
         fail(ConfigErrorCode::WrongType, "", "must be an object");
@@ -59,7 +59,7 @@
         if (value == choice) {
             return i;
         }
-        accepted += std::string {accepted.empty() ? "" : ", "} + choice;
+        accepted += std::string{accepted.empty() ? "" : ", "} + choice;
         ++i;
     }
     fail(ConfigErrorCode::OutOfRange, name, "must be one of " + accepted);
--- a/src/celeryramp/config/json_reader.h
+++ b/src/celeryramp/config/json_reader.h
@@ -15,7 +15,8 @@
  * @brief Reads typed members of one JSON object and remembers the first failure.
  * Later reads after a failure return neutral values; the caller tests `error()` at the end.
  */
-class JsonReader {
+class JsonReader
+{
 public:
     /*! @param object The object. @param part Part name. @param place JSON pointer of the object. */
     JsonReader(const nlohmann::json &object, std::string part, std::string place);
--- a/src/celeryramp/config/manifest.h
+++ b/src/celeryramp/config/manifest.h
@@ -7,7 +7,8 @@
 namespace celeryramp {
 
 /*! @brief Names a configuration version and the SHA-256 of each of its parts. */
-struct Manifest {
+struct Manifest
+{
     std::uint64_t version = 0;
     std::map<std::string, std::string> parts; /*!< Part name to hexadecimal SHA-256. */
 
@@ -16,7 +17,8 @@
 };
 
 /*! @brief Position in the total order of configurations: version first, then digest. */
-struct ConfigStamp {
+struct ConfigStamp
+{
     std::uint64_t version = 0;
     std::string digest;
 
--- a/src/celeryramp/config/parse.cpp
+++ b/src/celeryramp/config/parse.cpp
@@ -23,7 +23,7 @@
 [[nodiscard]] MaybeError outcomeOf(JsonReader &reader)
 {
     reader.finish();
-    return reader.ok() ? std::nullopt : MaybeError {reader.error()};
+    return reader.ok() ? std::nullopt : MaybeError{reader.error()};
 }
 
 /*! Calls `read(name, reader, model)` for each member of an object of objects. */
@@ -32,7 +32,9 @@
                                       const std::string &place, Read read)
 {
     for (const auto &[name, value] : entries.items()) {
-        JsonReader reader {value, part, place + "/" + name};
+        auto entryPlace = place;
+        entryPlace.append("/").append(name);
+        JsonReader reader{value, part, std::move(entryPlace)};
         if (name.empty()) {
             reader.fail(ConfigErrorCode::OutOfRange, "", "a name must not be empty");
         }
@@ -46,7 +48,7 @@
 
 [[nodiscard]] MaybeError readZones(const Json &json, ConfigModel &model)
 {
-    JsonReader top {json, "zones", ""};
+    JsonReader top{json, "zones", ""};
     const auto &zones = top.object("zones");
     if (auto error = outcomeOf(top)) {
         return error;
@@ -65,13 +67,13 @@
 {
     WorkClass workClass;
     workClass.name = name;
-    workClass.latency = Millis {reader.integer("latency_ms", 1, kMaxMillis)};
+    workClass.latency = Millis{reader.integer("latency_ms", 1, kMaxMillis)};
     workClass.success = reader.number("success", 0.0, 1.0);
     workClass.repeat = reader.choice("repeat", {"idempotent", "at-most-once"}) == 0
             ? RepeatSafety::Idempotent
             : RepeatSafety::AtMostOnce;
-    workClass.deadline = Millis {reader.integer("deadline_ms", 1, kMaxMillis)};
-    workClass.keyFreshness = Millis {reader.integerOr("key_freshness_ms", 0, kMaxFreshness, 0)};
+    workClass.deadline = Millis{reader.integer("deadline_ms", 1, kMaxMillis)};
+    workClass.keyFreshness = Millis{reader.integerOr("key_freshness_ms", 0, kMaxFreshness, 0)};
     if (workClass.deadline < workClass.latency) {
         reader.fail(ConfigErrorCode::OutOfRange, "deadline_ms", "must not be below latency_ms");
     }
@@ -98,7 +100,7 @@
 
 [[nodiscard]] MaybeError readServices(const Json &json, ConfigModel &model)
 {
-    JsonReader top {json, "services", ""};
+    JsonReader top{json, "services", ""};
     const auto &classes = top.object("classes");
     const auto &services = top.object("services");
     const auto &routes = top.array("routes");
@@ -113,14 +115,14 @@
     }
     error = forEachEntry(services, "services", "/services",
                          [&](const auto &name, auto & /*reader*/) {
-                             model.services.emplace(name, Service {name});
+                             model.services.emplace(name, Service{name});
                          });
     if (error) {
         return error;
     }
     std::size_t i = 0;
     for (const auto &value : routes) {
-        JsonReader reader {value, "services", "/routes/" + std::to_string(i++)};
+        JsonReader reader{value, "services", "/routes/" + std::to_string(i++)};
         readRoute(reader, model);
         if (error = outcomeOf(reader); error) {
             return error;
@@ -131,7 +133,7 @@
 
 [[nodiscard]] MaybeError readAccounts(const Json &json, ConfigModel &model)
 {
-    JsonReader top {json, "accounts", ""};
+    JsonReader top{json, "accounts", ""};
     const auto &accounts = top.object("accounts");
     if (auto error = outcomeOf(top)) {
         return error;
@@ -147,7 +149,7 @@
 
 [[nodiscard]] MaybeError readKeys(const Json &json, ConfigModel &model)
 {
-    JsonReader top {json, "keys", ""};
+    JsonReader top{json, "keys", ""};
     const auto &keys = top.object("keys");
     if (auto error = outcomeOf(top)) {
         return error;
@@ -180,7 +182,7 @@
 
 [[nodiscard]] MaybeError readServers(const Json &json, ConfigModel &model)
 {
-    JsonReader top {json, "servers", ""};
+    JsonReader top{json, "servers", ""};
     const auto &servers = top.object("servers");
     if (auto error = outcomeOf(top)) {
         return error;
@@ -199,37 +201,38 @@
 
 using PartReader = MaybeError (*)(const Json &, ConfigModel &);
 
-struct PartEntry {
+struct PartEntry
+{
     std::string_view name;
     PartReader read;
 };
 
-constexpr std::array<PartEntry, kPartNames.size()> kReaders {{{"zones", readZones},
-                                                              {"services", readServices},
-                                                              {"accounts", readAccounts},
-                                                              {"keys", readKeys},
-                                                              {"servers", readServers}}};
+constexpr std::array<PartEntry, kPartNames.size()> kReaders{{{"zones", readZones},
+                                                             {"services", readServices},
+                                                             {"accounts", readAccounts},
+                                                             {"keys", readKeys},
+                                                             {"servers", readServers}}};
 
 [[nodiscard]] MaybeError checkBytes(const ConfigDocument &document, const std::string &name)
 {
     const auto hash = document.manifest.parts.find(name);
     if (hash == document.manifest.parts.end()) {
-        return ConfigError {ConfigErrorCode::MissingPart, "manifest", "/parts/" + name,
-                            "is missing"};
+        return ConfigError{ConfigErrorCode::MissingPart, "manifest", "/parts/" + name,
+                           "is missing"};
     }
     const auto bytes = document.parts.find(name);
     if (bytes == document.parts.end()) {
-        return ConfigError {ConfigErrorCode::MissingPart, name, "/", "the part was not delivered"};
+        return ConfigError{ConfigErrorCode::MissingPart, name, "/", "the part was not delivered"};
     }
     if (bytes->second.size() > kMaxPartBytes) {
-        return ConfigError {ConfigErrorCode::TooLarge, name, "/",
-                            "holds " + std::to_string(bytes->second.size())
-                                    + " bytes, accepted range 0 to "
-                                    + std::to_string(kMaxPartBytes)};
+        return ConfigError{ConfigErrorCode::TooLarge, name, "/",
+                           "holds " + std::to_string(bytes->second.size())
+                                   + " bytes, accepted range 0 to "
+                                   + std::to_string(kMaxPartBytes)};
     }
     if (sha256Hex(bytes->second) != hash->second) {
-        return ConfigError {ConfigErrorCode::HashMismatch, name, "/",
-                            "bytes differ from the manifest's hash"};
+        return ConfigError{ConfigErrorCode::HashMismatch, name, "/",
+                           "bytes differ from the manifest's hash"};
     }
     return std::nullopt;
 }
@@ -237,13 +240,13 @@
 [[nodiscard]] MaybeError readPart(const ConfigDocument &document, const PartEntry &entry,
                                   ConfigModel &model)
 {
-    const std::string name {entry.name};
+    const std::string name{entry.name};
     if (auto error = checkBytes(document, name)) {
         return error;
     }
     const auto json = Json::parse(document.parts.at(name), nullptr, false);
     if (json.is_discarded()) {
-        return ConfigError {ConfigErrorCode::Syntax, name, "/", "is no JSON document"};
+        return ConfigError{ConfigErrorCode::Syntax, name, "/", "is no JSON document"};
     }
     return entry.read(json, model);
 }
@@ -253,12 +256,12 @@
     for (const auto &[name, value] : parts.items()) {
         const auto known = std::find(kPartNames.begin(), kPartNames.end(), name);
         if (known == kPartNames.end()) {
-            return ConfigError {ConfigErrorCode::UnknownMember, "manifest", "/parts/" + name,
-                                "is not known here"};
+            return ConfigError{ConfigErrorCode::UnknownMember, "manifest", "/parts/" + name,
+                               "is not known here"};
         }
         if (!value.is_string() || value.get_ref<const std::string &>().size() != kHashDigits) {
-            return ConfigError {ConfigErrorCode::WrongType, "manifest", "/parts/" + name,
-                                "must be 64 hexadecimal digits"};
+            return ConfigError{ConfigErrorCode::WrongType, "manifest", "/parts/" + name,
+                               "must be 64 hexadecimal digits"};
         }
         manifest.parts.emplace(name, value.get<std::string>());
     }
@@ -271,9 +274,9 @@
 {
     const auto json = nlohmann::json::parse(text, nullptr, false);
     if (json.is_discarded()) {
-        return ConfigError {ConfigErrorCode::Syntax, "manifest", "/", "is no JSON document"};
+        return ConfigError{ConfigErrorCode::Syntax, "manifest", "/", "is no JSON document"};
     }
-    JsonReader reader {json, "manifest", ""};
+    JsonReader reader{json, "manifest", ""};
     Manifest manifest;
     manifest.version = static_cast<std::uint64_t>(
             reader.integer("version", 1, std::numeric_limits<std::int64_t>::max()));
@@ -289,7 +292,7 @@
 
 std::string manifestText(const Manifest &manifest)
 {
-    return nlohmann::json {{"version", manifest.version}, {"parts", manifest.parts}}.dump();
+    return nlohmann::json{{"version", manifest.version}, {"parts", manifest.parts}}.dump();
 }
 
 Result<SnapshotPtr, ConfigError> buildSnapshot(const ConfigDocument &document)
--- a/src/celeryramp/config/route.h
+++ b/src/celeryramp/config/route.h
@@ -12,7 +12,8 @@
 };
 
 /*! @brief Maps a path prefix to a service and a class of work. */
-struct Route {
+struct Route
+{
     std::string path; /*!< Prefix of whole segments, such as `/stock`. */
     std::string service;
     std::string workClass;
--- a/src/celeryramp/config/service.h
+++ b/src/celeryramp/config/service.h
@@ -5,7 +5,8 @@
 namespace celeryramp {
 
 /*! @brief A named set of interchangeable backend servers. */
-struct Service {
+struct Service
+{
     std::string name;
 };
 
--- a/src/celeryramp/config/snapshot.cpp
+++ b/src/celeryramp/config/snapshot.cpp
@@ -16,7 +16,7 @@
 } // namespace internal
 
 Snapshot::Snapshot(ConfigStamp stamp, ConfigModel model)
-    : m_stamp {std::move(stamp)}, m_model {std::move(model)}
+    : m_stamp{std::move(stamp)}, m_model{std::move(model)}
 {
     for (const auto &route : m_model.routes) {
         m_routes.emplace(route.path, &route);
@@ -49,11 +49,11 @@
     if (dot == std::string_view::npos) {
         return nullptr;
     }
-    const auto *key = internal::find(m_model.keys, std::string {presented.substr(0, dot)});
+    const auto *key = internal::find(m_model.keys, std::string{presented.substr(0, dot)});
     if (key == nullptr) {
         return nullptr;
     }
-    const auto hash = sha256Hex(key->salt + std::string {presented.substr(dot + 1)});
+    const auto hash = sha256Hex(key->salt + std::string{presented.substr(dot + 1)});
     return equalConstantTime(hash, key->hash) ? findAccount(key->account) : nullptr;
 }
 
--- a/src/celeryramp/config/snapshot.h
+++ b/src/celeryramp/config/snapshot.h
@@ -21,7 +21,8 @@
 namespace celeryramp {
 
 /*! @brief All entities of one configuration, as read from its parts. */
-struct ConfigModel {
+struct ConfigModel
+{
     std::map<std::string, AvailabilityZone> zones;
     std::map<std::string, Service> services;
     std::map<std::string, WorkClass> classes;
@@ -35,7 +36,8 @@
  * @brief Immutable, validated configuration with the lookups that requests need.
  * Built only from models that passed validation, so that no lookup meets a dangling name.
  */
-class Snapshot {
+class Snapshot
+{
 public:
     /*! @param stamp Version and digest. @param model A validated model. */
     Snapshot(ConfigStamp stamp, ConfigModel model);
--- a/src/celeryramp/core/address.cpp
+++ b/src/celeryramp/core/address.cpp
@@ -11,7 +11,7 @@
 
 [[nodiscard]] bool isIpNumber(const std::string &host)
 {
-    std::array<unsigned char, sizeof(in6_addr)> buf {};
+    std::array<unsigned char, sizeof(in6_addr)> buf{};
     return inet_pton(AF_INET, host.c_str(), buf.data()) == 1
             || inet_pton(AF_INET6, host.c_str(), buf.data()) == 1;
 }
@@ -42,11 +42,11 @@
     const auto digits = text.substr(colon + 1);
     unsigned port = 0;
     const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    const bool whole = ec == std::errc {} && end == digits.data() + digits.size();
+    const bool whole = ec == std::errc{} && end == digits.data() + digits.size();
     if (!whole || port == 0 || port > 65535) {
         return std::nullopt;
     }
-    Address address {std::string {host}, static_cast<std::uint16_t>(port)};
+    Address address{std::string{host}, static_cast<std::uint16_t>(port)};
     if (!internal::isIpNumber(address.host)) {
         return std::nullopt;
     }
--- a/src/celeryramp/core/address.h
+++ b/src/celeryramp/core/address.h
@@ -8,7 +8,8 @@
 namespace celeryramp {
 
 /*! @brief IP number and port. Names are never resolved. */
-struct Address {
+struct Address
+{
     std::string host; /*!< IPv4 or IPv6 number. */
     std::uint16_t port = 0;
 
--- a/src/celeryramp/core/hash.cpp
+++ b/src/celeryramp/core/hash.cpp
@@ -60,7 +60,7 @@
 
 std::string sha256Hex(std::string_view bytes)
 {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int n = 0;
     EVP_Digest(bytes.data(), bytes.size(), digest.data(), &n, EVP_sha256(), nullptr);
     return internal::toHex(digest.data(), n);
--- a/src/celeryramp/core/random.h
+++ b/src/celeryramp/core/random.h
@@ -5,14 +5,15 @@
 namespace celeryramp {
 
 /*! @brief Small seeded generator (SplitMix64); one owner at a time. */
-class RandomEngine {
+class RandomEngine
+{
 public:
     using result_type = std::uint64_t; // NOLINT(readability-identifier-naming): standard concept
 
-    explicit RandomEngine(std::uint64_t seed) noexcept : m_state {seed} { }
+    explicit RandomEngine(std::uint64_t seed) noexcept : m_state{seed} { }
 
     [[nodiscard]] static constexpr result_type min() noexcept { return 0; }
-    [[nodiscard]] static constexpr result_type max() noexcept { return ~result_type {0}; }
+    [[nodiscard]] static constexpr result_type max() noexcept { return ~result_type{0}; }
 
     /*! @return The next 64 random bits. */
     result_type operator()() noexcept
--- a/src/celeryramp/core/ring.h
+++ b/src/celeryramp/core/ring.h
@@ -18,10 +18,11 @@
  * @tparam T Movable element type.
  */
 template <typename T>
-class BoundedRing {
+class BoundedRing
+{
 public:
     /*! @param capacity Number of elements held at most. */
-    explicit BoundedRing(std::size_t capacity) : m_capacity {capacity} { }
+    explicit BoundedRing(std::size_t capacity) : m_capacity{capacity} { }
 
     /*!
      * @brief Appends one element.
@@ -30,7 +31,7 @@
     [[nodiscard]] bool push(T value)
     {
         {
-            const std::lock_guard lock {m_mutex};
+            const std::lock_guard lock{m_mutex};
             if (m_closed || m_items.size() >= m_capacity) {
                 ++m_refused;
                 return false;
@@ -47,12 +48,12 @@
      */
     [[nodiscard]] std::optional<T> pop(Millis timeout)
     {
-        std::unique_lock lock {m_mutex};
+        std::unique_lock lock{m_mutex};
         m_ready.wait_for(lock, timeout, [this] { return m_closed || !m_items.empty(); });
         if (m_items.empty()) {
             return std::nullopt;
         }
-        std::optional<T> value {std::move(m_items.front())};
+        std::optional<T> value{std::move(m_items.front())};
         m_items.pop_front();
         return value;
     }
@@ -61,7 +62,7 @@
     void close()
     {
         {
-            const std::lock_guard lock {m_mutex};
+            const std::lock_guard lock{m_mutex};
             m_closed = true;
         }
         m_ready.notify_all();
@@ -70,14 +71,14 @@
     /*! @return Number of refused elements since construction. */
     [[nodiscard]] std::size_t refused() const
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         return m_refused;
     }
 
     /*! @return Number of elements waiting. */
     [[nodiscard]] std::size_t size() const
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         return m_items.size();
     }
 
--- a/src/celeryramp/distribution/distributor.cpp
+++ b/src/celeryramp/distribution/distributor.cpp
@@ -25,9 +25,8 @@
 } // namespace internal
 
 Distributor::Distributor(std::string self, std::string zone, std::uint64_t incarnation)
-    : m_self {std::move(self)}, m_zone {std::move(zone)}, m_sequence {incarnation}
-{
-}
+    : m_self{std::move(self)}, m_zone{std::move(zone)}, m_sequence{incarnation}
+{ }
 
 bool Distributor::onPlatformDocument(ConfigDocument document, const IsUsable &isUsable,
                                      TimePoint now, Outbox &out)
@@ -48,7 +47,7 @@
 void Distributor::onAnnounce(const std::string &from, const AnnounceMessage &message,
                              const IsUsable &isUsable, TimePoint now, Outbox &out)
 {
-    const ConfigStamp stamp {message.version, message.digest};
+    const ConfigStamp stamp{message.version, message.digest};
     const bool isFirstOfSequence = noteSequence(message);
     if (stamp == m_acceptance.stamp()) {
         confirm(message.confirmedAgoMs, now);
@@ -58,7 +57,7 @@
         return;
     }
     if (m_acceptance.isNewer(stamp) && !m_acceptance.wasRejected(stamp)) {
-        Pull pull {from, stamp, message.root, message.sequence, now};
+        Pull pull{from, stamp, message.root, message.sequence, now};
         if (m_pull && !(m_pull->wanted < stamp)) {
             m_alternative = std::move(pull);
         } else {
@@ -74,26 +73,25 @@
 void Distributor::onPull(const std::string &from, const PullMessage &message, Outbox &out)
 {
     const auto &stamp = m_acceptance.stamp();
-    const ConfigStamp have {message.haveVersion, message.haveDigest};
+    const ConfigStamp have{message.haveVersion, message.haveDigest};
     if (stamp.version == 0 || have == stamp) {
-        out.send(from, DocumentMessage {stamp.version == 0 ? 0 : stamp.version, true, {}});
+        out.send(from, DocumentMessage{stamp.version == 0 ? 0 : stamp.version, true, {}});
         return;
     }
     if (const auto *base = internal::findBase(m_acceptance, have); base != nullptr) {
         ++m_counters.deltasSent;
-        out.send(
-                from,
-                DocumentMessage {stamp.version, true, {makeDelta(*base, m_acceptance.document())}});
+        out.send(from,
+                 DocumentMessage{stamp.version, true, {makeDelta(*base, m_acceptance.document())}});
         return;
     }
     ++m_counters.wholesSent;
-    out.send(from, DocumentMessage {stamp.version, false, {packDocument(m_acceptance.document())}});
+    out.send(from, DocumentMessage{stamp.version, false, {packDocument(m_acceptance.document())}});
 }
 
 bool Distributor::onDocument(const std::string &from, const DocumentMessage &message,
                              const IsUsable &isUsable, TimePoint now, Outbox &out)
 {
-    Pull answered {from, {}, {}, 0, now};
+    Pull answered{from, {}, {}, 0, now};
     if (m_pull && m_pull->peer == from) {
         answered = *std::exchange(m_pull, std::nullopt);
         answered.sentAt = now;
@@ -134,7 +132,7 @@
 
 void Distributor::onHeartbeat(const HeartbeatMessage &message, TimePoint now, Outbox &out)
 {
-    const ConfigStamp theirs {message.version, message.digest};
+    const ConfigStamp theirs{message.version, message.digest};
     if (theirs < m_acceptance.stamp()) {
         out.send(message.server, announcement({}, now));
         return;
@@ -169,8 +167,7 @@
 
 Millis Distributor::confirmedAgo(TimePoint now) const
 {
-    return m_confirmedAt ? millisBetween(*m_confirmedAt, now)
-                         : Millis {internal::kNeverConfirmedMs};
+    return m_confirmedAt ? millisBetween(*m_confirmedAt, now) : Millis{internal::kNeverConfirmedMs};
 }
 
 bool Distributor::accept(ConfigDocument document, TimePoint now)
@@ -185,7 +182,7 @@
         return false;
     }
     ++m_counters.accepted;
-    m_topology = Topology {*m_acceptance.inForce()};
+    m_topology = Topology{*m_acceptance.inForce()};
     return true;
 }
 
@@ -239,7 +236,7 @@
 {
     ++m_counters.pulls;
     const auto &have = m_acceptance.stamp();
-    out.send(pull.peer, wholeOnly ? PullMessage {} : PullMessage {have.version, have.digest});
+    out.send(pull.peer, wholeOnly ? PullMessage{} : PullMessage{have.version, have.digest});
     m_pull = std::move(pull);
 }
 
@@ -248,7 +245,7 @@
     if (agoMs == internal::kNeverConfirmedMs) {
         return;
     }
-    const auto at = now - Millis {agoMs};
+    const auto at = now - Millis{agoMs};
     m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, at) : at;
 }
 
--- a/src/celeryramp/distribution/distributor.h
+++ b/src/celeryramp/distribution/distributor.h
@@ -14,12 +14,13 @@
 namespace celeryramp {
 
 /*! @brief Interval at which a reader announces the version in force, changed or not. */
-inline constexpr Millis kConfirmInterval {3000};
+inline constexpr Millis kConfirmInterval{3000};
 /*! @brief A pull without an answer for this long goes to the next announcer. */
-inline constexpr Millis kPullTimeout {400};
+inline constexpr Millis kPullTimeout{400};
 
 /*! @brief Counters of the distributor. */
-struct DistributorCounters {
+struct DistributorCounters
+{
     std::uint64_t accepted = 0;
     std::uint64_t rejected = 0;
     std::uint64_t deltasSent = 0;
@@ -38,7 +39,8 @@
  * Decides only: no I/O, no clock, no thread. Whatever the membership view says, a document takes
  * effect only through Acceptance, so that wrong views cost time and never order.
  */
-class Distributor {
+class Distributor
+{
 public:
     /*!
      * @param self Name of this node's server.
@@ -86,7 +88,8 @@
     [[nodiscard]] bool isConfirmed() const noexcept { return m_confirmedAt.has_value(); }
 
 private:
-    struct Pull {
+    struct Pull
+    {
         std::string peer;
         ConfigStamp wanted;
         std::string root;
--- a/src/celeryramp/distribution/outbox.h
+++ b/src/celeryramp/distribution/outbox.h
@@ -9,7 +9,8 @@
 namespace celeryramp {
 
 /*! @brief Messages that a decision wants sent, in order. */
-class Outbox {
+class Outbox
+{
 public:
     /*! @brief A message and the server whose node is to get it. */
     using Item = std::pair<std::string, Message>;
--- a/src/celeryramp/distribution/rumour_mill.cpp
+++ b/src/celeryramp/distribution/rumour_mill.cpp
@@ -9,11 +9,10 @@
 } // namespace internal
 
 RumourMill::RumourMill(std::string self, std::string zone)
-    : m_self {std::move(self)}, m_zone {std::move(zone)}
-{
-}
+    : m_self{std::move(self)}, m_zone{std::move(zone)}
+{ }
 
-void RumourMill::publish(std::vector<Rumour> rumours, const Topology &topology,
+void RumourMill::publish(const std::vector<Rumour> &rumours, const Topology &topology,
                          const IsUsable &isUsable, TimePoint now, Outbox &out)
 {
     spread(applyAll(rumours, now), m_self, true, topology, isUsable, out);
@@ -26,12 +25,12 @@
     auto fresh = applyAll(message.rumours, now);
     if (message.root.empty()) {
         if (!message.reply) {
-            out.send(from, RumourMessage {m_store.all(now), {}, true});
+            out.send(from, RumourMessage{m_store.all(now), {}, true});
         }
         for (const auto &next :
              topology.successors(m_self, internal::kRumourNeighbours, isUsable)) {
             if (!fresh.empty() && next != from) {
-                out.send(next, RumourMessage {fresh, {}, true});
+                out.send(next, RumourMessage{fresh, {}, true});
             }
         }
         return fresh;
@@ -44,7 +43,7 @@
 void RumourMill::onHeartbeat(const HeartbeatMessage &message, TimePoint now, Outbox &out)
 {
     if (message.rumours != m_store.digest()) {
-        out.send(message.server, RumourMessage {m_store.all(now), {}, false});
+        out.send(message.server, RumourMessage{m_store.all(now), {}, false});
     }
 }
 
@@ -65,7 +64,7 @@
     if (fresh.empty()) {
         return;
     }
-    const RumourMessage message {fresh, root, false};
+    const RumourMessage message{fresh, root, false};
     for (const auto &child : topology.children(root, m_self, isUsable)) {
         out.send(child, message);
     }
--- a/src/celeryramp/distribution/rumour_mill.h
+++ b/src/celeryramp/distribution/rumour_mill.h
@@ -14,14 +14,15 @@
  * @brief Spreads small facts: down the tree at once, repaired by heartbeat digests.
  * A wrong membership view costs a repair; the facts themselves are hints.
  */
-class RumourMill {
+class RumourMill
+{
 public:
     /*! @param self Name of this node's server. @param zone Its zone. */
     RumourMill(std::string self, std::string zone);
 
     /*! @brief This node learned facts itself; those that are new travel on. */
-    void publish(std::vector<Rumour> rumours, const Topology &topology, const IsUsable &isUsable,
-                 TimePoint now, Outbox &out);
+    void publish(const std::vector<Rumour> &rumours, const Topology &topology,
+                 const IsUsable &isUsable, TimePoint now, Outbox &out);
 
     /*! @brief A peer sent facts. @return Those that were new here. */
     std::vector<Rumour> onMessage(const std::string &from, const RumourMessage &message,
--- a/src/celeryramp/gate/call_context.h
+++ b/src/celeryramp/gate/call_context.h
@@ -8,7 +8,8 @@
 namespace celeryramp {
 
 /*! @brief What a backend server's own call inherits from the call that caused it. */
-struct CallContext {
+struct CallContext
+{
     std::string account;
     std::string keyId;
     std::string chain; /*!< Identity of the outside call. */
--- a/src/celeryramp/gate/concurrency_ramp.cpp
+++ b/src/celeryramp/gate/concurrency_ramp.cpp
@@ -13,15 +13,14 @@
 constexpr int kSlowToFall = 3;
 constexpr double kLateFactor = 0.7;
 constexpr double kShedFactor = 0.5;
-constexpr Millis kFallPause {50}; /*!< Calls under way at a fall prove nothing new. */
+constexpr Millis kFallPause{50}; /*!< Calls under way at a fall prove nothing new. */
 constexpr double kFullShare = 0.8; /*!< Share of the limit in use that makes an answer evidence. */
 
 } // namespace internal
 
 ConcurrencyRamp::ConcurrencyRamp(int slots)
-    : m_slots {std::max(1.0, double(slots))}, m_limit {std::min(internal::kFirstLimit, m_slots)}
-{
-}
+    : m_slots{std::max(1.0, double(slots))}, m_limit{std::min(internal::kFirstLimit, m_slots)}
+{ }
 
 void ConcurrencyRamp::reset(TimePoint now)
 {
@@ -59,7 +58,7 @@
 
 Micros ConcurrencyRamp::baseline() const noexcept
 {
-    return Micros {static_cast<std::int64_t>(m_baselineMicros)};
+    return Micros{static_cast<std::int64_t>(m_baselineMicros)};
 }
 
 void ConcurrencyRamp::grow(int running)
--- a/src/celeryramp/gate/concurrency_ramp.h
+++ b/src/celeryramp/gate/concurrency_ramp.h
@@ -18,7 +18,8 @@
  * @brief Concurrency that a backend server is given: starts small, grows on evidence, falls at
  * once when the server turns cold or overloaded. Health endpoints are not believed.
  */
-class ConcurrencyRamp {
+class ConcurrencyRamp
+{
 public:
     /*! @param slots Requests the server runs at a time when warm; the limit never exceeds it. */
     explicit ConcurrencyRamp(int slots);
--- a/src/celeryramp/gate/context_table.cpp
+++ b/src/celeryramp/gate/context_table.cpp
@@ -13,21 +13,21 @@
 std::string ContextTable::open(CallContext context)
 {
     auto token = randomHex(internal::kTokenBytes);
-    const std::lock_guard lock {m_mutex};
-    m_contexts.emplace(token, Entry {std::move(context), {}});
+    const std::lock_guard lock{m_mutex};
+    m_contexts.emplace(token, Entry{std::move(context), {}});
     return token;
 }
 
 std::optional<CallContext> ContextTable::find(const std::string &token) const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     const auto it = m_contexts.find(token);
-    return it == m_contexts.end() ? std::nullopt : std::optional {it->second.context};
+    return it == m_contexts.end() ? std::nullopt : std::optional{it->second.context};
 }
 
 void ContextTable::noteFailure(const std::string &token)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     if (const auto it = m_contexts.find(token); it != m_contexts.end()) {
         it->second.summary.failedBelow = true;
     }
@@ -35,7 +35,7 @@
 
 void ContextTable::noteNested(const std::string &token, Micros time)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     if (const auto it = m_contexts.find(token); it != m_contexts.end()) {
         it->second.summary.nested += time;
     }
@@ -43,7 +43,7 @@
 
 ContextSummary ContextTable::close(const std::string &token)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     const auto it = m_contexts.find(token);
     if (it == m_contexts.end()) {
         return {};
@@ -55,7 +55,7 @@
 
 std::size_t ContextTable::size() const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     return m_contexts.size();
 }
 
--- a/src/celeryramp/gate/context_table.h
+++ b/src/celeryramp/gate/context_table.h
@@ -10,10 +10,11 @@
 namespace celeryramp {
 
 /*! @brief What happened within a context. */
-struct ContextSummary {
+struct ContextSummary
+{
     bool failedBelow
             = false; /*!< A call made within it failed, and the mesh has dealt with that. */
-    Micros nested {0}; /*!< Time that calls made within it took; overlapping ones add up. */
+    Micros nested{0}; /*!< Time that calls made within it took; overlapping ones add up. */
 };
 
 /*!
@@ -22,7 +23,8 @@
  * A token lives as long as its call. Callers cannot forge one: the table is local and tokens are
  * taken from the loopback listener only. Safe to use from several threads.
  */
-class ContextTable {
+class ContextTable
+{
 public:
     /*! @brief Opens a context. @return Its token. */
     [[nodiscard]] std::string open(CallContext context);
@@ -43,7 +45,8 @@
     [[nodiscard]] std::size_t size() const;
 
 private:
-    struct Entry {
+    struct Entry
+    {
         CallContext context;
         ContextSummary summary;
     };
--- a/src/celeryramp/gate/crash_watch.h
+++ b/src/celeryramp/gate/crash_watch.h
@@ -12,7 +12,7 @@
 namespace celeryramp {
 
 /*! @brief How long a crash counts against the requests that were in flight. */
-inline constexpr Millis kCrashMemory {300'000};
+inline constexpr Millis kCrashMemory{300'000};
 
 /*!
  * @brief Finds requests that crash the servers that run them.
@@ -21,10 +21,11 @@
  * two, it is quarantined everywhere for a time. A digest that was answered here before is no
  * suspect, so that servers dying of other causes do not quarantine common requests.
  */
-class CrashWatch {
+class CrashWatch
+{
 public:
     /*! @param server Name of the server beside this node. */
-    explicit CrashWatch(std::string server) : m_server {std::move(server)} { }
+    explicit CrashWatch(std::string server) : m_server{std::move(server)} { }
 
     /*! @brief A request was answered; it does not crash servers. */
     void onAnswered(const std::string &digest);
--- a/src/celeryramp/gate/fair_queue.cpp
+++ b/src/celeryramp/gate/fair_queue.cpp
@@ -20,7 +20,7 @@
         return std::nullopt;
     }
     const auto largest = longest();
-    std::optional<QueuedCall> loser {std::move(largest->second.front())};
+    std::optional<QueuedCall> loser{std::move(largest->second.front())};
     largest->second.erase(largest->second.begin());
     --m_size;
     dropIfEmpty(largest->first);
@@ -35,7 +35,7 @@
     const auto account = m_turns.front();
     m_turns.pop_front();
     auto &line = m_lines[account];
-    std::optional<QueuedCall> call {std::move(line.back())};
+    std::optional<QueuedCall> call{std::move(line.back())};
     line.pop_back();
     --m_size;
     if (line.empty()) {
@@ -55,10 +55,10 @@
         if (it == line.end()) {
             continue;
         }
-        std::optional<QueuedCall> found {std::move(*it)};
+        std::optional<QueuedCall> found{std::move(*it)};
         line.erase(it);
         --m_size;
-        dropIfEmpty(std::string {account});
+        dropIfEmpty(std::string{account});
         return found;
     }
     return std::nullopt;
--- a/src/celeryramp/gate/fair_queue.h
+++ b/src/celeryramp/gate/fair_queue.h
@@ -18,10 +18,11 @@
  * queue is full, the account with most calls waiting loses its least urgent one, so that a flood
  * costs itself first.
  */
-class FairQueue {
+class FairQueue
+{
 public:
     /*! @param capacity Calls held at most over all accounts. */
-    explicit FairQueue(std::size_t capacity) : m_capacity {capacity} { }
+    explicit FairQueue(std::size_t capacity) : m_capacity{capacity} { }
 
     /*!
      * @brief Adds a call.
--- a/src/celeryramp/gate/gate.cpp
+++ b/src/celeryramp/gate/gate.cpp
@@ -11,10 +11,8 @@
 } // namespace internal
 
 Gate::Gate(std::string server, int slots, std::size_t queueCapacity)
-    : m_server {std::move(server)}, m_ramp {slots}, m_nested {queueCapacity}, m_outside {
-                                                                                      queueCapacity}
-{
-}
+    : m_server{std::move(server)}, m_ramp{slots}, m_nested{queueCapacity}, m_outside{queueCapacity}
+{ }
 
 std::vector<Refusal> Gate::offer(QueuedCall call, const GateSurroundings &around, TimePoint now)
 {
--- a/src/celeryramp/gate/gate.h
+++ b/src/celeryramp/gate/gate.h
@@ -18,13 +18,15 @@
 namespace celeryramp {
 
 /*! @brief A call that the gate refuses; it was not run and never will be. */
-struct Refusal {
+struct Refusal
+{
     QueuedCall call;
     Reason reason = Reason::None;
 };
 
 /*! @brief Counters of a gate. */
-struct GateCounters {
+struct GateCounters
+{
     std::uint64_t offered = 0;
     std::uint64_t started = 0;
     std::uint64_t refused = 0;
@@ -32,7 +34,8 @@
 };
 
 /*! @brief What the gate needs to know of its surroundings at each decision. */
-struct GateSurroundings {
+struct GateSurroundings
+{
     const Snapshot *snapshot = nullptr; /*!< Null before the first configuration. */
     bool leaving = false; /*!< The server is listed as leaving. */
     const std::set<std::string> *quarantined = nullptr; /*!< Digests not to be run. */
@@ -46,7 +49,8 @@
  * and have a part of the concurrency to themselves, since each holds up a slot of its caller.
  * Decides only; the duties around it carry calls and answers.
  */
-class Gate {
+class Gate
+{
 public:
     /*!
      * @param server Name of the server behind this gate. @param slots Its slots.
--- a/src/celeryramp/gate/ledger_home.cpp
+++ b/src/celeryramp/gate/ledger_home.cpp
@@ -30,9 +30,8 @@
 } // namespace internal
 
 LedgerHome::LedgerHome(std::string self, LedgerSettings settings, TimePoint startedAt)
-    : m_self {std::move(self)}, m_settings {settings}, m_startedAt {startedAt}
-{
-}
+    : m_self{std::move(self)}, m_settings{settings}, m_startedAt{startedAt}
+{ }
 
 void LedgerHome::onSnapshot(SnapshotPtr snapshot, TimePoint now)
 {
@@ -44,7 +43,7 @@
 
 VoteMessage LedgerHome::onReserve(const ReserveMessage &message, TimePoint now)
 {
-    VoteMessage reply {message.id, m_self, Vote::Abstained, {}};
+    VoteMessage reply{message.id, m_self, Vote::Abstained, {}};
     const auto it = m_records.find(message.key);
     if (it != m_records.end() && it->second.expiresAt > now) {
         const auto &record = it->second.record;
@@ -60,9 +59,8 @@
     } else if (m_records.size() >= internal::kMaxRecords) {
         return reply;
     }
-    Entry entry {
-            {message.key, message.digest, message.attempt, RecordState::Reserved, 0, {}, {}, 0},
-            now + m_settings.retention};
+    Entry entry{{message.key, message.digest, message.attempt, RecordState::Reserved, 0, {}, {}, 0},
+                now + m_settings.retention};
     m_records[message.key] = std::move(entry);
     reply.vote = vouchesFor(message.key, now) ? Vote::Granted : Vote::Abstained;
     return reply;
@@ -87,7 +85,7 @@
 
 RecordsMessage LedgerHome::onRecover(TimePoint now) const
 {
-    RecordsMessage reply {m_self, isComplete(now), {}};
+    RecordsMessage reply{m_self, isComplete(now), {}};
     for (const auto &[key, entry] : m_records) {
         const auto left = millisBetween(now, entry.expiresAt).count();
         if (left > 0) {
@@ -189,7 +187,7 @@
     const bool better = isKnown && it->second.record.state == RecordState::Reserved
             && record.state == RecordState::Done;
     if (!isKnown || better) {
-        m_records[record.key] = {record, now + Millis {record.ttlMs}};
+        m_records[record.key] = {record, now + Millis{record.ttlMs}};
     }
 }
 
--- a/src/celeryramp/gate/ledger_home.h
+++ b/src/celeryramp/gate/ledger_home.h
@@ -12,15 +12,16 @@
 namespace celeryramp {
 
 /*! @brief A reservation whose votes take longer than this is given up. */
-inline constexpr Millis kReservationTimeout {1000};
+inline constexpr Millis kReservationTimeout{1000};
 /*! @brief A new incarnation asks for records no earlier than this after its start. */
-inline constexpr Millis kRecoveryDelay {kReservationTimeout + Millis {100}};
+inline constexpr Millis kRecoveryDelay{kReservationTimeout + Millis{100}};
 /*! @brief A new incarnation vouches for nothing before this. */
-inline constexpr Millis kVouchDelay {2 * kReservationTimeout + Millis {100}};
+inline constexpr Millis kVouchDelay{2 * kReservationTimeout + Millis{100}};
 
 /*! @brief Settings of a ledger home. */
-struct LedgerSettings {
-    Millis retention {300'000}; /*!< How long a re-send is recognized; equal on all nodes. */
+struct LedgerSettings
+{
+    Millis retention{300'000}; /*!< How long a re-send is recognized; equal on all nodes. */
     bool firstStart = false; /*!< The whole fleet starts for the first time: nothing can be lost. */
 };
 
@@ -33,7 +34,8 @@
  * it has every record from the other homes or the retention has passed. When too many homes abstain
  * or are out of reach the attempt is refused as not run: it is never guessed towards running twice.
  */
-class LedgerHome {
+class LedgerHome
+{
 public:
     /*! @param self Name of this node's server. @param startedAt Start of this incarnation. */
     LedgerHome(std::string self, LedgerSettings settings, TimePoint startedAt);
@@ -69,11 +71,13 @@
     [[nodiscard]] std::size_t size() const noexcept { return m_records.size(); }
 
 private:
-    struct Entry {
+    struct Entry
+    {
         LedgerRecord record;
         TimePoint expiresAt;
     };
-    struct Era {
+    struct Era
+    {
         SnapshotPtr snapshot;
         TimePoint endedAt;
     };
--- a/src/celeryramp/gate/queued_call.h
+++ b/src/celeryramp/gate/queued_call.h
@@ -11,7 +11,8 @@
 using ReplyPath = std::uint64_t;
 
 /*! @brief A call at a gate with its local deadline. */
-struct QueuedCall {
+struct QueuedCall
+{
     CallMessage call;
     ReplyPath replyPath = 0; /*!< 0 when the entry node is this node. */
     TimePoint arrivedAt;
--- a/src/celeryramp/gate/reservation.cpp
+++ b/src/celeryramp/gate/reservation.cpp
@@ -7,9 +7,8 @@
 namespace celeryramp {
 
 Reservation::Reservation(std::vector<std::string> homes, TimePoint startedAt)
-    : m_homes {std::move(homes)}, m_startedAt {startedAt}
-{
-}
+    : m_homes{std::move(homes)}, m_startedAt{startedAt}
+{ }
 
 void Reservation::onVote(const VoteMessage &vote)
 {
--- a/src/celeryramp/gate/reservation.h
+++ b/src/celeryramp/gate/reservation.h
@@ -21,7 +21,8 @@
 };
 
 /*! @brief Counts the votes of one attempt. */
-class Reservation {
+class Reservation
+{
 public:
     /*! @param homes Homes of the key. @param startedAt When the first request was sent. */
     Reservation(std::vector<std::string> homes, TimePoint startedAt);
--- a/src/celeryramp/limits/account_share.cpp
+++ b/src/celeryramp/limits/account_share.cpp
@@ -50,7 +50,7 @@
 {
     const auto whole = account.burst / account.rate;
     const auto life = std::min(internal::kMaxGrantLifeSeconds, whole / 2.0);
-    return Millis {std::max<std::int64_t>(1, static_cast<std::int64_t>(std::floor(life * 1000.0)))};
+    return Millis{std::max<std::int64_t>(1, static_cast<std::int64_t>(std::floor(life * 1000.0)))};
 }
 
 AccountShare shareOf(const Snapshot &snapshot, const ClientAccount &account,
--- a/src/celeryramp/limits/account_share.h
+++ b/src/celeryramp/limits/account_share.h
@@ -17,10 +17,11 @@
  * capacity c and each grant lives for `grantLife`; with `c = (r/n) * (b/r - grantLife)` all grants
  * spent in a window W sum up to at most r * W + b, whatever is lost, delayed or partitioned.
  */
-struct AccountShare {
+struct AccountShare
+{
     double ratePerSecond = 0.0; /*!< Micro-tokens minted per second. */
     MicroTokens capacity = 0; /*!< Largest bucket level. */
-    Millis grantLife {0}; /*!< Life of a grant, counted by the asker from before it asked. */
+    Millis grantLife{0}; /*!< Life of a grant, counted by the asker from before it asked. */
 };
 
 /*!
--- a/src/celeryramp/limits/minter.cpp
+++ b/src/celeryramp/limits/minter.cpp
@@ -27,7 +27,7 @@
         if (share.ratePerSecond == 0.0 && !isKnown) {
             continue;
         }
-        auto bucket = isKnown ? known->second : Bucket {{}, {}, {}, now, 0.0};
+        auto bucket = isKnown ? known->second : Bucket{{}, {}, {}, now, 0.0};
         refill(bucket, now);
         bucket.share = first ? share : internal::smaller(bucket.share, share);
         bucket.next = share;
--- a/src/celeryramp/limits/minter.h
+++ b/src/celeryramp/limits/minter.h
@@ -12,7 +12,7 @@
 namespace celeryramp {
 
 /*! @brief After a change, a share that grows waits until every node has the change in force. */
-inline constexpr Millis kShareGrowthDelay {10'000};
+inline constexpr Millis kShareGrowthDelay{10'000};
 
 /*!
  * @brief Mints this server's shares of client accounts and gives tokens to whoever asks.
@@ -21,10 +21,11 @@
  * A new incarnation starts empty, so that what its predecessor gave is not given again. The view
  * of membership plays no part.
  */
-class Minter {
+class Minter
+{
 public:
     /*! @param self Name of this node's server. */
-    explicit Minter(std::string self) : m_self {std::move(self)} { }
+    explicit Minter(std::string self) : m_self{std::move(self)} { }
 
     /*! @brief A configuration came in force. Shares that shrink do so now, others later. */
     void onSnapshot(SnapshotPtr snapshot, TimePoint now);
@@ -48,7 +49,8 @@
     [[nodiscard]] std::size_t size() const noexcept { return m_buckets.size(); }
 
 private:
-    struct Bucket {
+    struct Bucket
+    {
         AccountShare share; /*!< In force now. */
         AccountShare next; /*!< In force from `growsAt` on. */
         TimePoint growsAt;
--- a/src/celeryramp/limits/wallet.cpp
+++ b/src/celeryramp/limits/wallet.cpp
@@ -14,8 +14,8 @@
 constexpr std::size_t kMaxAsksPerCall = 8;
 constexpr double kPrefetchSeconds = 0.05; /*!< Calls held in advance, at the smoothed rate. */
 constexpr double kMaxPrefetchShare = 0.25; /*!< Part of a minter's bucket taken at once. */
-constexpr Millis kAskTimeout {500};
-constexpr Millis kUnreachablePause {1000};
+constexpr Millis kAskTimeout{500};
+constexpr Millis kUnreachablePause{1000};
 
 } // namespace internal
 
@@ -47,7 +47,7 @@
     }
     if (const auto held = total(purse); held >= kMicroTokensPerCall) {
         debit(purse, kMicroTokensPerCall);
-        AdmissionResult result {Admission::Admitted, std::nullopt};
+        AdmissionResult result{Admission::Admitted, std::nullopt};
         const auto low = purse.demandPerSecond * internal::kPrefetchSeconds
                 * double(kMicroTokensPerCall) / 2.0;
         if (double(held - kMicroTokensPerCall) < low && purse.asksInFlight == 0) {
@@ -95,7 +95,7 @@
     const auto place = std::upper_bound(
             credits.begin(), credits.end(), expiresAt,
             [](TimePoint at, const Credit &credit) { return at < credit.expiresAt; });
-    credits.insert(place, Credit {std::min(grant.granted, pending.ask.amount), expiresAt});
+    credits.insert(place, Credit{std::min(grant.granted, pending.ask.amount), expiresAt});
 }
 
 std::string Wallet::onUnreachable(std::uint64_t id, TimePoint now)
@@ -226,11 +226,11 @@
                                 minter.capacity * internal::kMaxPrefetchShare);
     const auto missing = std::max(0.0, price - double(total(purse)));
     const auto amount = static_cast<MicroTokens>(missing + std::max(0.0, ahead)) + 1;
-    TokenAsk ask {++m_lastId, minter.name, account.name, amount};
+    TokenAsk ask{++m_lastId, minter.name, account.name, amount};
     minter.level = std::max(0.0, minter.level - double(amount));
     ++purse.asksInFlight;
     purse.askedInFlight += amount;
-    m_pending.emplace(ask.id, Pending {ask, now, grantLife(account)});
+    m_pending.emplace(ask.id, Pending{ask, now, grantLife(account)});
     return ask;
 }
 
--- a/src/celeryramp/limits/wallet.h
+++ b/src/celeryramp/limits/wallet.h
@@ -15,7 +15,8 @@
 namespace celeryramp {
 
 /*! @brief A request for tokens that the wallet wants sent. */
-struct TokenAsk {
+struct TokenAsk
+{
     std::uint64_t id = 0;
     std::string minter;
     std::string account;
@@ -30,7 +31,8 @@
 };
 
 /*! @brief Decision on one call with what is to be sent for it. */
-struct AdmissionResult {
+struct AdmissionResult
+{
     Admission admission = Admission::Refused;
     std::optional<TokenAsk> ask;
 };
@@ -41,10 +43,11 @@
  * A grant lives from before it was asked for, by this node's own clock, so that neither delays nor
  * clock differences lengthen it. The common call is admitted without a message.
  */
-class Wallet {
+class Wallet
+{
 public:
     /*! @param zone Zone of this node, whose minters are asked first. */
-    explicit Wallet(std::string zone) : m_zone {std::move(zone)} { }
+    explicit Wallet(std::string zone) : m_zone{std::move(zone)} { }
 
     /*! @brief A configuration came in force: estimates start anew, balances stay. */
     void onSnapshot(SnapshotPtr snapshot, TimePoint now);
@@ -70,11 +73,13 @@
     [[nodiscard]] MicroTokens balance(const std::string &account, TimePoint now);
 
 private:
-    struct Credit {
+    struct Credit
+    {
         MicroTokens amount = 0;
         TimePoint expiresAt;
     };
-    struct MinterEstimate {
+    struct MinterEstimate
+    {
         std::string name;
         bool sameZone = false;
         double level = 0.0;
@@ -83,7 +88,8 @@
         TimePoint at;
         TimePoint blockedUntil;
     };
-    struct Purse {
+    struct Purse
+    {
         std::deque<Credit> credits; /*!< Soonest to expire first. */
         std::vector<MinterEstimate> minters;
         double demandPerSecond = 0.0; /*!< Smoothed rate of calls here. */
@@ -91,10 +97,11 @@
         int asksInFlight = 0;
         MicroTokens askedInFlight = 0;
     };
-    struct Pending {
+    struct Pending
+    {
         TokenAsk ask;
         TimePoint askedAt;
-        Millis life {0};
+        Millis life{0};
     };
 
     [[nodiscard]] Purse &purseOf(const ClientAccount &account, TimePoint now);
--- a/src/celeryramp/membership/failure_detector.h
+++ b/src/celeryramp/membership/failure_detector.h
@@ -10,12 +10,13 @@
 namespace celeryramp {
 
 /*! @brief Interval between two heartbeats to the same neighbour. */
-inline constexpr Millis kHeartbeatInterval {2000};
+inline constexpr Millis kHeartbeatInterval{2000};
 /*! @brief Silence after which an observer suspects a neighbour. */
-inline constexpr Millis kSuspicionTimeout {3 * kHeartbeatInterval};
+inline constexpr Millis kSuspicionTimeout{3 * kHeartbeatInterval};
 
 /*! @brief A neighbour that this node misses. */
-struct Missing {
+struct Missing
+{
     std::string server;
     std::uint64_t incarnation = 0; /*!< Last incarnation heard from. */
 };
@@ -24,7 +25,8 @@
  * @brief Watches those members that send this node heartbeats.
  * Says nothing about members it never heard from.
  */
-class FailureDetector {
+class FailureDetector
+{
 public:
     /*! @brief A member gave a sign of life. */
     void heard(const std::string &server, std::uint64_t incarnation, TimePoint now);
@@ -42,7 +44,8 @@
     [[nodiscard]] std::vector<Missing> poll(TimePoint now);
 
 private:
-    struct Watch {
+    struct Watch
+    {
         std::uint64_t incarnation = 0;
         TimePoint lastHeard;
         bool refused = false;
--- a/src/celeryramp/membership/membership_view.h
+++ b/src/celeryramp/membership/membership_view.h
@@ -25,10 +25,11 @@
  * the gate decides), distribution (a wrong view costs a repair), choice of readers (a wrong view
  * costs extra or fewer platform reads for a while).
  */
-class MembershipView {
+class MembershipView
+{
 public:
     /*! @param rumours Store to read from; must outlive the view. */
-    explicit MembershipView(const RumourStore &rumours) : m_rumours {rumours} { }
+    explicit MembershipView(const RumourStore &rumours) : m_rumours{rumours} { }
 
     /*! @return State of a member; `Alive` when nothing is known. */
     [[nodiscard]] MemberState state(const std::string &server) const;
--- a/src/celeryramp/membership/rumour_store.cpp
+++ b/src/celeryramp/membership/rumour_store.cpp
@@ -9,20 +9,20 @@
 namespace internal {
 
 constexpr std::size_t kMaxFacts = 65536;
-constexpr Millis kMaxLife {3'600'000};
+constexpr Millis kMaxLife{3'600'000};
 
 } // namespace internal
 
 bool RumourStore::apply(const Rumour &rumour, TimePoint now)
 {
-    const Key key {rumour.kind, rumour.subject};
-    const auto life = std::min<Millis>(Millis {rumour.ttlMs}, internal::kMaxLife);
+    const Key key{rumour.kind, rumour.subject};
+    const auto life = std::min<Millis>(Millis{rumour.ttlMs}, internal::kMaxLife);
     const auto it = m_facts.find(key);
     if (it == m_facts.end()) {
         if (m_facts.size() >= internal::kMaxFacts || life.count() == 0) {
             return false;
         }
-        m_facts.emplace(key, Fact {rumour.sequence, now + life});
+        m_facts.emplace(key, Fact{rumour.sequence, now + life});
         m_digest ^= hashOf(key, rumour.sequence);
         return true;
     }
@@ -50,7 +50,7 @@
                                                    const std::string &subject) const
 {
     const auto it = m_facts.find({kind, subject});
-    return it == m_facts.end() ? std::nullopt : std::optional {it->second.sequence};
+    return it == m_facts.end() ? std::nullopt : std::optional{it->second.sequence};
 }
 
 std::vector<std::pair<std::string, std::uint64_t>>
--- a/src/celeryramp/membership/rumour_store.h
+++ b/src/celeryramp/membership/rumour_store.h
@@ -16,7 +16,8 @@
  * @brief Small facts with a highest sequence and a limited life, equal on all nodes in the end.
  * Merging is commutative and idempotent, so order and repetition of messages do not matter.
  */
-class RumourStore {
+class RumourStore
+{
 public:
     /*!
      * @brief Takes a fact in.
@@ -46,7 +47,8 @@
 
 private:
     using Key = std::pair<RumourKind, std::string>;
-    struct Fact {
+    struct Fact
+    {
         std::uint64_t sequence = 0;
         TimePoint expiresAt;
     };
--- a/src/celeryramp/membership/topology.cpp
+++ b/src/celeryramp/membership/topology.cpp
@@ -50,8 +50,8 @@
 gsl::span<const std::string> Topology::ring(const std::string &zone) const
 {
     const auto it = m_rings.find(zone);
-    return it == m_rings.end() ? gsl::span<const std::string> {}
-                               : gsl::span<const std::string> {it->second};
+    return it == m_rings.end() ? gsl::span<const std::string>{}
+                               : gsl::span<const std::string>{it->second};
 }
 
 std::size_t Topology::rank(const std::string &server) const
@@ -88,7 +88,7 @@
     const auto members = ring(zone);
     const auto n = members.size();
     const auto start = rank(root);
-    std::vector<std::size_t> open {(rank(server) + n - start) % n};
+    std::vector<std::size_t> open{(rank(server) + n - start) % n};
     while (!open.empty()) {
         const auto parent = open.back();
         open.pop_back();
--- a/src/celeryramp/membership/topology.h
+++ b/src/celeryramp/membership/topology.h
@@ -21,7 +21,8 @@
  * between nodes: then an announcement misses some nodes or reaches some twice, which the heartbeat
  * digests repair; no promise depends on it.
  */
-class Topology {
+class Topology
+{
 public:
     /*! @brief A topology without members. */
     Topology() = default;
--- a/src/celeryramp/node/accounts_desk.cpp
+++ b/src/celeryramp/node/accounts_desk.cpp
@@ -8,13 +8,13 @@
 
 namespace internal {
 
-constexpr Millis kLongestTokenWait {100};
+constexpr Millis kLongestTokenWait{100};
 
 } // namespace internal
 
 void AccountsDesk::onSnapshot(SnapshotPtr snapshot, TimePoint now)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     m_wallet.onSnapshot(std::move(snapshot), now);
 }
 
@@ -23,7 +23,7 @@
     std::vector<std::string> tried;
     const auto until = std::min(deadline, Clock::now() + internal::kLongestTokenWait);
     while (true) {
-        std::unique_lock lock {m_mutex};
+        std::unique_lock lock{m_mutex};
         const auto result = m_wallet.admit(account, tried, Clock::now());
         const auto seen = m_grants;
         lock.unlock();
@@ -45,9 +45,9 @@
 void AccountsDesk::onGrant(const TokenGrantMessage &message, TimePoint now)
 {
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         m_wallet.onGrant(message.id,
-                         {message.microTokens, message.leftMicroTokens, Millis {message.lifeMs}},
+                         {message.microTokens, message.leftMicroTokens, Millis{message.lifeMs}},
                          now);
         ++m_grants;
     }
@@ -57,7 +57,7 @@
 void AccountsDesk::onUnsent(std::uint64_t id, TimePoint now)
 {
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         m_wallet.onUnreachable(id, now);
         ++m_grants;
     }
@@ -66,7 +66,7 @@
 
 void AccountsDesk::sendAsk(const TokenAsk &ask)
 {
-    const auto link = m_post.post(ask.minter, TokenRequestMessage {ask.id, ask.account, ask.amount},
+    const auto link = m_post.post(ask.minter, TokenRequestMessage{ask.id, ask.account, ask.amount},
                                   tokenFor(TokenKind::TokenAsk, ask.id));
     if (link == 0) {
         onUnsent(ask.id, Clock::now());
--- a/src/celeryramp/node/accounts_desk.h
+++ b/src/celeryramp/node/accounts_desk.h
@@ -11,9 +11,10 @@
 namespace celeryramp {
 
 /*! @brief Admission of calls at this entry node, shared by the threads that carry calls. */
-class AccountsDesk {
+class AccountsDesk
+{
 public:
-    AccountsDesk(std::string zone, PostOffice &post) : m_wallet {std::move(zone)}, m_post {post} { }
+    AccountsDesk(std::string zone, PostOffice &post) : m_wallet{std::move(zone)}, m_post{post} { }
 
     /*! @brief A configuration came in force. */
     void onSnapshot(SnapshotPtr snapshot, TimePoint now);
--- a/src/celeryramp/node/cell.h
+++ b/src/celeryramp/node/cell.h
@@ -9,12 +9,13 @@
  * A reader keeps the value it took for as long as it likes.
  */
 template <typename T>
-class Cell {
+class Cell
+{
 public:
     using Pointer = std::shared_ptr<const T>;
 
     Cell() = default;
-    explicit Cell(Pointer value) : m_value {std::move(value)} { }
+    explicit Cell(Pointer value) : m_value{std::move(value)} { }
 
     /*! @return The present value; null before the first. */
     [[nodiscard]] Pointer get() const { return std::atomic_load(&m_value); }
--- a/src/celeryramp/node/control_duty.cpp
+++ b/src/celeryramp/node/control_duty.cpp
@@ -12,10 +12,10 @@
 namespace internal {
 
 constexpr std::size_t kControlRing = 8192;
-constexpr Millis kTick {100};
-constexpr Millis kSearchInterval {250};
-constexpr Millis kPauseNoticed {1500};
-constexpr Millis kRumourLife {600'000};
+constexpr Millis kTick{100};
+constexpr Millis kSearchInterval{250};
+constexpr Millis kPauseNoticed{1500};
+constexpr Millis kRumourLife{600'000};
 constexpr std::size_t kObservers = 3;
 constexpr std::size_t kPeersAskedAtStart = 3;
 constexpr std::size_t kDigestShown = 12;
@@ -30,13 +30,12 @@
 ControlDuty::ControlDuty(const NodeSettings &settings, std::uint64_t incarnation,
                          Cell<Snapshot> &snapshot, Cell<FleetView> &fleet, PostOffice &post,
                          ControlHooks &hooks, MetricsRegistry &metrics)
-    : m_settings {settings}, m_snapshot {snapshot}, m_fleet {fleet}, m_post {post}, m_hooks {hooks},
-      m_ring {internal::kControlRing}, m_pauses {metrics.counter("pauses_total")},
-      m_suspicions {metrics.counter("suspicions_total")}, m_distributor {settings.server,
-                                                                         settings.zone,
-                                                                         incarnation},
-      m_rumours {settings.server, settings.zone}, m_view {m_rumours.store()}, m_incarnation {
-                                                                                      incarnation}
+    : m_settings{settings}, m_snapshot{snapshot}, m_fleet{fleet}, m_post{post}, m_hooks{hooks},
+      m_ring{internal::kControlRing}, m_pauses{metrics.counter("pauses_total")},
+      m_suspicions{metrics.counter("suspicions_total")}, m_distributor{settings.server,
+                                                                       settings.zone, incarnation},
+      m_rumours{settings.server, settings.zone}, m_view{m_rumours.store()}, m_incarnation{
+                                                                                    incarnation}
 {
     metrics.gauge("control_ring_refused", [this] { return double(m_ring.refused()); });
 }
@@ -49,7 +48,7 @@
 void ControlDuty::start()
 {
     m_lastTick = Clock::now();
-    m_thread = std::thread {[this] { loop(); }};
+    m_thread = std::thread{[this] { loop(); }};
 }
 
 void ControlDuty::stop()
@@ -68,26 +67,26 @@
 
 ConfigStamp ControlDuty::stamp() const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     return m_distributor.acceptance().stamp();
 }
 
 bool ControlDuty::isWanted(const ConfigStamp &stamp) const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     const auto &acceptance = m_distributor.acceptance();
     return acceptance.isNewer(stamp) && !acceptance.wasRejected(stamp);
 }
 
 ConfigDocument ControlDuty::document() const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     return m_distributor.acceptance().document();
 }
 
 Millis ControlDuty::confirmedAgo(TimePoint now) const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     return m_distributor.confirmedAgo(now);
 }
 
@@ -97,7 +96,7 @@
         const auto event = m_ring.pop(internal::kTick);
         const auto now = Clock::now();
         {
-            const std::lock_guard lock {m_mutex};
+            const std::lock_guard lock{m_mutex};
             if (now - m_lastTick >= internal::kPauseNoticed) {
                 notePause(now);
             }
@@ -160,10 +159,10 @@
             = m_distributor.topology().successors(event.name, internal::kObservers, usable());
     if (std::find(observers.begin(), observers.end(), m_settings.server) != observers.end()) {
         m_out.send(event.name,
-                   HeartbeatMessage {m_settings.server, m_incarnation,
-                                     m_distributor.acceptance().stamp().version,
-                                     m_distributor.acceptance().stamp().digest,
-                                     m_rumours.store().digest()});
+                   HeartbeatMessage{m_settings.server, m_incarnation,
+                                    m_distributor.acceptance().stamp().version,
+                                    m_distributor.acceptance().stamp().digest,
+                                    m_rumours.store().digest()});
     }
 }
 
@@ -196,7 +195,7 @@
             rumours.push_back(internal::rumour(kind, name, event.list.index));
         }
     }
-    publishRumours(std::move(rumours), now);
+    publishRumours(rumours, now);
 }
 
 void ControlDuty::handle(const PublishEvent &event, TimePoint now)
@@ -247,8 +246,8 @@
 void ControlDuty::sendHeartbeats(TimePoint /*now*/)
 {
     const auto &stamp = m_distributor.acceptance().stamp();
-    const HeartbeatMessage heartbeat {m_settings.server, m_incarnation, stamp.version, stamp.digest,
-                                      m_rumours.store().digest()};
+    const HeartbeatMessage heartbeat{m_settings.server, m_incarnation, stamp.version, stamp.digest,
+                                     m_rumours.store().digest()};
     const auto &topology = m_distributor.topology();
     for (const auto &next :
          topology.successors(m_settings.server, internal::kObservers, usable())) {
@@ -281,7 +280,7 @@
                                            missing.server + " " + m_settings.server,
                                            missing.incarnation));
     }
-    publishRumours(std::move(rumours), now);
+    publishRumours(rumours, now);
 }
 
 void ControlDuty::refuteSuspicions(TimePoint now)
@@ -307,10 +306,10 @@
     }
 }
 
-void ControlDuty::publishRumours(std::vector<Rumour> rumours, TimePoint now)
+void ControlDuty::publishRumours(const std::vector<Rumour> &rumours, TimePoint now)
 {
     if (!rumours.empty()) {
-        m_rumours.publish(std::move(rumours), m_distributor.topology(), usable(), now, m_out);
+        m_rumours.publish(rumours, m_distributor.topology(), usable(), now, m_out);
     }
 }
 
@@ -401,7 +400,7 @@
 
 nlohmann::json ControlDuty::state(TimePoint now) const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     const auto &acceptance = m_distributor.acceptance();
     auto rejections = nlohmann::json::array();
     for (const auto &rejection : acceptance.rejections()) {
--- a/src/celeryramp/node/control_duty.h
+++ b/src/celeryramp/node/control_duty.h
@@ -23,7 +23,8 @@
 namespace celeryramp {
 
 /*! @brief What the control duty asks of its surroundings. */
-class ControlHooks {
+class ControlHooks
+{
 public:
     virtual ~ControlHooks() = default;
 
@@ -44,7 +45,8 @@
  * @brief The duty that owns configuration, membership and small facts.
  * Its ring is bounded; what finds it full is dropped, counted and repaired by later heartbeats.
  */
-class ControlDuty {
+class ControlDuty
+{
 public:
     ControlDuty(const NodeSettings &settings, std::uint64_t incarnation, Cell<Snapshot> &snapshot,
                 Cell<FleetView> &fleet, PostOffice &post, ControlHooks &hooks,
@@ -93,7 +95,7 @@
     void sendHeartbeats(TimePoint now);
     void reportMissing(TimePoint now);
     void refuteSuspicions(TimePoint now);
-    void publishRumours(std::vector<Rumour> rumours, TimePoint now);
+    void publishRumours(const std::vector<Rumour> &rumours, TimePoint now);
     void adoptSnapshot(TimePoint now);
     void publishFleet();
     void notePause(TimePoint now);
@@ -121,7 +123,7 @@
     std::uint64_t m_fleetDigest = 0;
     std::uint64_t m_loggedRejections = 0;
     std::size_t m_peersAsked = 0;
-    std::atomic<bool> m_peerAnswered {false};
+    std::atomic<bool> m_peerAnswered{false};
     bool m_leaving = false;
     bool m_superseded = false;
     bool m_wasReader = false;
@@ -129,7 +131,7 @@
     TimePoint m_lastTick;
     TimePoint m_lastHeartbeat;
     TimePoint m_lastSearch;
-    std::atomic<bool> m_stopping {false};
+    std::atomic<bool> m_stopping{false};
     std::thread m_thread;
 };
 
--- a/src/celeryramp/node/control_event.h
+++ b/src/celeryramp/node/control_event.h
@@ -13,42 +13,52 @@
 namespace celeryramp {
 
 /*! @brief A control message of a peer. */
-struct PeerMessageEvent {
+struct PeerMessageEvent
+{
     std::string from;
     Message message;
 };
 
 /*! @brief A peer introduced itself. */
-struct PeerUpEvent {
+struct PeerUpEvent
+{
     std::string name;
 };
 
 /*! @brief A connection to a peer ended. */
-struct PeerLostEvent {
+struct PeerLostEvent
+{
     std::string name;
     bool refused = false;
 };
 
 /*! @brief The platform delivered a whole configuration. */
-struct PlatformDocumentEvent {
+struct PlatformDocumentEvent
+{
     ConfigDocument document;
 };
 
 /*! @brief The platform answered and had nothing newer. */
-struct PlatformConfirmedEvent { };
+struct PlatformConfirmedEvent
+{
+};
 
 /*! @brief The platform's list of instances was read. */
-struct InstanceListEvent {
+struct InstanceListEvent
+{
     InstanceList list;
 };
 
 /*! @brief This node learned facts for all. */
-struct PublishEvent {
+struct PublishEvent
+{
     std::vector<Rumour> rumours;
 };
 
 /*! @brief This node is to announce that it leaves. */
-struct LeaveEvent { };
+struct LeaveEvent
+{
+};
 
 /*! @brief Anything the control duty handles. */
 using ControlEvent
--- a/src/celeryramp/node/ending.h
+++ b/src/celeryramp/node/ending.h
@@ -5,7 +5,8 @@
 namespace celeryramp {
 
 /*! @brief Why a call's road ends before an answer of the backend server. */
-struct Ending {
+struct Ending
+{
     Outcome outcome = Outcome::NotRun;
     Reason reason = Reason::None;
 };
--- a/src/celeryramp/node/fleet_view.h
+++ b/src/celeryramp/node/fleet_view.h
@@ -11,7 +11,8 @@
  * @brief What the control duty publishes for the duties that carry calls. Immutable.
  * All of it is a hint but `selfLeaving` and `quarantined`, which the gate acts on.
  */
-struct FleetView {
+struct FleetView
+{
     std::set<std::string> down;
     std::set<std::string> leaving;
     std::set<std::string> quarantined; /*!< Digests not to be run. */
--- a/src/celeryramp/node/gate_duty.cpp
+++ b/src/celeryramp/node/gate_duty.cpp
@@ -11,8 +11,8 @@
 
 namespace internal {
 
-constexpr Millis kOverdueCheck {20};
-constexpr Millis kIdleCheck {1000};
+constexpr Millis kOverdueCheck{20};
+constexpr Millis kIdleCheck{1000};
 constexpr int kHttpServerError = 500;
 constexpr int kHttpUnavailable = 503;
 
@@ -22,13 +22,14 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<Millis>(now).count());
 }
 
-struct EndEntry {
+struct EndEntry
+{
     BackendEnd end;
     Outcome outcome;
     Reason reason;
 };
 
-constexpr std::array<EndEntry, 5> kEnds {
+constexpr std::array<EndEntry, 5> kEnds{
         {{BackendEnd::Answered, Outcome::Answered, Reason::None},
          {BackendEnd::NotConnected, Outcome::NotRun, Reason::Unreachable},
          {BackendEnd::TimedOut, Outcome::Unknown, Reason::NoAnswer},
@@ -45,16 +46,14 @@
 GateDuty::GateDuty(const NodeSettings &settings, const Cell<Snapshot> &snapshot,
                    const Cell<FleetView> &fleet, ContextTable &contexts, PostOffice &post,
                    MetricsRegistry &metrics, OnCrash onCrash)
-    : m_settings {settings}, m_snapshot {snapshot}, m_fleet {fleet},
-      m_contexts {contexts}, m_post {post}, m_onCrash {std::move(onCrash)},
-      m_answered {metrics.counter("gate_answered_total")}, m_refused {metrics.counter(
-                                                                   "gate_refused_total")},
-      m_crashes {metrics.counter("gate_server_crashes_total")}, m_latency {metrics.latency(
-                                                                        "gate_server_seconds")},
-      m_gate {settings.server, settings.slots, settings.queueCapacity}, m_crashWatch {
-                                                                                settings.server}
-{
-}
+    : m_settings{settings}, m_snapshot{snapshot}, m_fleet{fleet},
+      m_contexts{contexts}, m_post{post}, m_onCrash{std::move(onCrash)},
+      m_answered{metrics.counter("gate_answered_total")}, m_refused{metrics.counter(
+                                                                  "gate_refused_total")},
+      m_crashes{metrics.counter("gate_server_crashes_total")}, m_latency{metrics.latency(
+                                                                       "gate_server_seconds")},
+      m_gate{settings.server, settings.slots, settings.queueCapacity}, m_crashWatch{settings.server}
+{ }
 
 GateDuty::~GateDuty()
 {
@@ -71,7 +70,7 @@
 void GateDuty::stop()
 {
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         m_stopping = true;
     }
     m_ready.notify_all();
@@ -85,11 +84,11 @@
 {
     const auto snapshot = m_snapshot.get();
     const auto fleet = m_fleet.get();
-    const auto deadline = now + Millis {call.remainingMs};
-    const auto dueAt = now + Millis {call.latencyMs};
+    const auto deadline = now + Millis{call.remainingMs};
+    const auto dueAt = now + Millis{call.latencyMs};
     std::vector<Refusal> refusals;
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         refusals = m_gate.offer({std::move(call), link, now, deadline, dueAt},
                                 surroundings(snapshot, fleet), now);
     }
@@ -101,7 +100,7 @@
 {
     std::optional<QueuedCall> call;
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         call = m_gate.cancel(id, link);
     }
     if (call) {
@@ -111,44 +110,44 @@
 
 void GateDuty::drain()
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     m_gate.drain();
 }
 
 bool GateDuty::isIdle() const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     return m_gate.isIdle();
 }
 
 GateLoad GateDuty::load() const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     return m_gate.load();
 }
 
 GateCounters GateDuty::counters() const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     return m_gate.counters();
 }
 
 std::uint64_t GateDuty::rampFalls() const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     return m_gate.ramp().falls();
 }
 
 void GateDuty::work()
 {
-    BackendClient client {m_settings.backend};
+    BackendClient client{m_settings.backend};
     while (true) {
         if (auto call = nextCall()) {
             run(*call, client);
             m_ready.notify_one();
             continue;
         }
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         if (m_stopping) {
             return;
         }
@@ -160,7 +159,7 @@
     std::vector<Refusal> refusals;
     std::optional<QueuedCall> call;
     {
-        std::unique_lock lock {m_mutex};
+        std::unique_lock lock{m_mutex};
         call = m_gate.next(surroundings(m_snapshot.get(), m_fleet.get()), Clock::now(), refusals);
         if (!call && refusals.empty() && !m_stopping) {
             const bool isQueued = m_gate.load().queued > 0;
@@ -176,7 +175,7 @@
 void GateDuty::run(const QueuedCall &call, BackendClient &client)
 {
     const auto start = Clock::now();
-    const auto remaining = std::max(Millis {1}, millisBetween(start, call.deadline));
+    const auto remaining = std::max(Millis{1}, millisBetween(start, call.deadline));
     const auto token = m_contexts.open(
             {call.call.account, call.call.keyId, call.call.chain, call.call.depth, call.deadline});
     auto reply = client.call(call.call, {token, remaining});
@@ -184,7 +183,7 @@
     const auto end = Clock::now();
     // Time that the server waited for its own calls says nothing about the server itself.
     const auto whole = std::chrono::duration_cast<Micros>(end - start);
-    const auto latency = std::max(Micros {0}, whole - within.nested);
+    const auto latency = std::max(Micros{0}, whole - within.nested);
     if (within.failedBelow && reply.status >= internal::kHttpServerError) {
         reply.headers.emplace_back(kRetriedHeader, "1");
     }
@@ -198,7 +197,7 @@
     m_latency.record(latency);
     auto answer = toAnswer(call, std::move(reply));
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         if (answer.outcome == Outcome::Answered) {
             m_crashWatch.onAnswered(call.call.digest);
         }
@@ -238,7 +237,7 @@
     if (reply.status >= internal::kHttpServerError) {
         return Evidence::Failed;
     }
-    return latency <= Millis {call.call.latencyMs} ? Evidence::InTarget : Evidence::Late;
+    return latency <= Millis{call.call.latencyMs} ? Evidence::InTarget : Evidence::Late;
 }
 
 void GateDuty::refuse(const std::vector<Refusal> &refusals)
@@ -250,7 +249,7 @@
         answer.request = refusal.call.call.request;
         answer.outcome = Outcome::NotRun;
         answer.reason = refusal.reason;
-        answer.bodyHash = stableHash(std::string_view {});
+        answer.bodyHash = stableHash(std::string_view{});
         answer.load = load();
         m_post.answer(refusal.call.replyPath, std::move(answer));
     }
@@ -261,7 +260,7 @@
     m_crashes.add();
     std::vector<Rumour> rumours;
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         rumours = m_crashWatch.onCrash({digest}, internal::wallMillis());
     }
     logEvent(LogLevel::Warn, "gate", "server-lost",
--- a/src/celeryramp/node/gate_duty.h
+++ b/src/celeryramp/node/gate_duty.h
@@ -22,7 +22,8 @@
 namespace celeryramp {
 
 /*! @brief Runs admitted calls at the backend server, one thread per slot. */
-class GateDuty {
+class GateDuty
+{
 public:
     /*! @brief Told of requests in flight when the server died. */
     using OnCrash = std::function<void(std::vector<Rumour>)>;
--- a/src/celeryramp/node/ledger_duty.cpp
+++ b/src/celeryramp/node/ledger_duty.cpp
@@ -7,19 +7,19 @@
 namespace internal {
 
 constexpr std::size_t kLedgerRing = 16384;
-constexpr Millis kLedgerTick {200};
-constexpr Millis kRecoveryInterval {1000};
-constexpr Millis kMintAgainAfter {3000}; /*!< Time to hear of a successor after a pause. */
-constexpr Millis kSuccessorPossible {3000}; /*!< Pause after which a successor may exist. */
+constexpr Millis kLedgerTick{200};
+constexpr Millis kRecoveryInterval{1000};
+constexpr Millis kMintAgainAfter{3000}; /*!< Time to hear of a successor after a pause. */
+constexpr Millis kSuccessorPossible{3000}; /*!< Pause after which a successor may exist. */
 
 } // namespace internal
 
 LedgerDuty::LedgerDuty(const NodeSettings &settings, PostOffice &post, MetricsRegistry &metrics,
                        TimePoint startedAt)
-    : m_settings {settings}, m_post {post}, m_ring {internal::kLedgerRing},
-      m_grants {metrics.counter("minter_grants_total")},
-      m_votes {metrics.counter("ledger_votes_total")}, m_minter {settings.server},
-      m_home {settings.server, settings.ledger, startedAt}, m_resumeAt {startedAt}
+    : m_settings{settings}, m_post{post}, m_ring{internal::kLedgerRing},
+      m_grants{metrics.counter("minter_grants_total")},
+      m_votes{metrics.counter("ledger_votes_total")}, m_minter{settings.server},
+      m_home{settings.server, settings.ledger, startedAt}, m_resumeAt{startedAt}
 {
     metrics.gauge("ledger_ring_refused", [this] { return double(m_ring.refused()); });
 }
@@ -31,7 +31,7 @@
 
 void LedgerDuty::start()
 {
-    m_thread = std::thread {[this] { loop(); }};
+    m_thread = std::thread{[this] { loop(); }};
 }
 
 void LedgerDuty::stop()
@@ -50,14 +50,14 @@
 
 void LedgerDuty::onSnapshot(SnapshotPtr snapshot, TimePoint now)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     m_minter.onSnapshot(snapshot, now);
     m_home.onSnapshot(std::move(snapshot), now);
 }
 
 void LedgerDuty::onPaused(Millis pause, TimePoint now)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     m_minter.suspend(now);
     m_resumeAt = now + internal::kMintAgainAfter;
     if (pause >= internal::kSuccessorPossible) {
@@ -82,15 +82,15 @@
 
 void LedgerDuty::handle(LinkId link, const Message &message, TimePoint now)
 {
-    std::unique_lock lock {m_mutex};
+    std::unique_lock lock{m_mutex};
     if (const auto *ask = std::get_if<TokenRequestMessage>(&message)) {
         const auto grant = m_minter.take(ask->account, ask->microTokens, now);
         lock.unlock();
         m_grants.add();
         m_post.answer(link,
-                      TokenGrantMessage {ask->id, ask->account, m_settings.server, grant.granted,
-                                         grant.left,
-                                         static_cast<std::uint32_t>(grant.life.count())});
+                      TokenGrantMessage{ask->id, ask->account, m_settings.server, grant.granted,
+                                        grant.left,
+                                        static_cast<std::uint32_t>(grant.life.count())});
     } else if (const auto *reserve = std::get_if<ReserveMessage>(&message)) {
         auto vote = m_home.onReserve(*reserve, now);
         lock.unlock();
@@ -111,7 +111,7 @@
 {
     std::vector<std::string> wanted;
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         m_home.tick(now);
         if (now >= m_resumeAt) {
             m_minter.resume(now);
@@ -122,13 +122,13 @@
         }
     }
     for (const auto &server : wanted) {
-        m_post.post(server, RecoverMessage {m_settings.server});
+        m_post.post(server, RecoverMessage{m_settings.server});
     }
 }
 
 nlohmann::json LedgerDuty::state(TimePoint now) const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     return {{"records", m_home.size()},
             {"complete", m_home.isComplete(now)},
             {"accounts_minted", m_minter.size()}};
--- a/src/celeryramp/node/ledger_duty.h
+++ b/src/celeryramp/node/ledger_duty.h
@@ -18,7 +18,8 @@
 namespace celeryramp {
 
 /*! @brief The duty that answers for this server's shares of accounts and of the ledger. */
-class LedgerDuty {
+class LedgerDuty
+{
 public:
     LedgerDuty(const NodeSettings &settings, PostOffice &post, MetricsRegistry &metrics,
                TimePoint startedAt);
@@ -42,7 +43,8 @@
     [[nodiscard]] nlohmann::json state(TimePoint now) const;
 
 private:
-    struct Event {
+    struct Event
+    {
         LinkId link = 0;
         Message message;
     };
@@ -62,7 +64,7 @@
     TimePoint m_lastTick;
     TimePoint m_lastRecovery;
     TimePoint m_resumeAt;
-    std::atomic<bool> m_stopping {false};
+    std::atomic<bool> m_stopping{false};
     std::thread m_thread;
 };
 
--- a/src/celeryramp/node/node.cpp
+++ b/src/celeryramp/node/node.cpp
@@ -14,12 +14,12 @@
 
 namespace internal {
 
-constexpr Millis kPeerAnswerWait {2000};
-constexpr Millis kPlatformAnswerWait {4000};
-constexpr Millis kAnnouncementTime {500}; /*!< Others hear of the leaving before listeners close. */
-constexpr Millis kLongestLeave {30'000};
-constexpr Millis kIdlePoll {20};
-constexpr Millis kCallerKeepAlive {5000};
+constexpr Millis kPeerAnswerWait{2000};
+constexpr Millis kPlatformAnswerWait{4000};
+constexpr Millis kAnnouncementTime{500}; /*!< Others hear of the leaving before listeners close. */
+constexpr Millis kLongestLeave{30'000};
+constexpr Millis kIdlePoll{20};
+constexpr Millis kCallerKeepAlive{5000};
 
 [[nodiscard]] std::uint64_t newIncarnation()
 {
@@ -41,40 +41,40 @@
 } // namespace internal
 
 Node::Node(NodeSettings settings)
-    : m_settings {std::move(settings)}, m_incarnation {internal::newIncarnation()},
-      m_startedAt {Clock::now()}, m_fleet {std::make_shared<const FleetView>()},
-      m_ringRefused {m_metrics.counter("ring_refused_total")}, m_mesh {{{m_settings.server,
-                                                                         m_settings.zone,
-                                                                         m_incarnation},
-                                                                        m_settings.peers,
-                                                                        m_settings.tls},
-                                                                       *this,
-                                                                       m_policy,
-                                                                       m_metrics},
-      m_routing {m_settings.zone, stableHash(m_settings.server) ^ m_incarnation},
-      m_accounts {m_settings.zone, *this}, m_ledger {m_settings, *this, m_metrics, m_startedAt},
-      m_control {m_settings, m_incarnation, m_snapshot, m_fleet, *this, *this, m_metrics},
-      m_platform {m_settings, m_control, m_policy, m_metrics,
-                  stableHash(m_settings.server) + m_incarnation},
-      m_gate {m_settings,
-              m_snapshot,
-              m_fleet,
-              m_contexts,
-              *this,
-              m_metrics,
-              [this](std::vector<Rumour> rumours) {
-                  m_control.push(PublishEvent {std::move(rumours)});
-              }},
-      m_road {m_settings, *this,      m_snapshot, m_fleet,  m_contexts,
-              m_routing,  m_accounts, *this,      m_metrics},
-      m_callers {
+    : m_settings{std::move(settings)}, m_incarnation{internal::newIncarnation()},
+      m_startedAt{Clock::now()}, m_fleet{std::make_shared<const FleetView>()},
+      m_ringRefused{m_metrics.counter("ring_refused_total")}, m_mesh{{{m_settings.server,
+                                                                       m_settings.zone,
+                                                                       m_incarnation},
+                                                                      m_settings.peers,
+                                                                      m_settings.tls},
+                                                                     *this,
+                                                                     m_policy,
+                                                                     m_metrics},
+      m_routing{m_settings.zone, stableHash(m_settings.server) ^ m_incarnation},
+      m_accounts{m_settings.zone, *this}, m_ledger{m_settings, *this, m_metrics, m_startedAt},
+      m_control{m_settings, m_incarnation, m_snapshot, m_fleet, *this, *this, m_metrics},
+      m_platform{m_settings, m_control, m_policy, m_metrics,
+                 stableHash(m_settings.server) + m_incarnation},
+      m_gate{m_settings,
+             m_snapshot,
+             m_fleet,
+             m_contexts,
+             *this,
+             m_metrics,
+             [this](std::vector<Rumour> rumours) {
+                 m_control.push(PublishEvent{std::move(rumours)});
+             }},
+      m_road{m_settings, *this,      m_snapshot, m_fleet,  m_contexts,
+             m_routing,  m_accounts, *this,      m_metrics},
+      m_callers{
               internal::listenerOf(m_settings.callers, m_settings.callerThreads,
                                    m_settings.maxBodyBytes),
               [this](const HttpRequest &request) { return m_road.serve(request, Door::Outside); }},
-      m_inside {internal::listenerOf(m_settings.inside, m_settings.insideThreads,
-                                     m_settings.maxBodyBytes),
-                [this](const HttpRequest &request) { return m_road.serve(request, Door::Inside); }},
-      m_operators {m_settings, *this, m_metrics, m_policy}
+      m_inside{internal::listenerOf(m_settings.inside, m_settings.insideThreads,
+                                    m_settings.maxBodyBytes),
+               [this](const HttpRequest &request) { return m_road.serve(request, Door::Inside); }},
+      m_operators{m_settings, *this, m_metrics, m_policy}
 {
     m_metrics.gauge("process_cpu_seconds_total", [] { return processUsage().cpuSeconds; });
     m_metrics.gauge("process_resident_memory_bytes",
@@ -92,7 +92,7 @@
 Result<bool, NodeError> Node::start()
 {
     if (const auto mesh = m_mesh.start(); !mesh) {
-        return NodeError {"peers.listen " + m_settings.peers.text() + ": " + mesh.error().reason};
+        return NodeError{"peers.listen " + m_settings.peers.text() + ": " + mesh.error().reason};
     }
     m_ledger.start();
     m_control.start();
@@ -100,11 +100,11 @@
     m_gate.start();
     for (auto *listener : {&m_inside, &m_callers}) {
         if (const auto started = listener->start(); !started) {
-            return NodeError {started.error().reason};
+            return NodeError{started.error().reason};
         }
     }
     if (const auto started = m_operators.start(); !started) {
-        return NodeError {started.error().reason};
+        return NodeError{started.error().reason};
     }
     logEvent(LogLevel::Info, "node", "started",
              {{"server", m_settings.server},
@@ -116,7 +116,7 @@
 void Node::leave()
 {
     m_leaving = true;
-    m_control.push(LeaveEvent {});
+    m_control.push(LeaveEvent{});
     std::this_thread::sleep_for(internal::kAnnouncementTime);
     m_gate.drain();
     waitUntilIdle();
@@ -201,19 +201,19 @@
                || std::holds_alternative<RecordsMessage>(message)) {
         m_ringRefused.add(m_ledger.push(link, std::move(message)) ? 0 : 1);
     } else if (!std::holds_alternative<HelloMessage>(message)) {
-        m_ringRefused.add(m_control.push(PeerMessageEvent {from, std::move(message)}) ? 0 : 1);
+        m_ringRefused.add(m_control.push(PeerMessageEvent{from, std::move(message)}) ? 0 : 1);
     }
 }
 
 void Node::onPeerUp(const std::string &name, LinkId /*link*/)
 {
-    m_control.push(PeerUpEvent {name});
+    m_control.push(PeerUpEvent{name});
 }
 
 void Node::onPeerLost(const std::string &name, LinkId link, bool refused)
 {
     m_road.onLinkLost(link);
-    m_control.push(PeerLostEvent {name, refused});
+    m_control.push(PeerLostEvent{name, refused});
 }
 
 void Node::onUnsent(const std::string &name, std::uint64_t token)
@@ -237,7 +237,7 @@
 {
     const auto snapshot = m_snapshot.get();
     const auto *server = snapshot ? snapshot->findServer(name) : nullptr;
-    return server == nullptr ? PeerPlace {} : PeerPlace {server->node, server->zone};
+    return server == nullptr ? PeerPlace{} : PeerPlace{server->node, server->zone};
 }
 
 void Node::onSnapshot(SnapshotPtr snapshot, TimePoint now)
--- a/src/celeryramp/node/node.h
+++ b/src/celeryramp/node/node.h
@@ -24,7 +24,8 @@
 namespace celeryramp {
 
 /*! @brief Why a node cannot start. */
-struct NodeError {
+struct NodeError
+{
     std::string reason;
 };
 
@@ -33,7 +34,8 @@
              public PeerEvents,
              public ControlHooks,
              public RoadSurroundings,
-             public OperatorView {
+             public OperatorView
+{
 public:
     explicit Node(NodeSettings settings);
     ~Node() override;
@@ -98,7 +100,7 @@
     HttpListener m_inside;
     OperatorPort m_operators;
     std::size_t m_nextSeed = 0;
-    std::atomic<bool> m_leaving {false};
+    std::atomic<bool> m_leaving{false};
     bool m_stopped = false;
 };
 
--- a/src/celeryramp/node/node_settings.cpp
+++ b/src/celeryramp/node/node_settings.cpp
@@ -16,8 +16,8 @@
 [[nodiscard]] std::string readToken(SettingsReader &reader, const std::string &key)
 {
     const auto path = reader.file(key);
-    std::ifstream in {path};
-    std::string token {std::istreambuf_iterator<char> {in}, {}};
+    std::ifstream in{path};
+    std::string token{std::istreambuf_iterator<char>{in}, {}};
     while (!token.empty() && (token.back() == '\n' || token.back() == '\r')) {
         token.pop_back();
     }
@@ -60,9 +60,8 @@
     settings.slots = static_cast<int>(reader.integer("server.slots", 1, kMaxThreads, 12));
     settings.queueCapacity = reader.integer("server.queue", 1, 65536, 256);
     settings.platform = reader.address("platform.address");
-    settings.startSpread = Millis {reader.integer("platform.start_spread_ms", 0, 60'000, 500)};
-    settings.ledger.retention
-            = Millis {1000 * reader.integer("ledger.retention_s", 5, 86'400, 300)};
+    settings.startSpread = Millis{reader.integer("platform.start_spread_ms", 0, 60'000, 500)};
+    settings.ledger.retention = Millis{1000 * reader.integer("ledger.retention_s", 5, 86'400, 300)};
     settings.ledger.firstStart = reader.flag("ledger.first_start", false);
     const auto level = reader.choice("log.level", {"debug", "info", "warn", "error"}, "info");
     static_cast<void>(parseLogLevel(level, settings.logLevel));
@@ -73,7 +72,7 @@
 
 Result<NodeSettings, SettingsError> loadNodeSettings(const std::string &path)
 {
-    SettingsReader reader {path};
+    SettingsReader reader{path};
     NodeSettings settings;
     settings.server = reader.text("node.server");
     settings.zone = reader.text("node.zone");
@@ -82,7 +81,7 @@
     internal::readRest(reader, settings);
     reader.finish();
     if (reader.error()) {
-        return SettingsError {*reader.error()};
+        return SettingsError{*reader.error()};
     }
     return settings;
 }
--- a/src/celeryramp/node/node_settings.h
+++ b/src/celeryramp/node/node_settings.h
@@ -13,7 +13,8 @@
 namespace celeryramp {
 
 /*! @brief Settings of one node, as read from its TOML file. */
-struct NodeSettings {
+struct NodeSettings
+{
     std::string server; /*!< Name of the backend server beside this node. */
     std::string zone;
 
@@ -35,7 +36,7 @@
     std::size_t queueCapacity = 256;
 
     Address platform;
-    Millis startSpread {500}; /*!< First reads of the platform spread over this time. */
+    Millis startSpread{500}; /*!< First reads of the platform spread over this time. */
 
     LedgerSettings ledger;
     LogLevel logLevel = LogLevel::Info;
@@ -43,7 +44,8 @@
 };
 
 /*! @brief One line that says what is wrong with a settings file and where. */
-struct SettingsError {
+struct SettingsError
+{
     std::string text;
 };
 
--- a/src/celeryramp/node/operator_port.cpp
+++ b/src/celeryramp/node/operator_port.cpp
@@ -14,7 +14,7 @@
 namespace internal {
 
 constexpr std::size_t kOperatorThreads = 3;
-constexpr Millis kOperatorKeepAlive {1000};
+constexpr Millis kOperatorKeepAlive{1000};
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
@@ -40,7 +40,7 @@
 [[nodiscard]] std::set<std::string> splitList(const std::string &list)
 {
     std::set<std::string> items;
-    std::istringstream in {list};
+    std::istringstream in{list};
     for (std::string item; std::getline(in, item, ',');) {
         if (!item.empty()) {
             items.insert(item);
@@ -62,11 +62,10 @@
 
 OperatorPort::OperatorPort(const NodeSettings &settings, const OperatorView &view,
                            const MetricsRegistry &metrics, LinkPolicy &policy)
-    : m_settings {settings}, m_view {view}, m_metrics {metrics}, m_policy {policy},
-      m_listener {internal::operatorListener(settings),
-                  [this](const HttpRequest &request) { return serve(request); }}
-{
-}
+    : m_settings{settings}, m_view{view}, m_metrics{metrics}, m_policy{policy},
+      m_listener{internal::operatorListener(settings),
+                 [this](const HttpRequest &request) { return serve(request); }}
+{ }
 
 HttpResponse OperatorPort::serve(const HttpRequest &request)
 {
@@ -118,7 +117,7 @@
         std::from_chars(wanted.data(), wanted.data() + wanted.size(), delay);
         m_policy.cutZones(internal::splitList(request.query("cut_zones")));
         m_policy.cutPlatform(request.query("cut_platform") == "1");
-        m_policy.delayZones(Millis {delay});
+        m_policy.delayZones(Millis{delay});
         return internal::text(internal::kOk, "ok\n");
     }
     return internal::text(internal::kNotFound, "not found\n");
--- a/src/celeryramp/node/operator_port.h
+++ b/src/celeryramp/node/operator_port.h
@@ -13,7 +13,8 @@
 namespace celeryramp {
 
 /*! @brief What the operator port shows. */
-class OperatorView {
+class OperatorView
+{
 public:
     virtual ~OperatorView() = default;
 
@@ -34,7 +35,8 @@
  * @brief HTTP for operators: `/state`, `/status`, `/explain`, `/metrics`, `/healthz`, `/readyz`,
  * `PUT /log-level`, and `PUT /faults` when the settings allow it. Needs a token unless on loopback.
  */
-class OperatorPort {
+class OperatorPort
+{
 public:
     OperatorPort(const NodeSettings &settings, const OperatorView &view,
                  const MetricsRegistry &metrics, LinkPolicy &policy);
--- a/src/celeryramp/node/platform_duty.cpp
+++ b/src/celeryramp/node/platform_duty.cpp
@@ -9,23 +9,22 @@
 
 namespace internal {
 
-constexpr Millis kWatchWait {5000};
-constexpr Millis kFirstBackOff {250};
-constexpr Millis kLongestBackOff {10'000};
-constexpr Millis kStaleBackOff {1000};
-constexpr Millis kDeafAfter {15'000}; /*!< Without any confirmation for this long, look oneself. */
-constexpr Millis kDeafCheck {10'000};
-constexpr Millis kInstanceInterval {1000};
+constexpr Millis kWatchWait{5000};
+constexpr Millis kFirstBackOff{250};
+constexpr Millis kLongestBackOff{10'000};
+constexpr Millis kStaleBackOff{1000};
+constexpr Millis kDeafAfter{15'000}; /*!< Without any confirmation for this long, look oneself. */
+constexpr Millis kDeafCheck{10'000};
+constexpr Millis kInstanceInterval{1000};
 
 } // namespace internal
 
 PlatformDuty::PlatformDuty(const NodeSettings &settings, ControlDuty &control,
                            const LinkPolicy &policy, MetricsRegistry &metrics, std::uint64_t seed)
-    : m_settings {settings}, m_control {control}, m_client {settings.platform, policy, metrics},
-      m_instances {settings.platform, policy, metrics}, m_random {seed},
-      m_backOff {internal::kFirstBackOff}
-{
-}
+    : m_settings{settings}, m_control{control}, m_client{settings.platform, policy, metrics},
+      m_instances{settings.platform, policy, metrics}, m_random{seed},
+      m_backOff{internal::kFirstBackOff}
+{ }
 
 PlatformDuty::~PlatformDuty()
 {
@@ -34,8 +33,8 @@
 
 void PlatformDuty::start()
 {
-    m_thread = std::thread {[this] { loop(); }};
-    m_instanceThread = std::thread {[this] {
+    m_thread = std::thread{[this] { loop(); }};
+    m_instanceThread = std::thread{[this] {
         while (!m_stopping) {
             pause(internal::kInstanceInterval);
             if (m_reader && !m_stopping) {
@@ -48,7 +47,7 @@
 void PlatformDuty::stop()
 {
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         m_stopping = true;
     }
     m_wake.notify_all();
@@ -72,12 +71,12 @@
     pause(jitter(m_settings.startSpread));
     while (!m_stopping) {
         if (m_control.stamp().version == 0) {
-            readOnce(0, Millis {0});
+            readOnce(0, Millis{0});
             m_asked = true;
             continue;
         }
         if (!m_asked) {
-            readOnce(0, Millis {0}); // peers may all be behind the platform
+            readOnce(0, Millis{0}); // peers may all be behind the platform
             m_asked = true;
             continue;
         }
@@ -88,7 +87,7 @@
         pause(internal::kDeafCheck / 2 + jitter(internal::kDeafCheck));
         const bool deaf = m_control.confirmedAgo(Clock::now()) >= internal::kDeafAfter;
         if (deaf && !m_reader && !m_stopping) {
-            readOnce(0, Millis {0});
+            readOnce(0, Millis{0});
         }
     }
 }
@@ -111,17 +110,17 @@
     }
     m_backOff = internal::kFirstBackOff;
     if (!manifest.value()) {
-        m_control.push(PlatformConfirmedEvent {});
+        m_control.push(PlatformConfirmedEvent{});
         return;
     }
     const auto &found = *manifest.value();
-    const ConfigStamp stamp {found.version, found.digest()};
+    const ConfigStamp stamp{found.version, found.digest()};
     if (m_control.isWanted(stamp)) {
         fetch(found);
         return;
     }
     if (stamp == m_control.stamp()) {
-        m_control.push(PlatformConfirmedEvent {});
+        m_control.push(PlatformConfirmedEvent{});
     }
     if (known != 0) {
         pause(internal::kStaleBackOff + jitter(internal::kStaleBackOff));
@@ -131,7 +130,7 @@
 void PlatformDuty::fetch(const Manifest &manifest)
 {
     const auto present = m_control.document();
-    ConfigDocument document {manifest, {}};
+    ConfigDocument document{manifest, {}};
     for (const auto &[name, hash] : manifest.parts) {
         const auto known = present.manifest.parts.find(name);
         if (known != present.manifest.parts.end() && known->second == hash) {
@@ -148,9 +147,9 @@
         document.parts[name] = std::move(part.value());
     }
     const auto stamp = document.stamp();
-    m_control.push(PlatformDocumentEvent {std::move(document)});
+    m_control.push(PlatformDocumentEvent{std::move(document)});
     for (int i = 0; i < 50 && m_control.isWanted(stamp) && !m_stopping; ++i) {
-        pause(Millis {20}); // the control duty decides; reading again before that is useless
+        pause(Millis{20}); // the control duty decides; reading again before that is useless
     }
 }
 
@@ -158,13 +157,13 @@
 {
     auto list = m_instances.readInstances();
     if (list) {
-        m_control.push(InstanceListEvent {std::move(list.value())});
+        m_control.push(InstanceListEvent{std::move(list.value())});
     }
 }
 
 void PlatformDuty::pause(Millis time)
 {
-    std::unique_lock lock {m_mutex};
+    std::unique_lock lock{m_mutex};
     m_wake.wait_for(lock, time, [this] { return m_stopping.load(); });
 }
 
@@ -176,7 +175,7 @@
 
 Millis PlatformDuty::jitter(Millis most)
 {
-    return Millis {static_cast<std::int64_t>(
+    return Millis{static_cast<std::int64_t>(
             m_random.below(static_cast<std::uint64_t>(std::max<std::int64_t>(1, most.count()))))};
 }
 
--- a/src/celeryramp/node/platform_duty.h
+++ b/src/celeryramp/node/platform_duty.h
@@ -19,7 +19,8 @@
  * confirmation for long, spread by full jitter, so that the platform's load does not grow with the
  * fleet.
  */
-class PlatformDuty {
+class PlatformDuty
+{
 public:
     PlatformDuty(const NodeSettings &settings, ControlDuty &control, const LinkPolicy &policy,
                  MetricsRegistry &metrics, std::uint64_t seed);
@@ -52,9 +53,9 @@
     PlatformClient m_instances;
     RandomEngine m_random;
     Millis m_backOff;
-    std::atomic<bool> m_reader {false};
-    std::atomic<bool> m_asked {false};
-    std::atomic<bool> m_stopping {false};
+    std::atomic<bool> m_reader{false};
+    std::atomic<bool> m_asked{false};
+    std::atomic<bool> m_stopping{false};
     std::mutex m_mutex;
     std::condition_variable m_wake;
     std::thread m_thread;
--- a/src/celeryramp/node/post_office.h
+++ b/src/celeryramp/node/post_office.h
@@ -9,7 +9,8 @@
 namespace celeryramp {
 
 /*! @brief Sends to any server's node, this one included. */
-class PostOffice {
+class PostOffice
+{
 public:
     virtual ~PostOffice() = default;
 
--- a/src/celeryramp/node/road.cpp
+++ b/src/celeryramp/node/road.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::uint32_t kMaxDepth = 18;
 constexpr int kMaxAttempts = 4;
-constexpr Millis kLastWord {30}; /*!< Wait past the deadline for a gate to say `not run`. */
+constexpr Millis kLastWord{30}; /*!< Wait past the deadline for a gate to say `not run`. */
 constexpr std::size_t kRequestIdBytes = 12;
 constexpr std::size_t kMaxIdempotencyKey = 256;
 constexpr std::size_t kMaxStoredAnswer = 16 * 1024;
@@ -24,9 +24,10 @@
 const std::string kBearer = "Bearer ";
 
 /*! Counts a call as long as it is on the road. */
-class RoadCounter {
+class RoadCounter
+{
 public:
-    explicit RoadCounter(std::atomic<int> &count) : m_count {count} { ++m_count; }
+    explicit RoadCounter(std::atomic<int> &count) : m_count{count} { ++m_count; }
     ~RoadCounter() { --m_count; }
     RoadCounter(const RoadCounter &) = delete;
     RoadCounter &operator=(const RoadCounter &) = delete;
@@ -45,8 +46,8 @@
     const auto text = request.header("X-Request-Timeout-Ms");
     std::int64_t n = 0;
     const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    const bool valid = !text.empty() && ec == std::errc {} && end == text.data() + text.size();
-    return valid && n > 0 ? std::optional {Millis {n}} : std::nullopt;
+    const bool valid = !text.empty() && ec == std::errc{} && end == text.data() + text.size();
+    return valid && n > 0 ? std::optional{Millis{n}} : std::nullopt;
 }
 
 [[nodiscard]] HeaderList forwardable(const HeaderList &headers)
@@ -83,19 +84,20 @@
     answer.request = call.request;
     answer.outcome = outcome;
     answer.reason = reason;
-    answer.bodyHash = stableHash(std::string_view {});
+    answer.bodyHash = stableHash(std::string_view{});
     return answer;
 }
 
 /*! Puts the attempts of one call together: an answer counts most, then that it may have run. */
-class DeliveryResult {
+class DeliveryResult
+{
 public:
     void note(AnswerMessage answer)
     {
         if (answer.outcome == Outcome::Answered) {
             m_answer = std::move(answer);
         } else {
-            note(Ending {answer.outcome, answer.reason});
+            note(Ending{answer.outcome, answer.reason});
         }
     }
 
@@ -110,13 +112,13 @@
 
     [[nodiscard]] Result<AnswerMessage, Ending> take()
     {
-        return m_answer ? Result<AnswerMessage, Ending> {std::move(*m_answer)}
-                        : Result<AnswerMessage, Ending> {m_ending};
+        return m_answer ? Result<AnswerMessage, Ending>{std::move(*m_answer)}
+                        : Result<AnswerMessage, Ending>{m_ending};
     }
 
 private:
     std::optional<AnswerMessage> m_answer;
-    Ending m_ending {Outcome::NotRun, Reason::NoServer};
+    Ending m_ending{Outcome::NotRun, Reason::NoServer};
 };
 
 } // namespace internal
@@ -124,18 +126,17 @@
 Road::Road(const NodeSettings &settings, const RoadSurroundings &around,
            const Cell<Snapshot> &snapshot, const Cell<FleetView> &fleet, ContextTable &contexts,
            RoutingDesk &routing, AccountsDesk &accounts, PostOffice &post, MetricsRegistry &metrics)
-    : m_settings {settings}, m_around {around}, m_snapshot {snapshot}, m_fleet {fleet},
-      m_contexts {contexts}, m_routing {routing}, m_accounts {accounts}, m_post {post},
-      m_metrics {metrics}, m_answered {metrics.counter("calls_total{outcome=\"answered\"}")},
-      m_retries {metrics.counter("call_repeats_total")},
-      m_crossed {metrics.counter("crossed_answers_total")}, m_latency {
-                                                                    metrics.latency("call_seconds")}
-{
-}
+    : m_settings{settings}, m_around{around}, m_snapshot{snapshot}, m_fleet{fleet},
+      m_contexts{contexts}, m_routing{routing}, m_accounts{accounts}, m_post{post},
+      m_metrics{metrics}, m_answered{metrics.counter("calls_total{outcome=\"answered\"}")},
+      m_retries{metrics.counter("call_repeats_total")},
+      m_crossed{metrics.counter("crossed_answers_total")}, m_latency{
+                                                                   metrics.latency("call_seconds")}
+{ }
 
 HttpResponse Road::serve(const HttpRequest &request, Door door)
 {
-    const internal::RoadCounter counter {m_underWay};
+    const internal::RoadCounter counter{m_underWay};
     RoadCall call;
     call.door = door;
     call.startedAt = Clock::now();
@@ -216,7 +217,7 @@
     }
     call.message.digest = internal::digestOf(call.message.account, request);
     const bool quarantined = call.fleet->quarantined.count(call.message.digest) > 0;
-    return quarantined ? Step {internal::notRun(Reason::Quarantined)} : Step {true};
+    return quarantined ? Step{internal::notRun(Reason::Quarantined)} : Step{true};
 }
 
 Road::Step Road::identifyOutside(RoadCall &call, const HttpRequest &request) const
@@ -265,7 +266,7 @@
     call.account = call.snapshot->findAccount(context->account);
     const bool revoked = !context->keyId.empty()
             && !call.snapshot->isKeyGranted(context->keyId, context->account);
-    return revoked ? Step {internal::notRun(Reason::BadKey)} : Step {true};
+    return revoked ? Step{internal::notRun(Reason::BadKey)} : Step{true};
 }
 
 Road::Step Road::admit(RoadCall &call)
@@ -283,14 +284,14 @@
 Result<std::optional<AnswerMessage>, Ending> Road::reserve(RoadCall &call)
 {
     if (call.message.repeatSafe || call.idempotencyKey.empty()) {
-        return std::optional<AnswerMessage> {};
+        return std::optional<AnswerMessage>{};
     }
     const auto key = call.message.account + "/" + call.idempotencyKey;
-    Reservation reservation {ledgerHomes(*call.snapshot, key), Clock::now()};
+    Reservation reservation{ledgerHomes(*call.snapshot, key), Clock::now()};
     const auto state = collectVotes(call, reservation);
     if (state == ReservationState::Granted) {
         call.ledgerHomes = reservation.homes();
-        return std::optional<AnswerMessage> {};
+        return std::optional<AnswerMessage>{};
     }
     CompleteMessage release;
     release.record.key = key;
@@ -307,7 +308,7 @@
     }
     const auto &holder = *reservation.holder();
     if (holder.state != RecordState::Done || holder.status == 0) {
-        return Ending {Outcome::Unknown, Reason::InProgress};
+        return Ending{Outcome::Unknown, Reason::InProgress};
     }
     AnswerMessage replay;
     replay.request = holder.attempt;
@@ -316,7 +317,7 @@
     replay.headers = holder.headers;
     replay.headers.emplace_back(kReplayedHeader, holder.attempt);
     replay.body = holder.body;
-    return std::optional {std::move(replay)};
+    return std::optional{std::move(replay)};
 }
 
 ReservationState Road::collectVotes(const RoadCall &call, Reservation &reservation)
@@ -324,7 +325,7 @@
     auto ticket = m_votes.open();
     const auto key = call.message.account + "/" + call.idempotencyKey;
     for (const auto &home : reservation.homes()) {
-        const ReserveMessage message {ticket.id(), key, call.message.digest, call.message.request};
+        const ReserveMessage message{ticket.id(), key, call.message.digest, call.message.request};
         if (m_post.post(home, message, tokenFor(TokenKind::Vote, ticket.id())) == 0) {
             reservation.onUnreachable(home);
         }
@@ -392,7 +393,7 @@
     ticket.tag(link);
     auto answer = ticket.wait(call.deadline);
     if (!answer) {
-        m_post.post(server, CancelMessage {message.id});
+        m_post.post(server, CancelMessage{message.id});
         answer = ticket.wait(Clock::now() + internal::kLastWord);
     }
     const auto now = Clock::now();
@@ -476,7 +477,7 @@
     }
     m_answered.add();
     const auto &answer = result.value();
-    HttpResponse response {answer.status, {}, answer.body.data, "application/octet-stream", false};
+    HttpResponse response{answer.status, {}, answer.body.data, "application/octet-stream", false};
     for (const auto &[name, value] : answer.headers) {
         if (!isReservedHeader(name) || sameHeader(name, kReplayedHeader)) {
             response.headers.emplace_back(name, value);
@@ -492,10 +493,10 @@
 HttpResponse Road::ownAnswer(const RoadCall &call, const Ending &ending)
 {
     const auto &info = reasonInfo(ending.reason);
-    const std::string outcome {outcomeText(ending.outcome)};
-    const std::string reason {info.text};
+    const std::string outcome{outcomeText(ending.outcome)};
+    const std::string reason{info.text};
     m_metrics.counter("calls_total{outcome=\"" + outcome + "\",reason=\"" + reason + "\"}").add();
-    HttpResponse response {info.status, {}, "", "text/plain", false};
+    HttpResponse response{info.status, {}, "", "text/plain", false};
     response.headers.emplace_back(
             kOutcomeHeader, outcome + "; reason=" + reason + "; request=" + call.message.request);
     if (call.retried || ending.outcome == Outcome::Unknown) {
@@ -524,7 +525,7 @@
 
 void Road::onVoteUnsent(std::uint64_t id, const std::string &home)
 {
-    m_votes.complete(id, VoteMessage {0, home, Vote::Abstained, {}});
+    m_votes.complete(id, VoteMessage{0, home, Vote::Abstained, {}});
 }
 
 void Road::onLinkLost(LinkId link)
--- a/src/celeryramp/node/road.h
+++ b/src/celeryramp/node/road.h
@@ -19,7 +19,8 @@
 namespace celeryramp {
 
 /*! @brief What the road needs of its node. */
-class RoadSurroundings {
+class RoadSurroundings
+{
 public:
     virtual ~RoadSurroundings() = default;
 
@@ -37,7 +38,8 @@
  * @brief The one road of a call: receive, identify, admit, reserve, deliver, settle, answer.
  * Each step is one function; a step that ends the road says how and why.
  */
-class Road {
+class Road
+{
 public:
     Road(const NodeSettings &settings, const RoadSurroundings &around,
          const Cell<Snapshot> &snapshot, const Cell<FleetView> &fleet, ContextTable &contexts,
@@ -101,7 +103,7 @@
     LatencySummary &m_latency;
     WaiterTable<AnswerMessage> m_calls;
     WaiterTable<VoteMessage> m_votes;
-    std::atomic<int> m_underWay {0};
+    std::atomic<int> m_underWay{0};
 };
 
 } // namespace celeryramp
--- a/src/celeryramp/node/road_call.h
+++ b/src/celeryramp/node/road_call.h
@@ -17,7 +17,8 @@
 };
 
 /*! @brief One call on its road; each step fills in its part. */
-struct RoadCall {
+struct RoadCall
+{
     Door door = Door::Outside;
     SnapshotPtr snapshot; /*!< The one snapshot the call is served by. */
     FleetViewPtr fleet;
--- a/src/celeryramp/node/routing_desk.cpp
+++ b/src/celeryramp/node/routing_desk.cpp
@@ -4,7 +4,7 @@
 
 void RoutingDesk::onSnapshot(const Snapshot &snapshot, TimePoint now)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     m_zones.onSnapshot(snapshot, now);
 }
 
@@ -12,7 +12,7 @@
                               const std::string &service, gsl::span<const std::string> excluded,
                               TimePoint now)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     const auto isOpen = [&](const std::string &server) { return fleet.isOpen(server); };
     auto server = m_picker.pick(snapshot, service, excluded, isOpen, m_loads, m_zones, now);
     if (!server.empty()) {
@@ -23,7 +23,7 @@
 
 void RoutingDesk::onAnswer(const std::string &server, const AnswerMessage &answer, TimePoint now)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     if (answer.outcome == Outcome::NotRun) {
         m_loads.refused(server, answer.load, now);
     } else if (answer.outcome == Outcome::Answered) {
@@ -35,26 +35,26 @@
 
 void RoutingDesk::onSilence(const std::string &server, TimePoint now)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     m_loads.failed(server, now);
 }
 
 void RoutingDesk::onFirstAttempt(const std::string &service)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     m_budget.onFirstAttempt(service);
 }
 
 bool RoutingDesk::mayRepeat(const std::string &service)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     return m_budget.trySpend(service);
 }
 
 std::vector<std::pair<std::string, double>>
 RoutingDesk::pressures(const Snapshot &snapshot, const std::string &service, TimePoint now) const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     std::vector<std::pair<std::string, double>> all;
     for (const auto &[name, server] : snapshot.model().servers) {
         if (server.service == service) {
--- a/src/celeryramp/node/routing_desk.h
+++ b/src/celeryramp/node/routing_desk.h
@@ -13,9 +13,10 @@
 namespace celeryramp {
 
 /*! @brief The routing decisions of one node, shared by the threads that carry calls. */
-class RoutingDesk {
+class RoutingDesk
+{
 public:
-    RoutingDesk(std::string zone, std::uint64_t seed) : m_picker {std::move(zone), seed} { }
+    RoutingDesk(std::string zone, std::uint64_t seed) : m_picker{std::move(zone), seed} { }
 
     /*! @brief A configuration came in force. */
     void onSnapshot(const Snapshot &snapshot, TimePoint now);
--- a/src/celeryramp/node/settings_reader.cpp
+++ b/src/celeryramp/node/settings_reader.cpp
@@ -5,9 +5,9 @@
 
 namespace celeryramp {
 
-SettingsReader::SettingsReader(std::string path) : m_path {std::move(path)}
+SettingsReader::SettingsReader(std::string path) : m_path{std::move(path)}
 {
-    if (!std::ifstream {m_path}) {
+    if (!std::ifstream{m_path}) {
         m_error = m_path + ": cannot be read";
         return;
     }
@@ -15,7 +15,7 @@
         m_table = toml::parse_file(m_path);
     } catch (const toml::parse_error &error) {
         m_error = m_path + ":" + std::to_string(error.source().begin.line)
-                + ": syntax: " + std::string {error.description()};
+                + ": syntax: " + std::string{error.description()};
     }
 }
 
@@ -70,7 +70,7 @@
         if (value && *value == choice) {
             return *value;
         }
-        accepted += std::string {accepted.empty() ? "" : ", "} + choice;
+        accepted += std::string{accepted.empty() ? "" : ", "} + choice;
     }
     failAt(node, key, "accepted: " + accepted);
     return fallback;
@@ -146,12 +146,12 @@
     if (m_error) {
         return {};
     }
-    std::filesystem::path path {value};
+    std::filesystem::path path{value};
     if (path.is_relative()) {
-        path = std::filesystem::path {m_path}.parent_path() / path;
+        path = std::filesystem::path{m_path}.parent_path() / path;
     }
     std::error_code ec;
-    if (!std::filesystem::is_regular_file(path, ec) || !std::ifstream {path}) {
+    if (!std::filesystem::is_regular_file(path, ec) || !std::ifstream{path}) {
         fail(key, "cannot read the file " + path.string());
     }
     return path.string();
@@ -165,7 +165,7 @@
 void SettingsReader::finishTable(const toml::table &table, const std::string &prefix)
 {
     for (const auto &[name, node] : table) {
-        const auto key = prefix + std::string {name.str()};
+        const auto key = prefix + std::string{name.str()};
         if (const auto *inner = node.as_table()) {
             finishTable(*inner, key + ".");
         } else if (m_read.count(key) == 0) {
--- a/src/celeryramp/node/settings_reader.h
+++ b/src/celeryramp/node/settings_reader.h
@@ -17,7 +17,8 @@
  * @brief Reads checked values out of a TOML file and keeps the first error.
  * Keys are named `table.key`. Reads after an error return the fallback.
  */
-class SettingsReader {
+class SettingsReader
+{
 public:
     /*! @brief Parses the file. An error is kept like that of a value. */
     explicit SettingsReader(std::string path);
--- a/src/celeryramp/node/tokens.h
+++ b/src/celeryramp/node/tokens.h
@@ -25,7 +25,7 @@
 /*! @return Identity held in a token. */
 [[nodiscard]] constexpr std::uint64_t tokenId(std::uint64_t token) noexcept
 {
-    return token & ((std::uint64_t {1} << kTokenIdBits) - 1);
+    return token & ((std::uint64_t{1} << kTokenIdBits) - 1);
 }
 
 } // namespace celeryramp
--- a/src/celeryramp/node/waiter_table.h
+++ b/src/celeryramp/node/waiter_table.h
@@ -19,8 +19,10 @@
  * A reply that nobody waits for is dropped and counted: late, doubled and crossed ones end here.
  */
 template <typename Reply>
-class WaiterTable {
-    struct Slot {
+class WaiterTable
+{
+    struct Slot
+    {
         std::mutex mutex;
         std::condition_variable ready;
         std::deque<Reply> replies;
@@ -29,12 +31,12 @@
 
 public:
     /*! @brief The right to wait for one reply; given up when it ends. */
-    class Ticket {
+    class Ticket
+    {
     public:
         Ticket(WaiterTable &table, std::uint64_t id, std::shared_ptr<Slot> slot)
-            : m_table {table}, m_id {id}, m_slot {std::move(slot)}
-        {
-        }
+            : m_table{table}, m_id{id}, m_slot{std::move(slot)}
+        { }
         ~Ticket() { m_table.drop(m_id); }
         Ticket(const Ticket &) = delete;
         Ticket &operator=(const Ticket &) = delete;
@@ -45,19 +47,19 @@
         /*! @brief Notes what the reply depends on, for `completeTagged`. */
         void tag(std::uint64_t tag)
         {
-            const std::lock_guard lock {m_slot->mutex};
+            const std::lock_guard lock{m_slot->mutex};
             m_slot->tag = tag;
         }
 
         /*! @return The next reply, or nothing when none came in time. */
         [[nodiscard]] std::optional<Reply> wait(TimePoint until)
         {
-            std::unique_lock lock {m_slot->mutex};
+            std::unique_lock lock{m_slot->mutex};
             m_slot->ready.wait_until(lock, until, [this] { return !m_slot->replies.empty(); });
             if (m_slot->replies.empty()) {
                 return std::nullopt;
             }
-            std::optional<Reply> reply {std::move(m_slot->replies.front())};
+            std::optional<Reply> reply{std::move(m_slot->replies.front())};
             m_slot->replies.pop_front();
             return reply;
         }
@@ -72,10 +74,10 @@
     [[nodiscard]] Ticket open()
     {
         auto slot = std::make_shared<Slot>();
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         const auto id = ++m_lastId;
         m_slots.emplace(id, slot);
-        return Ticket {*this, id, std::move(slot)};
+        return Ticket{*this, id, std::move(slot)};
     }
 
     /*! @brief Hands a reply over. @return False when nobody waits for it. */
@@ -83,7 +85,7 @@
     {
         const auto slot = find(id);
         if (!slot) {
-            const std::lock_guard lock {m_mutex};
+            const std::lock_guard lock{m_mutex};
             ++m_unclaimed;
             return false;
         }
@@ -97,7 +99,7 @@
         for (const auto &slot : all()) {
             bool matches = false;
             {
-                const std::lock_guard lock {slot->mutex};
+                const std::lock_guard lock{slot->mutex};
                 matches = slot->tag == tag;
             }
             if (matches) {
@@ -109,7 +111,7 @@
     /*! @return Number of replies that nobody waited for. */
     [[nodiscard]] std::uint64_t unclaimed() const
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         return m_unclaimed;
     }
 
@@ -117,7 +119,7 @@
     void give(Slot &slot, Reply reply)
     {
         {
-            const std::lock_guard lock {slot.mutex};
+            const std::lock_guard lock{slot.mutex};
             slot.replies.push_back(std::move(reply));
         }
         slot.ready.notify_all();
@@ -125,14 +127,14 @@
 
     [[nodiscard]] std::shared_ptr<Slot> find(std::uint64_t id) const
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         const auto it = m_slots.find(id);
         return it == m_slots.end() ? nullptr : it->second;
     }
 
     [[nodiscard]] std::vector<std::shared_ptr<Slot>> all() const
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         std::vector<std::shared_ptr<Slot>> slots;
         slots.reserve(m_slots.size());
         for (const auto &[id, slot] : m_slots) {
@@ -143,7 +145,7 @@
 
     void drop(std::uint64_t id)
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         m_slots.erase(id);
     }
 
--- a/src/celeryramp/observe/counter.h
+++ b/src/celeryramp/observe/counter.h
@@ -6,7 +6,8 @@
 namespace celeryramp {
 
 /*! @brief A number that only rises; safe to use from several threads. */
-class Counter {
+class Counter
+{
 public:
     /*! @brief Adds to the number. */
     void add(std::uint64_t n = 1) noexcept { m_value.fetch_add(n, std::memory_order_relaxed); }
@@ -18,7 +19,7 @@
     }
 
 private:
-    std::atomic<std::uint64_t> m_value {0};
+    std::atomic<std::uint64_t> m_value{0};
 };
 
 } // namespace celeryramp
--- a/src/celeryramp/observe/latency_summary.cpp
+++ b/src/celeryramp/observe/latency_summary.cpp
@@ -16,32 +16,33 @@
 
 namespace internal {
 
-constexpr std::array<double, 4> kProbabilities {0.5, 0.9, 0.99, 0.999};
+constexpr std::array<double, 4> kProbabilities{0.5, 0.9, 0.99, 0.999};
 
 } // namespace internal
 
-struct LatencySummary::Impl {
+struct LatencySummary::Impl
+{
     using Accumulator = ba::accumulator_set<
             double,
             ba::stats<ba::tag::count, ba::tag::sum, ba::tag::max, ba::tag::extended_p_square>>;
 
     mutable std::mutex mutex;
-    Accumulator accumulator {ba::extended_p_square_probabilities = internal::kProbabilities};
+    Accumulator accumulator{ba::extended_p_square_probabilities = internal::kProbabilities};
 };
 
-LatencySummary::LatencySummary() : m_impl {std::make_unique<Impl>()} { }
+LatencySummary::LatencySummary() : m_impl{std::make_unique<Impl>()} { }
 
 LatencySummary::~LatencySummary() = default;
 
 void LatencySummary::record(Micros latency)
 {
-    const std::lock_guard lock {m_impl->mutex};
+    const std::lock_guard lock{m_impl->mutex};
     m_impl->accumulator(std::chrono::duration<double>(latency).count());
 }
 
 LatencyFigures LatencySummary::figures() const
 {
-    const std::lock_guard lock {m_impl->mutex};
+    const std::lock_guard lock{m_impl->mutex};
     const auto &all = m_impl->accumulator;
     LatencyFigures figures;
     figures.count = ba::count(all);
--- a/src/celeryramp/observe/latency_summary.h
+++ b/src/celeryramp/observe/latency_summary.h
@@ -8,7 +8,8 @@
 namespace celeryramp {
 
 /*! @brief Quantiles of a stream of latencies, in seconds. */
-struct LatencyFigures {
+struct LatencyFigures
+{
     std::uint64_t count = 0;
     double sum = 0.0;
     double max = 0.0;
@@ -19,7 +20,8 @@
 };
 
 /*! @brief Summary of latencies by Boost.Accumulators; safe to use from several threads. */
-class LatencySummary {
+class LatencySummary
+{
 public:
     LatencySummary();
     ~LatencySummary();
--- a/src/celeryramp/observe/log.cpp
+++ b/src/celeryramp/observe/log.cpp
@@ -10,15 +10,16 @@
 
 namespace internal {
 
-struct LevelEntry {
+struct LevelEntry
+{
     std::string_view name;
     LogLevel level;
 };
 
-constexpr std::array<LevelEntry, 4> kLevels {{{"debug", LogLevel::Debug},
-                                              {"info", LogLevel::Info},
-                                              {"warn", LogLevel::Warn},
-                                              {"error", LogLevel::Error}}};
+constexpr std::array<LevelEntry, 4> kLevels{{{"debug", LogLevel::Debug},
+                                             {"info", LogLevel::Info},
+                                             {"warn", LogLevel::Warn},
+                                             {"error", LogLevel::Error}}};
 
 [[nodiscard]] log4cxx::LevelPtr toLibrary(LogLevel level)
 {
--- a/src/celeryramp/observe/metrics_registry.cpp
+++ b/src/celeryramp/observe/metrics_registry.cpp
@@ -45,7 +45,7 @@
 
 Counter &MetricsRegistry::counter(const std::string &name)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     auto &place = m_counters[name];
     if (!place) {
         place = std::make_unique<Counter>();
@@ -55,7 +55,7 @@
 
 LatencySummary &MetricsRegistry::latency(const std::string &name)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     auto &place = m_latencies[name];
     if (!place) {
         place = std::make_unique<LatencySummary>();
@@ -65,13 +65,13 @@
 
 void MetricsRegistry::gauge(const std::string &name, std::function<double()> read)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     m_gauges[name] = std::move(read);
 }
 
 std::string MetricsRegistry::exposition() const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     std::ostringstream out;
     internal::writeFamilies(out, m_counters, "counter", [&](const auto &name, const auto &value) {
         out << internal::kPrefix << name << ' ' << value->value() << '\n';
@@ -87,7 +87,7 @@
 
 nlohmann::json MetricsRegistry::json() const
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     auto json = nlohmann::json::object();
     for (const auto &[name, value] : m_counters) {
         json[name] = value->value();
--- a/src/celeryramp/observe/metrics_registry.h
+++ b/src/celeryramp/observe/metrics_registry.h
@@ -17,7 +17,8 @@
  * @brief All metrics of one process by name; safe to use from several threads.
  * A name may carry labels in the exposition format, such as `calls_total{reason="busy"}`.
  */
-class MetricsRegistry {
+class MetricsRegistry
+{
 public:
     /*! @return The counter of this name, made on first use; lives as long as the registry. */
     [[nodiscard]] Counter &counter(const std::string &name);
--- a/src/celeryramp/observe/process_usage.cpp
+++ b/src/celeryramp/observe/process_usage.cpp
@@ -22,11 +22,11 @@
 ProcessUsage processUsage()
 {
     ProcessUsage usage;
-    rusage used {};
+    rusage used{};
     if (getrusage(RUSAGE_SELF, &used) == 0) {
         usage.cpuSeconds = internal::seconds(used.ru_utime) + internal::seconds(used.ru_stime);
     }
-    std::ifstream status {"/proc/self/status"};
+    std::ifstream status{"/proc/self/status"};
     std::string word;
     while (status >> word) {
         if (word == "VmRSS:") {
--- a/src/celeryramp/routing/load_table.cpp
+++ b/src/celeryramp/routing/load_table.cpp
@@ -8,9 +8,9 @@
 namespace internal {
 
 constexpr double kFadeSeconds = 0.25;
-constexpr Millis kFirstShun {200};
-constexpr Millis kLongestShun {5000};
-constexpr Millis kRefusalShun {50};
+constexpr Millis kFirstShun{200};
+constexpr Millis kLongestShun{5000};
+constexpr Millis kRefusalShun{50};
 constexpr int kMaxDoublings = 5;
 
 } // namespace internal
--- a/src/celeryramp/routing/load_table.h
+++ b/src/celeryramp/routing/load_table.h
@@ -12,7 +12,8 @@
  * @brief What this node knows of each gate's load: the last answer's figures, their age, and its
  * own calls under way. Figures are hints; the gate itself decides.
  */
-class LoadTable {
+class LoadTable
+{
 public:
     /*! @brief A call was handed over. */
     void sent(const std::string &server);
@@ -39,7 +40,8 @@
     [[nodiscard]] int underWay(const std::string &server) const;
 
 private:
-    struct Entry {
+    struct Entry
+    {
         GateLoad load;
         TimePoint at;
         TimePoint shunnedUntil;
--- a/src/celeryramp/routing/picker.cpp
+++ b/src/celeryramp/routing/picker.cpp
@@ -24,7 +24,7 @@
     }
     if (home.empty() && away.empty()) {
         const auto last = betterOfTwo(shunned, loads, now);
-        return last.server == nullptr ? std::string {} : last.server->name;
+        return last.server == nullptr ? std::string{} : last.server->name;
     }
     const auto near = betterOfTwo(home, loads, now);
     if (near.server != nullptr && near.pressure < internal::kSpillPressure) {
@@ -68,8 +68,8 @@
     }
     const auto *first = candidates[m_random.below(candidates.size())];
     const auto *second = candidates[m_random.below(candidates.size())];
-    const Candidate a {first, loads.pressure(first->name, now)};
-    const Candidate b {second, loads.pressure(second->name, now)};
+    const Candidate a{first, loads.pressure(first->name, now)};
+    const Candidate b{second, loads.pressure(second->name, now)};
     return b.pressure < a.pressure ? b : a;
 }
 
--- a/src/celeryramp/routing/picker.h
+++ b/src/celeryramp/routing/picker.h
@@ -22,10 +22,11 @@
  * Calls spill to other zones when the better choice at home is much busier than one elsewhere.
  * A wrong view costs a refused attempt at most; the gate decides whether work is done.
  */
-class Picker {
+class Picker
+{
 public:
     /*! @param zone Zone of this node. @param seed Seed of the random choices. */
-    Picker(std::string zone, std::uint64_t seed) : m_zone {std::move(zone)}, m_random {seed} { }
+    Picker(std::string zone, std::uint64_t seed) : m_zone{std::move(zone)}, m_random{seed} { }
 
     /*!
      * @brief Picks a server of a service.
@@ -37,7 +38,8 @@
                                    const LoadTable &loads, const ZoneRamp &zones, TimePoint now);
 
 private:
-    struct Candidate {
+    struct Candidate
+    {
         const BackendServer *server = nullptr;
         double pressure = 0.0;
     };
--- a/src/celeryramp/routing/retry_budget.h
+++ b/src/celeryramp/routing/retry_budget.h
@@ -9,13 +9,13 @@
  * @brief Allows repeated executions as a share of first attempts, per service.
  * Refusals of gates before anything ran do not count: trying another gate executes nothing twice.
  */
-class RetryBudget {
+class RetryBudget
+{
 public:
     /*! @param share Repetitions per first attempt. @param reserve Repetitions saved up at most. */
     explicit RetryBudget(double share = 0.05, double reserve = 10.0)
-        : m_share {share}, m_reserve {reserve}
-    {
-    }
+        : m_share{share}, m_reserve{reserve}
+    { }
 
     /*! @brief A first attempt was made. */
     void onFirstAttempt(const std::string &service);
--- a/src/celeryramp/routing/zone_ramp.cpp
+++ b/src/celeryramp/routing/zone_ramp.cpp
@@ -17,7 +17,7 @@
         const bool inService = zone.status == ZoneStatus::InService;
         const auto known = m_zones.find(name);
         const bool was = known != m_zones.end() && known->second.inService;
-        Entry entry {inService, known != m_zones.end() ? known->second.fullAt : now};
+        Entry entry{inService, known != m_zones.end() ? known->second.fullAt : now};
         if (inService && !was && !m_first) {
             entry.fullAt = now + kZoneRampTime;
         }
--- a/src/celeryramp/routing/zone_ramp.h
+++ b/src/celeryramp/routing/zone_ramp.h
@@ -9,10 +9,11 @@
 namespace celeryramp {
 
 /*! @brief Time over which a returning zone is given its full part again. */
-inline constexpr Millis kZoneRampTime {5000};
+inline constexpr Millis kZoneRampTime{5000};
 
 /*! @brief Share of calls that may consider a zone: 0 out of service, rising to 1 after return. */
-class ZoneRamp {
+class ZoneRamp
+{
 public:
     /*! @brief A configuration came in force. Zones of the first one need no ramp. */
     void onSnapshot(const Snapshot &snapshot, TimePoint now);
@@ -21,7 +22,8 @@
     [[nodiscard]] double weight(const std::string &zone, TimePoint now) const;
 
 private:
-    struct Entry {
+    struct Entry
+    {
         bool inService = false;
         TimePoint fullAt;
     };
--- a/src/celeryramp/transport/backend_client.cpp
+++ b/src/celeryramp/transport/backend_client.cpp
@@ -8,8 +8,8 @@
 
 namespace internal {
 
-constexpr Millis kServerConnectTimeout {500};
-constexpr Millis kKeptConnectionLife {3000}; /*!< Below the server's own limit for idle ones. */
+constexpr Millis kServerConnectTimeout{500};
+constexpr Millis kKeptConnectionLife{3000}; /*!< Below the server's own limit for idle ones. */
 
 [[nodiscard]] httplib::Headers toLibrary(const CallMessage &call, const BackendCallInfo &info)
 {
@@ -28,7 +28,7 @@
 
 [[nodiscard]] BackendReply toReply(httplib::Response &response)
 {
-    BackendReply reply {BackendEnd::Answered, response.status, {}, std::move(response.body)};
+    BackendReply reply{BackendEnd::Answered, response.status, {}, std::move(response.body)};
     for (const auto &[name, value] : response.headers) {
         if (!isHopHeader(name)) {
             reply.headers.emplace_back(name, value);
@@ -39,9 +39,10 @@
 
 } // namespace internal
 
-class BackendClient::Impl {
+class BackendClient::Impl
+{
 public:
-    explicit Impl(const Address &address) : m_address {address} { reconnect(); }
+    explicit Impl(const Address &address) : m_address{address} { reconnect(); }
 
     [[nodiscard]] BackendReply call(const CallMessage &call, const BackendCallInfo &info)
     {
@@ -78,7 +79,7 @@
 
     void cancel(const std::string &request)
     {
-        httplib::Client client {m_address.host, m_address.port};
+        httplib::Client client{m_address.host, m_address.port};
         client.set_connection_timeout(internal::kServerConnectTimeout);
         client.set_read_timeout(internal::kServerConnectTimeout);
         client.Post("/_control/cancel?request=" + request);
@@ -105,7 +106,7 @@
 
     [[nodiscard]] bool isListening() const
     {
-        httplib::Client probe {m_address.host, m_address.port};
+        httplib::Client probe{m_address.host, m_address.port};
         probe.set_connection_timeout(internal::kServerConnectTimeout);
         probe.set_read_timeout(internal::kServerConnectTimeout);
         const auto result = probe.Get("/_control/health");
@@ -117,7 +118,7 @@
     TimePoint m_lastUsed;
 };
 
-BackendClient::BackendClient(const Address &address) : m_impl {std::make_unique<Impl>(address)} { }
+BackendClient::BackendClient(const Address &address) : m_impl{std::make_unique<Impl>(address)} { }
 
 BackendClient::~BackendClient() = default;
 
--- a/src/celeryramp/transport/backend_client.h
+++ b/src/celeryramp/transport/backend_client.h
@@ -19,7 +19,8 @@
 };
 
 /*! @brief Answer of the backend server, or how it failed. */
-struct BackendReply {
+struct BackendReply
+{
     BackendEnd end = BackendEnd::NotConnected;
     int status = 0;
     HeaderList headers;
@@ -27,13 +28,15 @@
 };
 
 /*! @brief What travels with a call to the backend server besides the caller's own request. */
-struct BackendCallInfo {
+struct BackendCallInfo
+{
     std::string contextToken;
-    Millis remaining {0};
+    Millis remaining{0};
 };
 
 /*! @brief Calls one backend server over kept connections; used by one thread. */
-class BackendClient {
+class BackendClient
+{
 public:
     explicit BackendClient(const Address &address);
     ~BackendClient();
--- a/src/celeryramp/transport/headers.cpp
+++ b/src/celeryramp/transport/headers.cpp
@@ -8,7 +8,7 @@
 
 namespace internal {
 
-constexpr std::array<std::string_view, 14> kHopHeaders {
+constexpr std::array<std::string_view, 14> kHopHeaders{
         "connection",       "keep-alive", "transfer-encoding", "te",          "trailer",
         "upgrade",          "host",       "content-length",    "remote_addr", "remote_port",
         "proxy-connection", "expect",     "local_addr",        "local_port"};
--- a/src/celeryramp/transport/http_listener.cpp
+++ b/src/celeryramp/transport/http_listener.cpp
@@ -15,7 +15,7 @@
 
 [[nodiscard]] HttpRequest fromLibrary(const httplib::Request &request)
 {
-    HttpRequest out {request.method, request.target, request.path, {}, request.body};
+    HttpRequest out{request.method, request.target, request.path, {}, request.body};
     out.headers.reserve(request.headers.size());
     for (const auto &[name, value] : request.headers) {
         if (!isHopHeader(name)) {
@@ -39,7 +39,7 @@
     if (answer.closeConnection) {
         response.set_header("Connection", "close");
     }
-    response.set_content(std::move(answer.body), contentType);
+    response.set_content(answer.body, contentType);
 }
 
 } // namespace internal
@@ -56,25 +56,26 @@
 
 std::string HttpRequest::query(std::string_view name) const
 {
-    std::string_view rest {target};
+    std::string_view rest{target};
     const auto mark = rest.find('?');
-    rest = mark == std::string_view::npos ? std::string_view {} : rest.substr(mark + 1);
+    rest = mark == std::string_view::npos ? std::string_view{} : rest.substr(mark + 1);
     while (!rest.empty()) {
         const auto end = std::min(rest.find('&'), rest.size());
         const auto pair = rest.substr(0, end);
         if (const auto equals = pair.find('='); pair.substr(0, equals) == name) {
-            return equals == std::string_view::npos ? std::string {}
-                                                    : std::string {pair.substr(equals + 1)};
+            return equals == std::string_view::npos ? std::string{}
+                                                    : std::string{pair.substr(equals + 1)};
         }
         rest = rest.substr(std::min(end + 1, rest.size()));
     }
     return {};
 }
 
-class HttpListener::Impl {
+class HttpListener::Impl
+{
 public:
     Impl(HttpListenerSettings settings, Handler handler)
-        : m_settings {std::move(settings)}, m_handler {std::move(handler)}
+        : m_settings{std::move(settings)}, m_handler{std::move(handler)}
     {
         const auto threads = m_settings.threads;
         m_server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
@@ -103,9 +104,9 @@
     {
         const auto &address = m_settings.address;
         if (!m_server.bind_to_port(address.host, address.port)) {
-            return ListenError {"cannot listen on " + address.text()};
+            return ListenError{"cannot listen on " + address.text()};
         }
-        m_thread = std::thread {[this] { m_server.listen_after_bind(); }};
+        m_thread = std::thread{[this] { m_server.listen_after_bind(); }};
         return true;
     }
 
@@ -125,9 +126,8 @@
 };
 
 HttpListener::HttpListener(HttpListenerSettings settings, Handler handler)
-    : m_impl {std::make_unique<Impl>(std::move(settings), std::move(handler))}
-{
-}
+    : m_impl{std::make_unique<Impl>(std::move(settings), std::move(handler))}
+{ }
 
 HttpListener::~HttpListener()
 {
--- a/src/celeryramp/transport/http_listener.h
+++ b/src/celeryramp/transport/http_listener.h
@@ -12,7 +12,8 @@
 namespace celeryramp {
 
 /*! @brief A request as it came over HTTP. */
-struct HttpRequest {
+struct HttpRequest
+{
     std::string method;
     std::string target; /*!< Path with query. */
     std::string path; /*!< Path without query. */
@@ -27,7 +28,8 @@
 };
 
 /*! @brief An answer to go out over HTTP. */
-struct HttpResponse {
+struct HttpResponse
+{
     int status = 200;
     HeaderList headers;
     std::string body;
@@ -36,21 +38,24 @@
 };
 
 /*! @brief Settings of one listener. */
-struct HttpListenerSettings {
+struct HttpListenerSettings
+{
     Address address;
     std::size_t threads = 8; /*!< Connections served at a time. */
     std::size_t maxBodyBytes = 1024 * 1024;
-    Millis readTimeout {5000}; /*!< For a slow caller, between two pieces of a request. */
-    Millis keepAlive {5000}; /*!< Idle connections are closed after this. */
+    Millis readTimeout{5000}; /*!< For a slow caller, between two pieces of a request. */
+    Millis keepAlive{5000}; /*!< Idle connections are closed after this. */
 };
 
 /*! @brief Why a listener cannot start. */
-struct ListenError {
+struct ListenError
+{
     std::string reason;
 };
 
 /*! @brief Serves HTTP on one address with a bounded set of threads. */
-class HttpListener {
+class HttpListener
+{
 public:
     using Handler = std::function<HttpResponse(const HttpRequest &)>;
 
--- a/src/celeryramp/transport/link_policy.h
+++ b/src/celeryramp/transport/link_policy.h
@@ -12,7 +12,8 @@
  * @brief Cuts and delays of links, for tests that bring about partitions.
  * Settable only when the settings allow faults; without them all links are whole.
  */
-class LinkPolicy {
+class LinkPolicy
+{
 public:
     /*! @brief Drops all frames to and from nodes of these zones. */
     void cutZones(std::set<std::string> zones);
@@ -31,7 +32,7 @@
     mutable std::mutex m_mutex;
     std::set<std::string> m_zones;
     bool m_platformCut = false;
-    Millis m_delay {0};
+    Millis m_delay{0};
 };
 
 } // namespace celeryramp
--- a/src/celeryramp/transport/peer_mesh.cpp
+++ b/src/celeryramp/transport/peer_mesh.cpp
@@ -30,19 +30,21 @@
 
 constexpr std::size_t kMaxWaitingFrames = 1024;
 constexpr long kHandshakeTimeoutMs = 2000;
-constexpr Millis kSweepInterval {500};
-constexpr Millis kIdleClose {60'000};
-constexpr Millis kIdleAvoid {50'000};
-constexpr Millis kPauseLimit {3000};
+constexpr Millis kSweepInterval{500};
+constexpr Millis kIdleClose{60'000};
+constexpr Millis kIdleAvoid{50'000};
+constexpr Millis kPauseLimit{3000};
 
 enum class Side { Accepted, Opened };
 
-struct WaitingFrame {
+struct WaitingFrame
+{
     std::string bytes;
     std::uint64_t token = 0;
 };
 
-struct Link {
+struct Link
+{
     LinkId id = 0;
     Side side = Side::Accepted;
     Handle handle;
@@ -70,22 +72,22 @@
 
 } // namespace internal
 
-class PeerMesh::Impl {
+class PeerMesh::Impl
+{
 public:
     Impl(PeerMeshSettings settings, PeerEvents &events, const LinkPolicy &policy,
          MetricsRegistry &metrics)
-        : m_settings {std::move(settings)}, m_events {events}, m_policy {policy},
-          m_sent {metrics.counter("peer_frames_total{direction=\"sent\"}")},
-          m_received {metrics.counter("peer_frames_total{direction=\"received\"}")},
-          m_sentBytes {metrics.counter("peer_bytes_total{direction=\"sent\"}")},
-          m_receivedBytes {metrics.counter("peer_bytes_total{direction=\"received\"}")},
-          m_malformed {metrics.counter("peer_malformed_frames_total")},
-          m_failedLinks {metrics.counter("peer_failed_connections_total")},
-          m_openedLinks {metrics.counter("peer_connections_total")},
-          m_dropped {metrics.counter("peer_dropped_frames_total")},
-          m_cut {metrics.counter("peer_cut_frames_total")}, m_sweepTimer {m_io}
-    {
-    }
+        : m_settings{std::move(settings)}, m_events{events}, m_policy{policy},
+          m_sent{metrics.counter("peer_frames_total{direction=\"sent\"}")},
+          m_received{metrics.counter("peer_frames_total{direction=\"received\"}")},
+          m_sentBytes{metrics.counter("peer_bytes_total{direction=\"sent\"}")},
+          m_receivedBytes{metrics.counter("peer_bytes_total{direction=\"received\"}")},
+          m_malformed{metrics.counter("peer_malformed_frames_total")},
+          m_failedLinks{metrics.counter("peer_failed_connections_total")},
+          m_openedLinks{metrics.counter("peer_connections_total")},
+          m_dropped{metrics.counter("peer_dropped_frames_total")},
+          m_cut{metrics.counter("peer_cut_frames_total")}, m_sweepTimer{m_io}
+    { }
 
     [[nodiscard]] Result<bool, MeshError> start()
     {
@@ -95,14 +97,14 @@
             setUp(m_client);
             m_server.set_reuse_addr(true);
             const auto address = internal::asio::ip::make_address(m_settings.listen.host);
-            m_server.listen(internal::asio::ip::tcp::endpoint {address, m_settings.listen.port});
+            m_server.listen(internal::asio::ip::tcp::endpoint{address, m_settings.listen.port});
             m_server.start_accept();
         } catch (const std::exception &error) {
-            return MeshError {error.what()};
+            return MeshError{error.what()};
         }
         m_lastSweep = Clock::now();
         scheduleSweep();
-        m_thread = std::thread {[this] { m_io.run(); }};
+        m_thread = std::thread{[this] { m_io.run(); }};
         return true;
     }
 
@@ -124,7 +126,7 @@
         auto bytes = encode(message);
         internal::LinkPtr link;
         {
-            const std::lock_guard lock {m_mutex};
+            const std::lock_guard lock{m_mutex};
             link = usableLink(name);
             if (link && !link->open) {
                 return enqueue(*link, std::move(bytes), token);
@@ -140,7 +142,7 @@
     {
         internal::LinkPtr link;
         {
-            const std::lock_guard lock {m_mutex};
+            const std::lock_guard lock{m_mutex};
             const auto it = m_links.find(id);
             if (it == m_links.end() || !it->second->open) {
                 return false;
@@ -162,7 +164,7 @@
 
     [[nodiscard]] std::size_t links() const
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         return m_links.size();
     }
 
@@ -179,14 +181,15 @@
         endpoint.set_max_message_size(kMaxFrameBytes);
         endpoint.set_open_handshake_timeout(internal::kHandshakeTimeoutMs);
         endpoint.set_close_handshake_timeout(internal::kHandshakeTimeoutMs);
-        endpoint.set_tls_init_handler([this](internal::Handle) { return m_context; });
+        endpoint.set_tls_init_handler([this](const internal::Handle &) { return m_context; });
         endpoint.set_open_handler(
-                [this, &endpoint](internal::Handle handle) { onOpen(endpoint, handle); });
-        endpoint.set_fail_handler([this, &endpoint](internal::Handle handle) {
+                [this, &endpoint](const internal::Handle &handle) { onOpen(endpoint, handle); });
+        endpoint.set_fail_handler([this, &endpoint](const internal::Handle &handle) {
             onEnd(handle, isRefusal(endpoint, handle));
         });
-        endpoint.set_close_handler([this](internal::Handle handle) { onEnd(handle, false); });
-        endpoint.set_message_handler([this](internal::Handle handle, auto message) {
+        endpoint.set_close_handler(
+                [this](const internal::Handle &handle) { onEnd(handle, false); });
+        endpoint.set_message_handler([this](const internal::Handle &handle, const auto &message) {
             onFrame(handle, message->get_payload());
         });
     }
@@ -196,7 +199,8 @@
     {
         internal::ErrorCode ec;
         const auto connection = endpoint.get_con_from_hdl(handle, ec);
-        return !ec && connection->get_transport_ec() == std::errc::connection_refused;
+        // The library hides the system's error; a connect that times out has a code of its own.
+        return !ec && connection->get_ec() == websocketpp::transport::error::pass_through;
     }
 
     /*! The link to use for a peer, if any; called with the lock held. */
@@ -230,7 +234,7 @@
     [[nodiscard]] internal::LinkPtr newLink(const std::string &name)
     {
         auto link = std::make_shared<internal::Link>();
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         link->id = ++m_lastLink;
         link->side = internal::Side::Opened;
         link->peer = name;
@@ -251,7 +255,7 @@
         }
         auto link = newLink(name);
         {
-            const std::lock_guard lock {m_mutex};
+            const std::lock_guard lock{m_mutex};
             enqueue(*link, std::move(bytes), token);
         }
         const auto id = link->id;
@@ -272,7 +276,7 @@
         }
         link->handle = connection->get_handle();
         {
-            const std::lock_guard lock {m_mutex};
+            const std::lock_guard lock{m_mutex};
             m_byHandle[link->handle] = link;
         }
         m_client.connect(connection);
@@ -295,10 +299,10 @@
         }
         transmitNow(*link, encode(m_settings.self));
         // Frames that waited go first, so that later ones cannot overtake them.
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         waiting.swap(link->waiting);
         for (auto &frame : waiting) {
-            transmitNow(*link, std::move(frame.bytes));
+            transmitNow(*link, frame.bytes);
         }
         link->open = true;
     }
@@ -306,7 +310,7 @@
     [[nodiscard]] internal::LinkPtr adopt(const internal::Handle &handle)
     {
         auto link = std::make_shared<internal::Link>();
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         link->id = ++m_lastLink;
         link->handle = handle;
         link->lastUsed = Clock::now();
@@ -317,7 +321,7 @@
 
     [[nodiscard]] internal::LinkPtr linkOf(const internal::Handle &handle)
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         const auto it = m_byHandle.find(handle);
         return it == m_byHandle.end() ? nullptr : it->second;
     }
@@ -352,7 +356,7 @@
             return;
         }
         {
-            const std::lock_guard lock {m_mutex};
+            const std::lock_guard lock{m_mutex};
             link->lastUsed = now;
         }
         m_events.onPeerMessage(link->peer, link->id, std::move(message.value()));
@@ -372,7 +376,7 @@
             return;
         }
         {
-            const std::lock_guard lock {m_mutex};
+            const std::lock_guard lock{m_mutex};
             if (!link->peer.empty() && link->peer != hello->server) {
                 forgetPeer(*link);
             }
@@ -397,7 +401,7 @@
     {
         std::deque<internal::WaitingFrame> unsent;
         {
-            const std::lock_guard lock {m_mutex};
+            const std::lock_guard lock{m_mutex};
             m_failedLinks.add(link->open ? 0 : 1);
             link->open = false;
             m_links.erase(link->id);
@@ -433,9 +437,9 @@
 
     bool transmit(const internal::Link &link, std::string bytes)
     {
-        const auto delay = link.zone == m_settings.self.zone ? Millis {0} : m_policy.zoneDelay();
+        const auto delay = link.zone == m_settings.self.zone ? Millis{0} : m_policy.zoneDelay();
         if (delay.count() == 0) {
-            return transmitNow(link, std::move(bytes));
+            return transmitNow(link, bytes);
         }
         auto timer = std::make_shared<internal::asio::steady_timer>(m_io, delay);
         const auto handle = link.handle;
@@ -448,7 +452,7 @@
         return true;
     }
 
-    bool transmitNow(const internal::Link &link, std::string bytes)
+    bool transmitNow(const internal::Link &link, const std::string &bytes)
     {
         return write(link.side, link.handle, bytes);
     }
@@ -483,7 +487,7 @@
 
     [[nodiscard]] std::vector<internal::LinkPtr> allLinks() const
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         std::vector<internal::LinkPtr> links;
         links.reserve(m_links.size());
         for (const auto &[id, link] : m_links) {
@@ -545,7 +549,7 @@
         for (const auto &link : allLinks()) {
             close(*link, "stop");
         }
-        auto timer = std::make_shared<internal::asio::steady_timer>(m_io, Millis {300});
+        auto timer = std::make_shared<internal::asio::steady_timer>(m_io, Millis{300});
         timer->async_wait([this, timer](const auto &) { m_io.stop(); });
     }
 
@@ -578,9 +582,8 @@
 
 PeerMesh::PeerMesh(PeerMeshSettings settings, PeerEvents &events, const LinkPolicy &policy,
                    MetricsRegistry &metrics)
-    : m_impl {std::make_unique<Impl>(std::move(settings), events, policy, metrics)}
-{
-}
+    : m_impl{std::make_unique<Impl>(std::move(settings), events, policy, metrics)}
+{ }
 
 PeerMesh::~PeerMesh()
 {
--- a/src/celeryramp/transport/peer_mesh.h
+++ b/src/celeryramp/transport/peer_mesh.h
@@ -13,14 +13,16 @@
 namespace celeryramp {
 
 /*! @brief What a mesh needs to know at start. */
-struct PeerMeshSettings {
+struct PeerMeshSettings
+{
     HelloMessage self;
     Address listen;
     TlsFiles tls;
 };
 
 /*! @brief Why a mesh cannot start. */
-struct MeshError {
+struct MeshError
+{
     std::string reason;
 };
 
@@ -30,7 +32,8 @@
  * Connections are made when first needed and used in both directions; those idle for long are
  * closed. Frames wait in a bounded line while a connection is being made. One thread serves all.
  */
-class PeerMesh : public PeerTransport {
+class PeerMesh : public PeerTransport
+{
 public:
     /*! @param events Receiver of events; must outlive the mesh, as must all other references. */
     PeerMesh(PeerMeshSettings settings, PeerEvents &events, const LinkPolicy &policy,
--- a/src/celeryramp/transport/peer_transport.h
+++ b/src/celeryramp/transport/peer_transport.h
@@ -12,13 +12,15 @@
 using LinkId = std::uint64_t;
 
 /*! @brief Where the node of a server is to be found. */
-struct PeerPlace {
+struct PeerPlace
+{
     Address address; /*!< Port 0 when not known. */
     std::string zone;
 };
 
 /*! @brief What the transport tells the node. Calls come from the transport's own thread. */
-class PeerEvents {
+class PeerEvents
+{
 public:
     virtual ~PeerEvents() = default;
 
@@ -42,7 +44,8 @@
 };
 
 /*! @brief Sends typed messages to the nodes of other servers. */
-class PeerTransport {
+class PeerTransport
+{
 public:
     virtual ~PeerTransport() = default;
 
--- a/src/celeryramp/transport/platform_client.cpp
+++ b/src/celeryramp/transport/platform_client.cpp
@@ -12,8 +12,8 @@
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpNotModified = 304;
-constexpr Millis kConnectTimeout {1000};
-constexpr Millis kAnswerTimeout {3000};
+constexpr Millis kConnectTimeout{1000};
+constexpr Millis kAnswerTimeout{3000};
 constexpr std::size_t kMaxInstanceListBytes = 4 * 1024 * 1024;
 
 [[nodiscard]] PlatformError cutError()
@@ -23,12 +23,13 @@
 
 } // namespace internal
 
-class PlatformClient::Impl {
+class PlatformClient::Impl
+{
 public:
     Impl(const Address &address, const LinkPolicy &policy, MetricsRegistry &metrics)
-        : m_client {address.host, address.port}, m_policy {policy},
-          m_reads {metrics.counter("platform_reads_total")}, m_failures {metrics.counter(
-                                                                     "platform_failures_total")}
+        : m_client{address.host, address.port}, m_policy{policy}, m_reads{metrics.counter(
+                                                                          "platform_reads_total")},
+          m_failures{metrics.counter("platform_failures_total")}
     {
         m_client.set_keep_alive(true);
         m_client.set_tcp_nodelay(true);
@@ -50,13 +51,13 @@
         }
         if (!result) {
             m_failures.add();
-            return PlatformError {PlatformErrorCode::Unreachable,
-                                  httplib::to_string(result.error())};
+            return PlatformError{PlatformErrorCode::Unreachable,
+                                 httplib::to_string(result.error())};
         }
         if (result->status != internal::kHttpOk && result->status != internal::kHttpNotModified) {
             m_failures.add();
-            return PlatformError {PlatformErrorCode::Refused,
-                                  "status " + std::to_string(result->status)};
+            return PlatformError{PlatformErrorCode::Refused,
+                                 "status " + std::to_string(result->status)};
         }
         return *result;
     }
@@ -72,9 +73,8 @@
 
 PlatformClient::PlatformClient(const Address &address, const LinkPolicy &policy,
                                MetricsRegistry &metrics)
-    : m_impl {std::make_unique<Impl>(address, policy, metrics)}
-{
-}
+    : m_impl{std::make_unique<Impl>(address, policy, metrics)}
+{ }
 
 PlatformClient::~PlatformClient() = default;
 
@@ -82,25 +82,25 @@
                                                                             Millis wait)
 {
     const auto query = known == 0
-            ? std::string {}
+            ? std::string{}
             : "?not=" + std::to_string(known) + "&wait_ms=" + std::to_string(wait.count());
     auto response = m_impl->get("/v1/config/manifest" + query, wait);
     if (!response) {
         return response.error();
     }
     if (response.value().status == internal::kHttpNotModified) {
-        return std::optional<Manifest> {};
+        return std::optional<Manifest>{};
     }
     auto manifest = parseManifest(response.value().body);
     if (!manifest) {
-        return PlatformError {PlatformErrorCode::Malformed, manifest.error().text()};
+        return PlatformError{PlatformErrorCode::Malformed, manifest.error().text()};
     }
-    return std::optional<Manifest> {std::move(manifest.value())};
+    return std::optional<Manifest>{std::move(manifest.value())};
 }
 
 Result<std::string, PlatformError> PlatformClient::readPart(const std::string &hash)
 {
-    auto response = m_impl->get("/v1/config/parts/" + hash, Millis {0});
+    auto response = m_impl->get("/v1/config/parts/" + hash, Millis{0});
     if (!response) {
         return response.error();
     }
@@ -109,12 +109,12 @@
 
 Result<InstanceList, PlatformError> PlatformClient::readInstances()
 {
-    auto response = m_impl->get("/v1/instances", Millis {0});
+    auto response = m_impl->get("/v1/instances", Millis{0});
     if (!response) {
         return response.error();
     }
     const auto json = response.value().body.size() > internal::kMaxInstanceListBytes
-            ? nlohmann::json {}
+            ? nlohmann::json{}
             : nlohmann::json::parse(response.value().body, nullptr, false);
     try {
         InstanceList list;
@@ -126,7 +126,7 @@
         }
         return list;
     } catch (const nlohmann::json::exception &error) {
-        return PlatformError {PlatformErrorCode::Malformed, error.what()};
+        return PlatformError{PlatformErrorCode::Malformed, error.what()};
     }
 }
 
--- a/src/celeryramp/transport/platform_client.h
+++ b/src/celeryramp/transport/platform_client.h
@@ -10,7 +10,8 @@
 namespace celeryramp {
 
 /*! @brief Reads the platform over HTTP; used by one thread. */
-class PlatformClient : public PlatformSource {
+class PlatformClient : public PlatformSource
+{
 public:
     PlatformClient(const Address &address, const LinkPolicy &policy, MetricsRegistry &metrics);
     ~PlatformClient() override;
--- a/src/celeryramp/transport/platform_source.h
+++ b/src/celeryramp/transport/platform_source.h
@@ -19,19 +19,22 @@
 };
 
 /*! @brief Error of a platform read. */
-struct PlatformError {
+struct PlatformError
+{
     PlatformErrorCode code = PlatformErrorCode::Unreachable;
     std::string reason;
 };
 
 /*! @brief The platform's lagging list of instances. */
-struct InstanceList {
+struct InstanceList
+{
     std::uint64_t index = 0; /*!< Rises with each change. */
     std::set<std::string> leaving; /*!< Servers that are listed as leaving. */
 };
 
 /*! @brief Reads of the platform's configuration service. Nothing is ever written. */
-class PlatformSource {
+class PlatformSource
+{
 public:
     virtual ~PlatformSource() = default;
 
--- a/src/celeryramp/wire/bytes.h
+++ b/src/celeryramp/wire/bytes.h
@@ -5,7 +5,8 @@
 namespace celeryramp {
 
 /*! @brief Opaque bytes, carried as a CBOR byte string. */
-struct Bytes {
+struct Bytes
+{
     std::string data;
 
     [[nodiscard]] bool operator==(const Bytes &other) const noexcept { return data == other.data; }
--- a/src/celeryramp/wire/call_message.h
+++ b/src/celeryramp/wire/call_message.h
@@ -14,7 +14,8 @@
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
 /*! @brief A caller's request on its way from the entry node to a gate. */
-struct CallMessage {
+struct CallMessage
+{
     std::uint64_t id = 0; /*!< Unique per sending node and attempt. */
     std::string request; /*!< Identity of the request, the same over all attempts. */
     std::string chain; /*!< Identity of the outside call that caused this one. */
@@ -33,29 +34,32 @@
     bool repeatSafe = false; /*!< The class is idempotent. */
     bool retry = false; /*!< Not the first attempt. */
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(id, request, chain, service, workClass, account, keyId, method, target, headers,
-                body, digest, remainingMs, latencyMs, depth, repeatSafe, retry);
+        archive(self.id, self.request, self.chain, self.service, self.workClass, self.account,
+                self.keyId, self.method, self.target, self.headers, self.body, self.digest,
+                self.remainingMs, self.latencyMs, self.depth, self.repeatSafe, self.retry);
     }
 };
 
 /*! @brief Pressure on a gate, carried by each of its answers. */
-struct GateLoad {
+struct GateLoad
+{
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
     std::uint32_t limit = 1; /*!< Concurrency the gate presently allows. */
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(running, queued, limit);
+        archive(self.running, self.queued, self.limit);
     }
 };
 
 /*! @brief A gate's answer to a call. */
-struct AnswerMessage {
+struct AnswerMessage
+{
     std::uint64_t id = 0; /*!< Identity of the attempt this answers. */
     std::string request; /*!< Identity of the request, checked against the waiting one. */
     Outcome outcome = Outcome::Unknown;
@@ -66,21 +70,23 @@
     std::uint64_t bodyHash = 0; /*!< Hash of the body; differs when an answer was cut or crossed. */
     GateLoad load;
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(id, request, outcome, reason, status, headers, body, bodyHash, load);
+        archive(self.id, self.request, self.outcome, self.reason, self.status, self.headers,
+                self.body, self.bodyHash, self.load);
     }
 };
 
 /*! @brief Withdraws a call whose caller no longer waits. */
-struct CancelMessage {
+struct CancelMessage
+{
     std::uint64_t id = 0;
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(id);
+        archive(self.id);
     }
 };
 
--- a/src/celeryramp/wire/codec.cpp
+++ b/src/celeryramp/wire/codec.cpp
@@ -13,12 +13,14 @@
 using Json = nlohmann::json;
 
 /*! Thrown inside this file only, and turned into a WireError at its border. */
-class ShapeError : public std::runtime_error {
+class ShapeError : public std::runtime_error
+{
 public:
     using std::runtime_error::runtime_error;
 };
 
-class Writer {
+class Writer
+{
 public:
     template <typename... Fields>
     void operator()(const Fields &...fields)
@@ -70,19 +72,20 @@
     [[nodiscard]] static Json structured(const Struct &value)
     {
         Writer writer;
-        const_cast<Struct &>(value).visit(writer); // visit only reads through a writer
+        Struct::visit(value, writer);
         return writer.take();
     }
 
     Json m_out = Json::array();
 };
 
-class Reader {
+class Reader
+{
 public:
-    explicit Reader(Json &in) : m_in {in}
+    explicit Reader(Json &in) : m_in{in}
     {
         if (!in.is_array()) {
-            throw ShapeError {"expected an array"};
+            throw ShapeError{"expected an array"};
         }
     }
 
@@ -91,7 +94,7 @@
     {
         (read(next(), fields), ...);
         if (m_next != m_in.size()) {
-            throw ShapeError {"too many fields"};
+            throw ShapeError{"too many fields"};
         }
     }
 
@@ -99,7 +102,7 @@
     [[nodiscard]] Json &next()
     {
         if (m_next >= m_in.size()) {
-            throw ShapeError {"too few fields"};
+            throw ShapeError{"too few fields"};
         }
         return m_in[m_next++];
     }
@@ -125,7 +128,7 @@
     static void require(bool holds, const char *reason)
     {
         if (!holds) {
-            throw ShapeError {reason};
+            throw ShapeError{reason};
         }
     }
 
@@ -193,8 +196,8 @@
     template <typename Struct>
     static void structured(Json &in, Struct &value)
     {
-        Reader reader {in};
-        value.visit(reader);
+        Reader reader{in};
+        Struct::visit(value, reader);
     }
 
     Json &m_in;
@@ -205,15 +208,15 @@
 [[nodiscard]] Result<Message, WireError> decodeAs(std::size_t type, Json &fields)
 {
     if constexpr (Index == std::variant_size_v<Message>) {
-        return WireError {WireErrorCode::UnknownType, "type " + std::to_string(type)};
+        return WireError{WireErrorCode::UnknownType, "type " + std::to_string(type)};
     } else {
         if (type != Index) {
             return decodeAs<Index + 1>(type, fields);
         }
         std::variant_alternative_t<Index, Message> message;
-        Reader reader {fields};
-        message.visit(reader);
-        return Message {std::move(message)};
+        Reader reader{fields};
+        std::decay_t<decltype(message)>::visit(message, reader);
+        return Message{std::move(message)};
     }
 }
 
@@ -226,7 +229,7 @@
     std::visit(
             [&](const auto &typed) {
                 internal::Writer writer;
-                const_cast<std::decay_t<decltype(typed)> &>(typed).visit(writer);
+                std::decay_t<decltype(typed)>::visit(typed, writer);
                 frame.push_back(writer.take());
             },
             message);
@@ -238,16 +241,16 @@
 Result<Message, WireError> decode(std::string_view frame)
 {
     if (frame.size() > kMaxFrameBytes) {
-        return WireError {WireErrorCode::TooLarge, std::to_string(frame.size()) + " bytes"};
+        return WireError{WireErrorCode::TooLarge, std::to_string(frame.size()) + " bytes"};
     }
     auto json = internal::Json::from_cbor(frame.begin(), frame.end(), true, false);
     if (!json.is_array() || json.size() != 2 || !json[0].is_number_unsigned()) {
-        return WireError {WireErrorCode::Malformed, "expected type and fields"};
+        return WireError{WireErrorCode::Malformed, "expected type and fields"};
     }
     try {
         return internal::decodeAs(json[0].get<std::size_t>(), json[1]);
     } catch (const internal::ShapeError &error) {
-        return WireError {WireErrorCode::Malformed, error.what()};
+        return WireError{WireErrorCode::Malformed, error.what()};
     }
 }
 
--- a/src/celeryramp/wire/codec.h
+++ b/src/celeryramp/wire/codec.h
@@ -26,7 +26,8 @@
 };
 
 /*! @brief Error of the wire layer. */
-struct WireError {
+struct WireError
+{
     WireErrorCode code = WireErrorCode::Malformed;
     std::string reason;
 };
--- a/src/celeryramp/wire/ledger_messages.h
+++ b/src/celeryramp/wire/ledger_messages.h
@@ -15,7 +15,8 @@
 };
 
 /*! @brief What a ledger home knows of one idempotency key. */
-struct LedgerRecord {
+struct LedgerRecord
+{
     std::string key; /*!< Account and idempotency key. */
     std::string digest; /*!< Digest of the request. */
     std::string attempt; /*!< The request that holds the reservation. */
@@ -25,24 +26,26 @@
     Bytes body;
     std::uint32_t ttlMs = 0; /*!< Remaining life when sent. */
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(key, digest, attempt, state, status, headers, body, ttlMs);
+        archive(self.key, self.digest, self.attempt, self.state, self.status, self.headers,
+                self.body, self.ttlMs);
     }
 };
 
 /*! @brief Asks a home to reserve a key for an attempt. */
-struct ReserveMessage {
+struct ReserveMessage
+{
     std::uint64_t id = 0;
     std::string key;
     std::string digest;
     std::string attempt;
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(id, key, digest, attempt);
+        archive(self.id, self.key, self.digest, self.attempt);
     }
 };
 
@@ -55,52 +58,56 @@
 };
 
 /*! @brief A home's vote on a reservation. */
-struct VoteMessage {
+struct VoteMessage
+{
     std::uint64_t id = 0;
     std::string home;
     Vote vote = Vote::Abstained;
     std::vector<LedgerRecord> record; /*!< One element for `Held`. */
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(id, home, vote, record);
+        archive(self.id, self.home, self.vote, self.record);
     }
 };
 
 /*! @brief Ends a reservation: with the answer, or as certainly not run. */
-struct CompleteMessage {
+struct CompleteMessage
+{
     LedgerRecord record;
     bool release = false; /*!< The attempt was not run and never will be. */
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(record, release);
+        archive(self.record, self.release);
     }
 };
 
 /*! @brief Asks a home for all records it shares with a new incarnation. */
-struct RecoverMessage {
+struct RecoverMessage
+{
     std::string server;
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(server);
+        archive(self.server);
     }
 };
 
 /*! @brief Records for a recovering home. */
-struct RecordsMessage {
+struct RecordsMessage
+{
     std::string server; /*!< Sender. */
     bool complete = false; /*!< The sender vouches for all its records. */
     std::vector<LedgerRecord> records;
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(server, complete, records);
+        archive(self.server, self.complete, self.records);
     }
 };
 
--- a/src/celeryramp/wire/limit_messages.h
+++ b/src/celeryramp/wire/limit_messages.h
@@ -6,20 +6,22 @@
 namespace celeryramp {
 
 /*! @brief Asks a minter for prepaid tokens. */
-struct TokenRequestMessage {
+struct TokenRequestMessage
+{
     std::uint64_t id = 0;
     std::string account;
     std::int64_t microTokens = 0;
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(id, account, microTokens);
+        archive(self.id, self.account, self.microTokens);
     }
 };
 
 /*! @brief Tokens debited at the minter before this is sent. */
-struct TokenGrantMessage {
+struct TokenGrantMessage
+{
     std::uint64_t id = 0; /*!< Identity of the request. */
     std::string account;
     std::string minter;
@@ -27,10 +29,11 @@
     std::int64_t leftMicroTokens = 0; /*!< Left at the minter. */
     std::uint32_t lifeMs = 0; /*!< Life of the grant, counted from before it was asked for. */
 
-    template <typename Archive>
-    void visit(Archive &archive)
+    template <typename Self, typename Archive>
+    static void visit(Self &self, Archive &archive)
     {
-        archive(id, account, minter, microTokens, leftMicroTokens, lifeMs);
+        archive(self.id, self.account, self.minter, self.microTokens, self.leftMicroTokens,
+                self.lifeMs);
     }
 };
 
--- a/src/celeryramp/wire/outcome.h
+++ b/src/celeryramp/wire/outcome.h
@@ -43,7 +43,8 @@
 };
 
 /*! @brief Text and default HTTP status of a reason. */
-struct ReasonInfo {
+struct ReasonInfo
+{
     Reason reason;
     std::string_view text;
     int status;
--- a/standin/backend/backend.cpp
+++ b/standin/backend/backend.cpp
@@ -20,7 +20,7 @@
 constexpr int kServerError = 500;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
-constexpr celeryramp::Millis kCallOnTimeout {10'000};
+constexpr celeryramp::Millis kCallOnTimeout{10'000};
 
 int intQuery(const HttpRequest &request, const char *name)
 {
@@ -45,8 +45,8 @@
 } // namespace
 
 Backend::Backend(BackendSettings settings)
-    : m_settings {std::move(settings)}, m_journal {m_settings.journal}, m_model {m_settings.model,
-                                                                                 Clock::now()}
+    : m_settings{std::move(settings)}, m_journal{m_settings.journal}, m_model{m_settings.model,
+                                                                              Clock::now()}
 {
     m_journal.write({{"t", wallMicros()},
                      {"event", "up"},
@@ -66,13 +66,13 @@
         return {kOk, {}, "ok", "text/plain", false};
     }
     if (request.path == "/_control/cold") {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         m_model.turnCold(Clock::now());
         m_journal.write({{"t", wallMicros()}, {"event", "cold"}, {"server", m_settings.server}});
         return {kOk, {}, "cold", "text/plain", false};
     }
     if (request.path == "/_control/cancel") {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         m_cancelled.insert(request.query("request"));
         return {kOk, {}, "cancelled", "text/plain", false};
     }
@@ -82,14 +82,15 @@
 HttpResponse Backend::run(const HttpRequest &request)
 {
     const int running = ++m_running;
-    const struct Leave {
+    const struct Leave
+    {
         std::atomic<int> &count;
         ~Leave() { --count; }
-    } leave {m_running};
-    celeryramp::Micros work {0};
+    } leave{m_running};
+    celeryramp::Micros work{0};
     int bears = 0;
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         const auto now = Clock::now();
         bears = m_model.bears(now);
         work = m_model.workTime(now);
@@ -108,7 +109,7 @@
     std::this_thread::sleep_for(work);
     const auto depth = intQuery(request, "depth");
     auto response = depth > 0 ? callOn(request, depth - 1)
-                              : HttpResponse {kOk, {}, "", "text/plain", false};
+                              : HttpResponse{kOk, {}, "", "text/plain", false};
     const bool isLeaf = depth == 0 && request.query("leaf_fail") == "1";
     if (request.query("fail") == "1" || isLeaf) {
         response.status = kServerError + 2;
@@ -126,10 +127,10 @@
 
 HttpResponse Backend::callOn(const HttpRequest &request, int depth) const
 {
-    httplib::Client client {m_settings.inside.host, m_settings.inside.port};
+    httplib::Client client{m_settings.inside.host, m_settings.inside.port};
     client.set_read_timeout(kCallOnTimeout);
     client.set_tcp_nodelay(true);
-    httplib::Headers headers {
+    httplib::Headers headers{
             {celeryramp::kContextHeader, request.header(celeryramp::kContextHeader)},
             {"X-Call-Id", request.header("X-Call-Id")}};
     auto target
--- a/standin/backend/backend.h
+++ b/standin/backend/backend.h
@@ -14,7 +14,8 @@
 namespace standin {
 
 /*! @brief Settings of a simulated backend server. */
-struct BackendSettings {
+struct BackendSettings
+{
     std::string server;
     std::string zone;
     celeryramp::Address inside; /*!< Where its own calls go; port 0 when it makes none. */
@@ -27,7 +28,8 @@
  * `depth=N` calls on through its own node, `fail=1` answers 500, `leaf_fail=1` fails at the end of
  * a chain, `poison=1` ends the process, `garbage=1` answers short.
  */
-class Backend {
+class Backend
+{
 public:
     explicit Backend(BackendSettings settings);
 
@@ -45,7 +47,7 @@
     Journal m_journal;
     std::mutex m_mutex;
     BackendModel m_model;
-    std::atomic<int> m_running {0};
+    std::atomic<int> m_running{0};
     std::set<std::string> m_cancelled;
 };
 
--- a/standin/backend/backend_model.cpp
+++ b/standin/backend/backend_model.cpp
@@ -6,14 +6,13 @@
 
 namespace {
 
-constexpr celeryramp::Millis kOverloadSetback {20};
+constexpr celeryramp::Millis kOverloadSetback{20};
 
 } // namespace
 
 BackendModel::BackendModel(BackendModelSettings settings, celeryramp::TimePoint now)
-    : m_settings {settings}, m_coldAt {now}
-{
-}
+    : m_settings{settings}, m_coldAt{now}
+{ }
 
 void BackendModel::turnCold(celeryramp::TimePoint now)
 {
@@ -29,7 +28,7 @@
 celeryramp::Micros BackendModel::workTime(celeryramp::TimePoint now) const
 {
     const auto factor = 1.0 + (m_settings.coldFactor - 1.0) * (1.0 - warmth(now));
-    return celeryramp::Micros {static_cast<std::int64_t>(double(m_settings.work.count()) * factor)};
+    return celeryramp::Micros{static_cast<std::int64_t>(double(m_settings.work.count()) * factor)};
 }
 
 void BackendModel::onOverload(celeryramp::TimePoint now)
--- a/standin/backend/main.cpp
+++ b/standin/backend/main.cpp
@@ -13,7 +13,7 @@
 
 int main(int argc, char **argv)
 {
-    cxxopts::Options options {"standin-backend", "Stand-in of a backend server"};
+    cxxopts::Options options{"standin-backend", "Stand-in of a backend server"};
     options.add_options()("listen", "IP:port", cxxopts::value<std::string>())(
             "server", "Its name", cxxopts::value<std::string>())(
             "zone", "Its zone", cxxopts::value<std::string>()->default_value(""))(
@@ -47,17 +47,17 @@
         settings.inside = *inside;
     }
     settings.model.slots = parsed["slots"].as<int>();
-    settings.model.work = celeryramp::Micros {parsed["work-us"].as<int>()};
+    settings.model.work = celeryramp::Micros{parsed["work-us"].as<int>()};
     settings.model.coldFactor = parsed["cold-factor"].as<double>();
     settings.model.coldSlots = parsed["cold-slots"].as<int>();
-    settings.model.warmTime = celeryramp::Millis {parsed["warm-ms"].as<int>()};
-    standin::Backend backend {settings};
+    settings.model.warmTime = celeryramp::Millis{parsed["warm-ms"].as<int>()};
+    standin::Backend backend{settings};
     celeryramp::HttpListenerSettings listener;
     listener.address = *address;
     listener.threads = static_cast<std::size_t>(parsed["connections"].as<int>());
-    celeryramp::HttpListener server {listener, [&](const celeryramp::HttpRequest &request) {
-                                         return backend.serve(request);
-                                     }};
+    celeryramp::HttpListener server{listener, [&](const celeryramp::HttpRequest &request) {
+                                        return backend.serve(request);
+                                    }};
     if (const auto started = server.start(); !started) {
         std::cerr << "standin-backend: " << started.error().reason << '\n';
         return 1;
--- a/standin/caller/call_plan.h
+++ b/standin/caller/call_plan.h
@@ -12,7 +12,8 @@
 namespace standin {
 
 /*! @brief One kind of call in the mix. */
-struct CallKind {
+struct CallKind
+{
     std::string name; /*!< Class of work, for the report. */
     double weight = 1.0;
     std::string method = "GET";
@@ -23,7 +24,8 @@
 };
 
 /*! @brief One client account's callers. */
-struct CallingAccount {
+struct CallingAccount
+{
     std::string name;
     std::string key;
     double ratePerSecond = 1.0;
@@ -31,7 +33,8 @@
 };
 
 /*! @brief What a caller does. */
-struct CallPlan {
+struct CallPlan
+{
     std::map<std::string, std::vector<celeryramp::Address>> targets; /*!< By zone. */
     std::vector<CallingAccount> accounts;
     std::vector<CallKind> kinds;
--- a/standin/caller/caller.cpp
+++ b/standin/caller/caller.cpp
@@ -18,8 +18,8 @@
 
 constexpr double kMicros = 1e6;
 constexpr std::int64_t kResendLagMicros = 150'000;
-constexpr std::chrono::milliseconds kConnectTimeout {2000};
-constexpr std::chrono::milliseconds kAnswerTimeout {15'000};
+constexpr std::chrono::milliseconds kConnectTimeout{2000};
+constexpr std::chrono::milliseconds kAnswerTimeout{15'000};
 
 std::string valueAfter(const std::string &text, const std::string &name)
 {
@@ -34,10 +34,11 @@
 } // namespace
 
 /*! One worker's connection to one node at a time. */
-class Connection {
+class Connection
+{
 public:
     Connection(const std::vector<celeryramp::Address> &targets, std::size_t first)
-        : m_targets {targets}, m_next {first}
+        : m_targets{targets}, m_next{first}
     {
         moveOn();
     }
@@ -63,9 +64,10 @@
 };
 
 /*! Arrivals of one zone, taken by its workers in order of time. */
-class Caller::Line {
+class Caller::Line
+{
 public:
-    explicit Line(const std::vector<Arrival> &arrivals) : m_arrivals {arrivals} { }
+    explicit Line(const std::vector<Arrival> &arrivals) : m_arrivals{arrivals} { }
 
     [[nodiscard]] const Arrival *take()
     {
@@ -75,18 +77,18 @@
 
 private:
     const std::vector<Arrival> &m_arrivals;
-    std::atomic<std::size_t> m_next {0};
+    std::atomic<std::size_t> m_next{0};
 };
 
 Caller::Caller(CallPlan plan, const std::string &journal)
-    : m_plan {std::move(plan)}, m_journal {journal}
+    : m_plan{std::move(plan)}, m_journal{journal}
 {
     drawArrivals();
 }
 
 void Caller::drawArrivals()
 {
-    celeryramp::RandomEngine random {m_plan.seed};
+    celeryramp::RandomEngine random{m_plan.seed};
     std::vector<std::string> zones;
     for (const auto &[zone, targets] : m_plan.targets) {
         zones.push_back(zone);
@@ -111,7 +113,7 @@
             }
             const auto &zone
                     = account.zone.empty() ? zones[random.below(zones.size())] : account.zone;
-            Arrival arrival {static_cast<std::int64_t>(at * kMicros), i, kind, ++number, 0};
+            Arrival arrival{static_cast<std::int64_t>(at * kMicros), i, kind, ++number, 0};
             m_arrivals[zone].push_back(arrival);
             if (m_plan.kinds[kind].atMostOnce && random.unit() < m_plan.resendShare) {
                 arrival.send = 1;
@@ -136,7 +138,7 @@
         auto &line = *lines.emplace_back(std::make_unique<Line>(arrivals));
         for (std::size_t i = 0; i < m_plan.threadsPerZone; ++i) {
             threads.emplace_back([this, &line, &targets = m_plan.targets.at(zone), i, start] {
-                Connection connection {targets, i};
+                Connection connection{targets, i};
                 while (const auto *arrival = line.take()) {
                     send(connection, *arrival, start);
                 }
@@ -155,7 +157,7 @@
     const auto dueAt = startMicros + arrival.atMicros;
     const auto early = dueAt - wallMicros();
     if (early > 0) {
-        std::this_thread::sleep_for(std::chrono::microseconds {early});
+        std::this_thread::sleep_for(std::chrono::microseconds{early});
     }
     const auto call = m_plan.name + "-" + std::to_string(arrival.number);
     httplib::Request request;
@@ -174,17 +176,17 @@
     }
     for (int send = arrival.send;; ++send) {
         const auto sentAt = wallMicros();
-        nlohmann::json line {{"t", sentAt},
-                             {"event", "sent"},
-                             {"call", call},
-                             {"send", send},
-                             {"account", account.name},
-                             {"key", account.key.substr(0, account.key.find('.'))},
-                             {"kind", kind.name},
-                             {"path", kind.path},
-                             {"at_most_once", kind.atMostOnce},
-                             {"target_ms", kind.targetMs},
-                             {"node", connection.target().text()}};
+        nlohmann::json line{{"t", sentAt},
+                            {"event", "sent"},
+                            {"call", call},
+                            {"send", send},
+                            {"account", account.name},
+                            {"key", account.key.substr(0, account.key.find('.'))},
+                            {"kind", kind.name},
+                            {"path", kind.path},
+                            {"at_most_once", kind.atMostOnce},
+                            {"target_ms", kind.targetMs},
+                            {"node", connection.target().text()}};
         m_journal.write(line);
         const auto result = connection.client().send(request);
         line["event"] = "end";
--- a/standin/caller/caller.h
+++ b/standin/caller/caller.h
@@ -11,7 +11,8 @@
  * @brief Open-loop load: arrivals are drawn beforehand from the seed, whatever the answers do. Each
  * send gets a `sent` and an `end` line in the journal.
  */
-class Caller {
+class Caller
+{
 public:
     Caller(CallPlan plan, const std::string &journal);
 
@@ -19,7 +20,8 @@
     void run();
 
 private:
-    struct Arrival {
+    struct Arrival
+    {
         std::int64_t atMicros = 0; /*!< After the start. */
         std::size_t account = 0;
         std::size_t kind = 0;
--- a/standin/caller/main.cpp
+++ b/standin/caller/main.cpp
@@ -13,7 +13,7 @@
 
 int main(int argc, char **argv)
 {
-    cxxopts::Options options {"standin-caller", "Open-loop load of client accounts"};
+    cxxopts::Options options{"standin-caller", "Open-loop load of client accounts"};
     options.add_options()("plan", "JSON file that says what to send",
                           cxxopts::value<std::string>())(
             "journal", "File to append each send to",
@@ -25,9 +25,9 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        std::ifstream in {parsed["plan"].as<std::string>()};
+        std::ifstream in{parsed["plan"].as<std::string>()};
         auto plan = standin::readCallPlan(nlohmann::json::parse(in));
-        standin::Caller caller {std::move(plan), parsed["journal"].as<std::string>()};
+        standin::Caller caller{std::move(plan), parsed["journal"].as<std::string>()};
         caller.run();
         return 0;
     } catch (const std::exception &error) {
--- a/standin/checker/checker.cpp
+++ b/standin/checker/checker.cpp
@@ -178,6 +178,19 @@
     }
 }
 
+void checkVersions(const RunHistory &history, Violations &violations)
+{
+    for (const auto &[server, versions] : history.versions) {
+        for (std::size_t i = 1; i < versions.size(); ++i) {
+            if (versions[i] < versions[i - 1]) {
+                tell(violations, "version-back",
+                     server + " went from " + std::to_string(versions[i - 1]) + " to "
+                             + std::to_string(versions[i]));
+            }
+        }
+    }
+}
+
 SendRecord sendOf(const nlohmann::json &line)
 {
     SendRecord send;
@@ -191,10 +204,10 @@
     send.targetMs = line.at("target_ms").get<double>();
     send.sentAt = line.at("t").get<std::int64_t>();
     send.dueAt = line.value("due", send.sentAt);
-    send.endAt = line.value("end", std::int64_t {0});
-    send.outcome = line.value("outcome", std::string {});
-    send.reason = line.value("reason", std::string {});
-    send.request = line.value("request", std::string {});
+    send.endAt = line.value("end", std::int64_t{0});
+    send.outcome = line.value("outcome", std::string{});
+    send.reason = line.value("reason", std::string{});
+    send.request = line.value("request", std::string{});
     send.status = line.value("status", 0);
     send.own = line.value("own", false);
     send.replayed = line.value("replayed", false);
@@ -207,11 +220,11 @@
     run.at = line.at("t").get<std::int64_t>();
     run.event = line.at("event").get<std::string>();
     run.server = line.at("server").get<std::string>();
-    run.zone = line.value("zone", std::string {});
-    run.request = line.value("request", std::string {});
-    run.call = line.value("call", std::string {});
-    run.account = line.value("account", std::string {});
-    run.path = line.value("path", std::string {});
+    run.zone = line.value("zone", std::string{});
+    run.request = line.value("request", std::string{});
+    run.call = line.value("call", std::string{});
+    run.account = line.value("account", std::string{});
+    run.path = line.value("path", std::string{});
     run.keySeen = line.value("key_seen", false);
     return run;
 }
@@ -234,19 +247,20 @@
         checkRate(account, limit, history, starts, violations);
     }
     checkAccountedFor(history, violations);
+    checkVersions(history, violations);
     return violations;
 }
 
 void readJournal(const std::string &path, RunHistory &history)
 {
     std::map<std::pair<std::string, int>, std::size_t> places;
-    std::ifstream in {path};
+    std::ifstream in{path};
     for (std::string text; std::getline(in, text);) {
         const auto line = nlohmann::json::parse(text, nullptr, false);
         if (!line.is_object()) {
             continue; // the writer was killed in mid-line
         }
-        const auto event = line.value("event", std::string {});
+        const auto event = line.value("event", std::string{});
         if (!line.contains("node")) {
             history.runs.push_back(runOf(line));
             continue;
--- a/standin/checker/checker.h
+++ b/standin/checker/checker.h
@@ -8,7 +8,8 @@
 namespace standin {
 
 /*! @brief One send of a call, from a caller's journal. */
-struct SendRecord {
+struct SendRecord
+{
     std::string call;
     int send = 0;
     std::string account;
@@ -29,7 +30,8 @@
 };
 
 /*! @brief One line of a backend server's journal. */
-struct RunRecord {
+struct RunRecord
+{
     std::int64_t at = 0;
     std::string event; /*!< `up`, `start`, `end`, `shed` or `cold`. */
     std::string server;
@@ -42,30 +44,35 @@
 };
 
 /*! @brief A span of time in which something must not happen. */
-struct ForbiddenSpan {
+struct ForbiddenSpan
+{
     std::string name; /*!< A zone, a key id or a server. */
     std::int64_t from = 0; /*!< When operators said so. */
     std::int64_t until = 0;
 };
 
 /*! @brief A client account's limit. */
-struct RateLimit {
+struct RateLimit
+{
     double rate = 0.0;
     double burst = 0.0;
 };
 
 /*! @brief All that happened in one run. */
-struct RunHistory {
+struct RunHistory
+{
     std::vector<SendRecord> sends;
     std::vector<RunRecord> runs;
     std::vector<ForbiddenSpan> zonesOut;
     std::vector<ForbiddenSpan> keysWithdrawn;
     std::vector<ForbiddenSpan> serversLeaving;
     std::map<std::string, RateLimit> limits;
+    std::map<std::string, std::vector<std::uint64_t>> versions; /*!< In force, by server. */
 };
 
 /*! @brief A broken promise. */
-struct Violation {
+struct Violation
+{
     std::string promise; /*!< Short name, as in docs/PROMISES.md. */
     std::string text;
 };
--- a/standin/common/journal.cpp
+++ b/standin/common/journal.cpp
@@ -24,7 +24,7 @@
         return;
     }
     const auto text = line.dump() + "\n";
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     std::fwrite(text.data(), 1, text.size(), m_file);
     std::fflush(m_file);
 }
--- a/standin/common/journal.h
+++ b/standin/common/journal.h
@@ -10,7 +10,8 @@
 
 /*! @brief Appends JSON lines to a file; each line is on its way to the kernel when `write` returns.
  */
-class Journal {
+class Journal
+{
 public:
     /*! @param path File to append to; an empty path writes nothing. */
     explicit Journal(const std::string &path);
