--- a/standin/lab/deployment.cpp
+++ b/standin/lab/deployment.cpp
@@ -14,7 +14,8 @@
 constexpr std::uint16_t kPortsPerServer = 5;
 constexpr const char *kHost = "127.0.0.1";
 
-struct ClassShape {
+struct ClassShape
+{
     const char *name;
     int latencyMs;
     double success;
@@ -22,9 +23,9 @@
     int deadlineMs;
 };
 
-constexpr ClassShape kIdempotentClass {"lookup", 50, 0.999, "idempotent", 1000};
-constexpr ClassShape kOnceClass {"record", 150, 0.999, "at-most-once", 3000};
-constexpr ClassShape kChainClass {"chain", 400, 0.99, "idempotent", 5000};
+constexpr ClassShape kIdempotentClass{"lookup", 50, 0.999, "idempotent", 1000};
+constexpr ClassShape kOnceClass{"record", 150, 0.999, "at-most-once", 3000};
+constexpr ClassShape kChainClass{"chain", 400, 0.99, "idempotent", 5000};
 
 nlohmann::json classJson(const ClassShape &shape)
 {
@@ -58,7 +59,7 @@
         shape.slots = 18;
         return shape;
     }
-    throw std::invalid_argument {"no deployment named " + name + "; known: souss, hokkaido"};
+    throw std::invalid_argument{"no deployment named " + name + "; known: souss, hokkaido"};
 }
 
 DeploymentShape fleetShape(int nodes)
@@ -73,7 +74,7 @@
     return shape;
 }
 
-Deployment::Deployment(DeploymentShape shape, std::uint16_t basePort) : m_shape {std::move(shape)}
+Deployment::Deployment(DeploymentShape shape, std::uint16_t basePort) : m_shape{std::move(shape)}
 {
     m_platform = at(basePort);
     auto port = static_cast<std::uint16_t>(basePort + 1);
@@ -82,8 +83,9 @@
         for (int i = 0; i < m_shape.serversPerService; ++i) {
             const auto &zone = m_shape.zones[static_cast<std::size_t>(i) % m_shape.zones.size()];
             ServerPlace place;
-            place.name = service + "-" + zone + "-"
-                    + std::to_string(static_cast<std::size_t>(i) / m_shape.zones.size() + 1);
+            const auto round = static_cast<std::size_t>(i) / m_shape.zones.size() + 1;
+            place.name = service;
+            place.name.append("-").append(zone).append("-").append(std::to_string(round));
             place.service = service;
             place.zone = zone;
             place.callers = at(port);
@@ -164,7 +166,7 @@
             return place;
         }
     }
-    throw std::invalid_argument {"no server named " + name};
+    throw std::invalid_argument{"no server named " + name};
 }
 
 std::map<std::string, std::string> Deployment::parts() const
--- a/standin/lab/deployment.h
+++ b/standin/lab/deployment.h
@@ -12,7 +12,8 @@
 namespace standin {
 
 /*! @brief Size and shape of a site. */
-struct DeploymentShape {
+struct DeploymentShape
+{
     std::string name;
     std::vector<std::string> zones;
     std::vector<std::string> services;
@@ -33,7 +34,8 @@
 [[nodiscard]] DeploymentShape fleetShape(int nodes);
 
 /*! @brief One server with its node, and all its addresses. */
-struct ServerPlace {
+struct ServerPlace
+{
     std::string name;
     std::string service;
     std::string zone;
@@ -45,7 +47,8 @@
 };
 
 /*! @brief One client account with a key that only its callers know. */
-struct AccountPlace {
+struct AccountPlace
+{
     std::string name;
     std::string keyId;
     std::string key; /*!< `id.secret`. */
@@ -54,7 +57,8 @@
 };
 
 /*! @brief A whole site: places, published parts and settings files. */
-class Deployment {
+class Deployment
+{
 public:
     /*! @param basePort First of the ports used. */
     Deployment(DeploymentShape shape, std::uint16_t basePort);
--- a/standin/lab/main.cpp
+++ b/standin/lab/main.cpp
@@ -22,7 +22,7 @@
 /*! Ends all children and this process when asked to, whatever the scenario is doing. */
 void endOnSignal(standin::Site &site)
 {
-    std::thread {[&site] {
+    std::thread{[&site] {
         standin::waitForEnd();
         site.processes().killAll();
         _exit(kExitInterrupted);
@@ -33,7 +33,7 @@
 
 int main(int argc, char **argv)
 {
-    cxxopts::Options options {"standin-lab", "Runs a scenario over a whole site"};
+    cxxopts::Options options{"standin-lab", "Runs a scenario over a whole site"};
     options.add_options()("scenario", "TOML file", cxxopts::value<std::string>())(
             "deployment", "souss or hokkaido", cxxopts::value<std::string>()->default_value(""))(
             "programs", "Folder of the programs",
@@ -52,16 +52,16 @@
     }
     standin::blockEndingSignals();
     try {
-        standin::Scenario scenario {parsed["scenario"].as<std::string>()};
+        standin::Scenario scenario{parsed["scenario"].as<std::string>()};
         auto name = parsed["deployment"].as<std::string>();
         name = !name.empty() ? name : scenario.deployment();
         auto shape = standin::knownShape(name.empty() ? "souss" : name);
         scenario.adjust(shape);
-        standin::Site site {shape,
-                            {parsed["programs"].as<std::string>(),
-                             parsed["certs"].as<std::string>(), parsed["out"].as<std::string>()},
-                            parsed["port"].as<std::uint16_t>(),
-                            scenario.tuning()};
+        standin::Site site{shape,
+                           {parsed["programs"].as<std::string>(), parsed["certs"].as<std::string>(),
+                            parsed["out"].as<std::string>()},
+                           parsed["port"].as<std::uint16_t>(),
+                           scenario.tuning()};
         endOnSignal(site);
         if (!site.start(kStartTimeoutMs)) {
             std::cerr << "standin-lab: the site did not become ready; see " << site.out() << '\n';
--- a/standin/lab/process_table.cpp
+++ b/standin/lab/process_table.cpp
@@ -57,7 +57,7 @@
     posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
-        throw std::runtime_error {"cannot start " + command.front()};
+        throw std::runtime_error{"cannot start " + command.front()};
     }
     m_pids[name] = pid;
 }
@@ -81,7 +81,7 @@
             m_pids.erase(it);
             return exitCode(status);
         }
-        std::this_thread::sleep_for(std::chrono::milliseconds {kPollMs});
+        std::this_thread::sleep_for(std::chrono::milliseconds{kPollMs});
     }
     return -1;
 }
--- a/standin/lab/process_table.h
+++ b/standin/lab/process_table.h
@@ -9,7 +9,8 @@
 namespace standin {
 
 /*! @brief Child processes of the lab by name; all are ended, by process id, when it goes. */
-class ProcessTable {
+class ProcessTable
+{
 public:
     ProcessTable() = default;
     ~ProcessTable();
--- a/standin/lab/report.cpp
+++ b/standin/lab/report.cpp
@@ -11,7 +11,8 @@
 constexpr std::size_t kMaxTold = 20;
 constexpr double kMicrosPerMilli = 1000.0;
 
-struct Row {
+struct Row
+{
     std::size_t calls = 0;
     std::size_t answered = 0;
     std::size_t notRun = 0;
--- a/standin/lab/scenario.cpp
+++ b/standin/lab/scenario.cpp
@@ -41,7 +41,7 @@
     std::vector<std::string> items;
     if (const auto *array = table[key].as_array()) {
         for (const auto &element : *array) {
-            items.push_back(element.value_or(std::string {}));
+            items.push_back(element.value_or(std::string{}));
         }
     }
     return items;
@@ -50,9 +50,9 @@
 /*! `{first}`, `{second}` and so on stand for the services of the deployment. */
 std::string fillServices(std::string path, const DeploymentShape &shape)
 {
-    constexpr std::array kNames {"{first}", "{second}", "{third}", "{fourth}"};
+    constexpr std::array kNames{"{first}", "{second}", "{third}", "{fourth}"};
     for (std::size_t i = 0; i < kNames.size() && i < shape.services.size(); ++i) {
-        const std::string name {kNames[i]};
+        const std::string name{kNames[i]};
         if (const auto at = path.find(name); at != std::string::npos) {
             path.replace(at, name.size(), shape.services[i]);
         }
@@ -73,7 +73,7 @@
 
 } // namespace
 
-Scenario::Scenario(const std::string &path) : m_table {toml::parse_file(path)} { }
+Scenario::Scenario(const std::string &path) : m_table{toml::parse_file(path)} { }
 
 std::string Scenario::deployment() const
 {
@@ -108,7 +108,7 @@
     if (const auto *steps = m_table["step"].as_array()) {
         for (const auto &entry : *steps) {
             const auto &step = *entry.as_table();
-            const std::chrono::milliseconds at {integer(step, "at_ms", 0)};
+            const std::chrono::milliseconds at{integer(step, "at_ms", 0)};
             std::this_thread::sleep_until(start + at);
             perform(site, step);
         }
@@ -119,6 +119,7 @@
         }
     }
     site.readJournals();
+    site.history().versions = site.versionsInForce();
     m_report.violations = checkHistory(site.history());
     checkExpectations(site);
     return m_report;
@@ -161,31 +162,32 @@
 
 void Scenario::perform(Site &site, const toml::table &step)
 {
-    struct Entry {
+    struct Entry
+    {
         const char *name;
         Action action;
     };
-    static constexpr std::array kActions {Entry {"publish", &Scenario::publish},
-                                          Entry {"publish-bad", &Scenario::publishBad},
-                                          Entry {"withdraw-key", &Scenario::withdrawKey},
-                                          Entry {"zone-out", &Scenario::zoneOut},
-                                          Entry {"zone-in", &Scenario::zoneIn},
-                                          Entry {"set-rate", &Scenario::setRate},
-                                          Entry {"kill-nodes", &Scenario::killNodes},
-                                          Entry {"start-nodes", &Scenario::startNodes},
-                                          Entry {"stop-nodes", &Scenario::stopNodes},
-                                          Entry {"freeze-nodes", &Scenario::freezeNodes},
-                                          Entry {"thaw-nodes", &Scenario::thawNodes},
-                                          Entry {"kill-backends", &Scenario::killBackends},
-                                          Entry {"start-backends", &Scenario::startBackends},
-                                          Entry {"turn-cold", &Scenario::turnCold},
-                                          Entry {"cut", &Scenario::cut},
-                                          Entry {"heal", &Scenario::heal},
-                                          Entry {"platform", &Scenario::platformFault},
-                                          Entry {"list-leaving", &Scenario::listLeaving},
-                                          Entry {"expect-version", &Scenario::expectVersion},
-                                          Entry {"expect-state", &Scenario::expectState},
-                                          Entry {"call", &Scenario::call}};
+    static constexpr std::array kActions{Entry{"publish", &Scenario::publish},
+                                         Entry{"publish-bad", &Scenario::publishBad},
+                                         Entry{"withdraw-key", &Scenario::withdrawKey},
+                                         Entry{"zone-out", &Scenario::zoneOut},
+                                         Entry{"zone-in", &Scenario::zoneIn},
+                                         Entry{"set-rate", &Scenario::setRate},
+                                         Entry{"kill-nodes", &Scenario::killNodes},
+                                         Entry{"start-nodes", &Scenario::startNodes},
+                                         Entry{"stop-nodes", &Scenario::stopNodes},
+                                         Entry{"freeze-nodes", &Scenario::freezeNodes},
+                                         Entry{"thaw-nodes", &Scenario::thawNodes},
+                                         Entry{"kill-backends", &Scenario::killBackends},
+                                         Entry{"start-backends", &Scenario::startBackends},
+                                         Entry{"turn-cold", &Scenario::turnCold},
+                                         Entry{"cut", &Scenario::cut},
+                                         Entry{"heal", &Scenario::heal},
+                                         Entry{"platform", &Scenario::platformFault},
+                                         Entry{"list-leaving", &Scenario::listLeaving},
+                                         Entry{"expect-version", &Scenario::expectVersion},
+                                         Entry{"expect-state", &Scenario::expectState},
+                                         Entry{"call", &Scenario::call}};
     const auto name = text(step, "do");
     for (const auto &entry : kActions) {
         if (name == entry.name) {
@@ -193,7 +195,7 @@
             return;
         }
     }
-    throw std::invalid_argument {"no step named " + name};
+    throw std::invalid_argument{"no step named " + name};
 }
 
 std::vector<std::string> Scenario::servers(const Site &site, const toml::table &step) const
@@ -240,7 +242,7 @@
 {
     auto parts = site.deployment().parts();
     const auto kind = text(step, "kind", "truncated");
-    nlohmann::json body {{"transient", true}};
+    nlohmann::json body{{"transient", true}};
     if (kind == "truncated") {
         body["parts"] = {{"services", parts["services"].substr(0, parts["services"].size() / 2)}};
     } else if (kind == "dangling") {
@@ -403,14 +405,16 @@
 
 void Scenario::platformFault(Site &site, const toml::table &step)
 {
-    site.platform("/admin/faults?" + text(step, "faults"));
+    site.askPlatform("/admin/faults?" + text(step, "faults"));
 }
 
 void Scenario::listLeaving(Site &site, const toml::table &step)
 {
     const auto state = text(step, "state", "leaving");
     for (const auto &server : servers(site, step)) {
-        site.platform("/admin/instance?server=" + server + "&state=" + state);
+        auto query = std::string{"/admin/instance?server="};
+        query.append(server).append("&state=").append(state);
+        site.askPlatform(query);
         if (state == "leaving") {
             site.history().serversLeaving.push_back(
                     {server, wallMicros(), std::numeric_limits<std::int64_t>::max()});
@@ -435,11 +439,11 @@
 /*! Compares a member of `/state`, by JSON pointer, with `equals`, `at_least` or `at_most`. */
 void Scenario::expectState(Site &site, const toml::table &step)
 {
-    const auto pointer = nlohmann::json::json_pointer {text(step, "pointer")};
+    const auto pointer = nlohmann::json::json_pointer{text(step, "pointer")};
     for (const auto &server : servers(site, step)) {
         const auto state = site.state(server);
         const auto value = state.is_object() && state.contains(pointer) ? state.at(pointer)
-                                                                        : nlohmann::json {};
+                                                                        : nlohmann::json{};
         const auto place = server + " " + text(step, "pointer") + " is " + value.dump();
         if (const auto wanted = step["equals"].value<std::string>();
             wanted && value.dump() != *wanted) {
@@ -460,10 +464,10 @@
 void Scenario::call(Site &site, const toml::table &step)
 {
     const auto &place = site.deployment().server(text(step, "server"));
-    httplib::Client client {place.callers.host, place.callers.port};
-    client.set_read_timeout(std::chrono::seconds {10});
+    httplib::Client client{place.callers.host, place.callers.port};
+    client.set_read_timeout(std::chrono::seconds{10});
     const auto id = "hand-" + std::to_string(++m_calls);
-    httplib::Headers headers {{"X-Call-Id", id}};
+    httplib::Headers headers{{"X-Call-Id", id}};
     for (const auto &account : site.deployment().accounts()) {
         if (account.name == text(step, "account")) {
             headers.emplace(celeryramp::kKeyHeader, "Bearer " + account.key);
@@ -479,7 +483,7 @@
             : client.Get(path, headers);
     const auto status = result ? result->status : 0;
     const auto outcome
-            = result ? result->get_header_value(celeryramp::kOutcomeHeader) : std::string {"lost"};
+            = result ? result->get_header_value(celeryramp::kOutcomeHeader) : std::string{"lost"};
     const auto wanted = integer(step, "status", 200);
     if (status != wanted) {
         fail("call " + method + " " + path + " got " + std::to_string(status) + " " + outcome
--- a/standin/lab/scenario.h
+++ b/standin/lab/scenario.h
@@ -11,7 +11,8 @@
 namespace standin {
 
 /*! @brief What a scenario found. */
-struct ScenarioReport {
+struct ScenarioReport
+{
     std::vector<Convergence> convergences;
     std::vector<Violation> violations;
     std::vector<std::string> failures; /*!< Expectations that did not come true. */
@@ -22,7 +23,8 @@
  *
  * The language is described in docs/SCENARIOS.md.
  */
-class Scenario {
+class Scenario
+{
 public:
     /*! @param path TOML file. Throws on a file that cannot be read or parsed. */
     explicit Scenario(const std::string &path);
--- a/standin/lab/site.cpp
+++ b/standin/lab/site.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -15,8 +16,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kPoll {30};
-constexpr std::chrono::milliseconds kHttpTimeout {1500};
+constexpr std::chrono::milliseconds kPoll{30};
+constexpr std::chrono::milliseconds kHttpTimeout{1500};
 constexpr int kOk = 200;
 
 void pauseBriefly()
@@ -26,7 +27,7 @@
 
 httplib::Client clientOf(const celeryramp::Address &address)
 {
-    httplib::Client client {address.host, address.port};
+    httplib::Client client{address.host, address.port};
     client.set_connection_timeout(kHttpTimeout);
     client.set_read_timeout(kHttpTimeout);
     return client;
@@ -51,11 +52,11 @@
     }
     std::sort(sorted.begin(), sorted.end());
     const auto last = double(sorted.size() - 1);
-    return sorted[static_cast<std::size_t>(q * last + 0.5)];
+    return sorted[static_cast<std::size_t>(std::lround(q * last))];
 }
 
 Site::Site(DeploymentShape shape, SitePaths paths, std::uint16_t basePort, BackendTuning tuning)
-    : m_deployment {std::move(shape), basePort}, m_paths {std::move(paths)}, m_tuning {tuning}
+    : m_deployment{std::move(shape), basePort}, m_paths{std::move(paths)}, m_tuning{tuning}
 {
     std::filesystem::remove_all(m_paths.out);
     std::filesystem::create_directories(m_paths.out);
@@ -112,9 +113,9 @@
 
 nlohmann::json Site::publishRaw(const nlohmann::json &body)
 {
-    auto answer = platform("/admin/publish", body.dump());
+    auto answer = askPlatform("/admin/publish", body.dump());
     if (!answer.is_object()) {
-        throw std::runtime_error {"the platform stand-in does not answer"};
+        throw std::runtime_error{"the platform stand-in does not answer"};
     }
     m_publishedAt[answer.at("version").get<std::uint64_t>()]
             = answer.at("unix_ms").get<std::int64_t>();
@@ -124,7 +125,7 @@
 Convergence Site::awaitVersion(const std::string &change, std::uint64_t version, int timeoutMs,
                                const std::vector<std::string> &servers)
 {
-    Convergence convergence {change, version, {}};
+    Convergence convergence{change, version, {}};
     std::vector<std::string> waiting = servers;
     if (waiting.empty()) {
         for (const auto &place : m_deployment.servers()) {
@@ -134,21 +135,20 @@
     const auto until = nowMillis() + timeoutMs;
     while (!waiting.empty() && nowMillis() < until) {
         pauseBriefly();
-        waiting.erase(
-                std::remove_if(waiting.begin(), waiting.end(),
-                               [&](const std::string &server) {
-                                   const auto seen = status(server);
-                                   if (!seen.is_object()
-                                       || seen.value("version", std::uint64_t {0}) < version) {
-                                       return false;
-                                   }
-                                   const auto since
-                                           = seen.value("in_force_since_unix_ms", std::int64_t {0});
-                                   convergence.millis[server]
-                                           = double(since - m_publishedAt[version]);
-                                   return true;
-                               }),
-                waiting.end());
+        waiting.erase(std::remove_if(waiting.begin(), waiting.end(),
+                                     [&](const std::string &server) {
+                                         const auto seen = status(server);
+                                         if (!seen.is_object()
+                                             || seen.value("version", std::uint64_t{0}) < version) {
+                                             return false;
+                                         }
+                                         const auto since = seen.value("in_force_since_unix_ms",
+                                                                       std::int64_t{0});
+                                         convergence.millis[server]
+                                                 = double(since - m_publishedAt[version]);
+                                         return true;
+                                     }),
+                      waiting.end());
     }
     return convergence;
 }
@@ -156,8 +156,8 @@
 void Site::startNode(const std::string &server, bool firstStart)
 {
     const auto path = m_paths.out + "/" + server + ".toml";
-    std::ofstream {path} << m_deployment.settings(m_deployment.server(server), m_paths.certs,
-                                                  firstStart, "info");
+    std::ofstream{path} << m_deployment.settings(m_deployment.server(server), m_paths.certs,
+                                                 firstStart, "info");
     m_processes.start(nodeName(server), {m_paths.programs + "/celeryrampd", "--settings", path},
                       m_paths.out + "/" + server + ".log");
 }
@@ -199,11 +199,11 @@
     client.Put("/faults?" + query, "", "text/plain");
 }
 
-nlohmann::json Site::platform(const std::string &pathAndQuery, const std::string &body) const
+nlohmann::json Site::askPlatform(const std::string &pathAndQuery, const std::string &body)
 {
     auto client = clientOf(m_deployment.platform());
     const auto result = client.Put(pathAndQuery, body, "application/json");
-    return result ? nlohmann::json::parse(result->body, nullptr, false) : nlohmann::json {};
+    return result ? nlohmann::json::parse(result->body, nullptr, false) : nlohmann::json{};
 }
 
 void Site::backendControl(const std::string &server, const std::string &what) const
@@ -215,7 +215,7 @@
 void Site::startCaller(const std::string &name, const nlohmann::json &plan)
 {
     const auto path = m_paths.out + "/" + name + ".json";
-    std::ofstream {path} << plan.dump(2);
+    std::ofstream{path} << plan.dump(2);
     m_processes.start(name,
                       {m_paths.programs + "/standin-caller", "--plan", path, "--journal",
                        m_paths.out + "/" + name + ".jsonl"},
@@ -233,19 +233,34 @@
 
 void Site::readJournals()
 {
-    for (const auto &entry : std::filesystem::directory_iterator {m_paths.out}) {
+    for (const auto &entry : std::filesystem::directory_iterator{m_paths.out}) {
         if (entry.path().extension() == ".jsonl") {
             readJournal(entry.path().string(), m_history);
         }
     }
 }
 
+std::map<std::string, std::vector<std::uint64_t>> Site::versionsInForce() const
+{
+    const std::string mark = "config-in-force version=";
+    std::map<std::string, std::vector<std::uint64_t>> versions;
+    for (const auto &place : m_deployment.servers()) {
+        std::ifstream in{m_paths.out + "/" + place.name + ".log"};
+        for (std::string line; std::getline(in, line);) {
+            if (const auto at = line.find(mark); at != std::string::npos) {
+                versions[place.name].push_back(std::stoull(line.substr(at + mark.size())));
+            }
+        }
+    }
+    return versions;
+}
+
 nlohmann::json Site::get(const celeryramp::Address &address, const std::string &path) const
 {
     auto client = clientOf(address);
     const auto result = client.Get(path);
     return result && result->status == kOk ? nlohmann::json::parse(result->body, nullptr, false)
-                                           : nlohmann::json {};
+                                           : nlohmann::json{};
 }
 
 bool Site::awaitPort(const celeryramp::Address &address, const std::string &path,
--- a/standin/lab/site.h
+++ b/standin/lab/site.h
@@ -16,21 +16,24 @@
 namespace standin {
 
 /*! @brief Where the lab finds programs and puts files. */
-struct SitePaths {
+struct SitePaths
+{
     std::string programs; /*!< Folder of the built programs. */
     std::string certs;
     std::string out; /*!< Logs, settings and journals; emptied at start. */
 };
 
 /*! @brief How backend servers of a site behave. */
-struct BackendTuning {
+struct BackendTuning
+{
     int workMicros = 2000;
     int warmMs = 1000;
     double coldFactor = 4.0;
 };
 
 /*! @brief When a version came in force on each node, after its publication. */
-struct Convergence {
+struct Convergence
+{
     std::string change;
     std::uint64_t version = 0;
     std::map<std::string, double> millis; /*!< By server; nodes that lack it are absent. */
@@ -40,7 +43,8 @@
 };
 
 /*! @brief A running deployment: platform, backend servers, nodes, callers. */
-class Site {
+class Site
+{
 public:
     Site(DeploymentShape shape, SitePaths paths, std::uint16_t basePort, BackendTuning tuning);
 
@@ -81,7 +85,7 @@
     void setFaults(const std::string &server, const std::string &query) const;
 
     /*! @brief Sends an admin request to the platform. @return Its answer. */
-    nlohmann::json platform(const std::string &pathAndQuery, const std::string &body = "{}") const;
+    nlohmann::json askPlatform(const std::string &pathAndQuery, const std::string &body = "{}");
 
     /*! @brief Sends a control request to a backend server. */
     void backendControl(const std::string &server, const std::string &what) const;
@@ -95,6 +99,9 @@
     /*! @brief Reads all journals into the history. */
     void readJournals();
 
+    /*! @return Versions that came in force on each server's node, over all its incarnations. */
+    [[nodiscard]] std::map<std::string, std::vector<std::uint64_t>> versionsInForce() const;
+
     [[nodiscard]] RunHistory &history() { return m_history; }
     [[nodiscard]] const std::string &out() const { return m_paths.out; }
 
--- a/standin/platform/main.cpp
+++ b/standin/platform/main.cpp
@@ -14,7 +14,7 @@
 
 int main(int argc, char **argv)
 {
-    cxxopts::Options options {"standin-platform", "Stand-in of the configuration service"};
+    cxxopts::Options options{"standin-platform", "Stand-in of the configuration service"};
     options.add_options()("listen", "IP:port", cxxopts::value<std::string>())(
             "threads", "Requests and watches held at a time",
             cxxopts::value<std::size_t>()->default_value("64"))("help", "Print this help");
@@ -34,10 +34,10 @@
     settings.address = *address;
     settings.threads = parsed["threads"].as<std::size_t>();
     settings.maxBodyBytes = 16 * 1024 * 1024;
-    settings.keepAlive = celeryramp::Millis {30'000};
-    celeryramp::HttpListener listener {settings, [&](const celeryramp::HttpRequest &request) {
-                                           return platform.serve(request);
-                                       }};
+    settings.keepAlive = celeryramp::Millis{30'000};
+    celeryramp::HttpListener listener{settings, [&](const celeryramp::HttpRequest &request) {
+                                          return platform.serve(request);
+                                      }};
     if (const auto started = listener.start(); !started) {
         std::cerr << "standin-platform: " << started.error().reason << '\n';
         return 1;
--- a/standin/platform/platform.cpp
+++ b/standin/platform/platform.cpp
@@ -49,9 +49,9 @@
 
 HttpResponse Platform::read(const HttpRequest &request)
 {
-    Millis slow {0};
+    Millis slow{0};
     {
-        const std::lock_guard lock {m_mutex};
+        const std::lock_guard lock{m_mutex};
         countRead();
         if (m_faults.outage) {
             return text(kUnavailable, "{}");
@@ -79,11 +79,11 @@
 HttpResponse Platform::manifest(const HttpRequest &request)
 {
     const auto known = number(request.query("not"));
-    const Millis wait {static_cast<std::int64_t>(number(request.query("wait_ms")))};
-    std::unique_lock lock {m_mutex};
+    const Millis wait{static_cast<std::int64_t>(number(request.query("wait_ms")))};
+    std::unique_lock lock{m_mutex};
     const auto versionServed = [this] {
         const auto &served = servedManifest();
-        return served.empty() ? std::uint64_t {0}
+        return served.empty() ? std::uint64_t{0}
                               : celeryramp::parseManifest(served).value().version;
     };
     if (known != 0 && versionServed() == known) {
@@ -116,19 +116,19 @@
 
 HttpResponse Platform::part(const std::string &hash)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     const auto it = m_parts.find(hash);
     return it == m_parts.end() ? text(kNotFound, "{}") : text(kOk, it->second);
 }
 
 HttpResponse Platform::instances()
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     auto list = nlohmann::json::array();
     for (const auto &[server, state] : m_instances) {
         list.push_back({{"server", server}, {"state", state}});
     }
-    return text(kOk, nlohmann::json {{"index", m_instanceIndex}, {"instances", list}}.dump());
+    return text(kOk, nlohmann::json{{"index", m_instanceIndex}, {"instances", list}}.dump());
 }
 
 HttpResponse Platform::admin(const HttpRequest &request)
@@ -160,7 +160,7 @@
     }
     const auto changed = json.value("parts", nlohmann::json::object());
     const auto hashes = json.value("hashes", nlohmann::json::object());
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     auto parts = m_latest;
     for (const auto &[name, value] : changed.items()) {
         parts[name] = value.get<std::string>();
@@ -185,15 +185,15 @@
     }
     m_changed.notify_all();
     return text(kOk,
-                nlohmann::json {{"version", manifest.version},
-                                {"digest", manifest.digest()},
-                                {"unix_ms", wallMicros() / 1000}}
+                nlohmann::json{{"version", manifest.version},
+                               {"digest", manifest.digest()},
+                               {"unix_ms", wallMicros() / 1000}}
                         .dump());
 }
 
 HttpResponse Platform::setFaults(const HttpRequest &request)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     m_faults.outage = request.query("outage") == "1";
     m_faults.crossed = request.query("crossed") == "1";
     const bool stale = request.query("stale") == "1";
@@ -201,14 +201,14 @@
         m_staleManifest = m_manifests.back();
     }
     m_faults.stale = stale;
-    m_faults.slow = Millis {static_cast<std::int64_t>(number(request.query("slow_ms")))};
+    m_faults.slow = Millis{static_cast<std::int64_t>(number(request.query("slow_ms")))};
     m_changed.notify_all();
     return text(kOk, "{}");
 }
 
 HttpResponse Platform::setInstance(const HttpRequest &request)
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     m_instances[request.query("server")] = request.query("state");
     ++m_instanceIndex;
     return text(kOk, "{}");
@@ -216,13 +216,13 @@
 
 HttpResponse Platform::stats()
 {
-    const std::lock_guard lock {m_mutex};
+    const std::lock_guard lock{m_mutex};
     return text(kOk,
-                nlohmann::json {{"reads", m_reads},
-                                {"waiting", m_waiting},
-                                {"refused", m_refused},
-                                {"most_per_second", m_mostPerSecond},
-                                {"version", m_version}}
+                nlohmann::json{{"reads", m_reads},
+                               {"waiting", m_waiting},
+                               {"refused", m_refused},
+                               {"most_per_second", m_mostPerSecond},
+                               {"version", m_version}}
                         .dump());
 }
 
--- a/standin/platform/platform.h
+++ b/standin/platform/platform.h
@@ -15,17 +15,19 @@
  * @brief Stand-in of the platform's configuration service: versioned read, long-poll watch, a
  * lagging list of instances, and faults. Readers use `/v1`; operators and tests use `/admin`.
  */
-class Platform {
+class Platform
+{
 public:
     /*! @brief Answers one request; watches block the calling thread. */
     [[nodiscard]] celeryramp::HttpResponse serve(const celeryramp::HttpRequest &request);
 
 private:
-    struct Faults {
+    struct Faults
+    {
         bool outage = false; /*!< Every read fails. */
         bool stale = false; /*!< The manifest at the start of the fault is served. */
         bool crossed = false; /*!< Every other read gets the manifest before the last. */
-        celeryramp::Millis slow {0}; /*!< Each answer is late by this. */
+        celeryramp::Millis slow{0}; /*!< Each answer is late by this. */
     };
 
     [[nodiscard]] celeryramp::HttpResponse read(const celeryramp::HttpRequest &request);
--- /dev/null
+++ b/test/gate/concurrency_ramp.cpp
@@ -0,0 +1,73 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "gate/concurrency_ramp.h"
+#include "support/sample_config.h"
+
+using namespace celeryramp;
+using testsupport::at;
+
+TEST_CASE("a ramp starts small and grows to all slots on good answers")
+{
+    ConcurrencyRamp ramp{12};
+    REQUIRE(ramp.limit() == 2);
+    for (int i = 0; i < 1000; ++i) {
+        ramp.onFinished(Evidence::InTarget, Micros{2000}, ramp.limit(), at(i));
+    }
+    REQUIRE(ramp.limit() == 12);
+}
+
+TEST_CASE("a ramp does not grow on answers that prove nothing")
+{
+    ConcurrencyRamp ramp{12};
+    for (int i = 0; i < 1000; ++i) {
+        ramp.onFinished(Evidence::InTarget, Micros{2000}, 1, at(i));
+    }
+    REQUIRE(ramp.limit() == 2);
+}
+
+TEST_CASE("a ramp falls at once on shed load, failures and sudden slowness")
+{
+    ConcurrencyRamp ramp{12};
+    for (int i = 0; i < 1000; ++i) {
+        ramp.onFinished(Evidence::InTarget, Micros{2000}, ramp.limit(), at(i));
+    }
+    SECTION("shed") { ramp.onFinished(Evidence::Shed, Micros{0}, 12, at(2000)); }
+    SECTION("failed") { ramp.onFinished(Evidence::Failed, Micros{0}, 12, at(2000)); }
+    SECTION("slow")
+    {
+        for (int i = 0; i < 3; ++i) {
+            ramp.onFinished(Evidence::InTarget, Micros{20'000}, 12, at(2000 + i));
+        }
+    }
+    SECTION("late")
+    {
+        for (int i = 0; i < 3; ++i) {
+            ramp.onFinished(Evidence::Late, Micros{3000}, 12, at(2000 + i));
+        }
+    }
+    REQUIRE(ramp.limit() < 12);
+}
+
+TEST_CASE("whatever happens the limit stays between one and the slots")
+{
+    REQUIRE(rc::check("random evidence", [] {
+        const auto slots = *rc::gen::inRange(1, 40);
+        ConcurrencyRamp ramp{slots};
+        std::int64_t now = 0;
+        const auto events = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+                rc::gen::tuple(rc::gen::inRange(0, 5), rc::gen::inRange(0, 100'000),
+                               rc::gen::inRange(0, 100)));
+        for (const auto &[evidence, micros, gap] : events) {
+            now += gap;
+            if (evidence == 4) {
+                ramp.reset(at(now));
+            } else {
+                ramp.onFinished(static_cast<Evidence>(evidence), Micros{micros}, ramp.limit(),
+                                at(now));
+            }
+            RC_ASSERT(ramp.limit() >= 1);
+            RC_ASSERT(ramp.limit() <= slots);
+        }
+    }));
+}
--- /dev/null
+++ b/test/gate/context_table.cpp
@@ -0,0 +1,24 @@
+#include <catch2/catch.hpp>
+
+#include "gate/context_table.h"
+#include "support/sample_config.h"
+
+using namespace celeryramp;
+
+TEST_CASE("a context lives as long as its call and cannot be guessed")
+{
+    ContextTable table;
+    const auto token = table.open({"acme", "k1", "chain", 2, testsupport::at(10)});
+    REQUIRE(table.find(token)->account == "acme");
+    REQUIRE(table.find(token)->depth == 2);
+    REQUIRE_FALSE(table.find("0123"));
+    REQUIRE_FALSE(table.find(""));
+    table.noteFailure(token);
+    table.noteNested(token, Micros{5});
+    table.noteNested("unknown", Micros{5});
+    const auto summary = table.close(token);
+    REQUIRE(summary.failedBelow);
+    REQUIRE(summary.nested == Micros{5});
+    REQUIRE_FALSE(table.find(token));
+    REQUIRE(table.size() == 0);
+}
--- /dev/null
+++ b/test/gate/crash_watch.cpp
@@ -0,0 +1,61 @@
+#include <catch2/catch.hpp>
+
+#include "gate/crash_watch.h"
+#include "support/sample_config.h"
+
+using namespace celeryramp;
+using testsupport::at;
+
+namespace {
+
+void applyAll(RumourStore &store, const std::vector<Rumour> &rumours)
+{
+    for (const auto &rumour : rumours) {
+        store.apply(rumour, at(0));
+    }
+}
+
+} // namespace
+
+TEST_CASE("a request in flight on two crashed servers is quarantined, on one it is suspect")
+{
+    RumourStore store;
+    applyAll(store, CrashWatch{"s1"}.onCrash({"poison", "bystander"}, 1));
+    REQUIRE(quarantinedDigests(store).empty());
+    REQUIRE(suspectDigests(store).size() == 2);
+    applyAll(store, CrashWatch{"s2"}.onCrash({"poison"}, 1));
+    REQUIRE(quarantinedDigests(store) == std::set<std::string>{"poison"});
+    REQUIRE(crashCount(store, "poison") == 2);
+}
+
+TEST_CASE("two crashes of the same server do not quarantine")
+{
+    RumourStore store;
+    applyAll(store, CrashWatch{"s1"}.onCrash({"d"}, 1));
+    applyAll(store, CrashWatch{"s1"}.onCrash({"d"}, 2));
+    REQUIRE(quarantinedDigests(store).empty());
+}
+
+TEST_CASE("requests that were answered are no suspects when servers die of other causes")
+{
+    RumourStore store;
+    CrashWatch one{"s1"};
+    CrashWatch two{"s2"};
+    one.onAnswered("common");
+    two.onAnswered("common");
+    applyAll(store, one.onCrash({"common", "new"}, 1));
+    applyAll(store, two.onCrash({"common"}, 1));
+    REQUIRE(quarantinedDigests(store).empty());
+    REQUIRE(suspectDigests(store) == std::set<std::string>{"new"});
+}
+
+TEST_CASE("a quarantine ends")
+{
+    RumourStore store;
+    applyAll(store, CrashWatch{"s1"}.onCrash({"d"}, 1));
+    applyAll(store, CrashWatch{"s2"}.onCrash({"d"}, 1));
+    store.expire(at(kCrashMemory.count() - 1));
+    REQUIRE(quarantinedDigests(store).size() == 1);
+    store.expire(at(kCrashMemory.count()));
+    REQUIRE(quarantinedDigests(store).empty());
+}
--- /dev/null
+++ b/test/membership/topology.cpp
@@ -0,0 +1,79 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <set>
+
+#include "membership/topology.h"
+#include "support/sample_config.h"
+
+using namespace celeryramp;
+
+namespace {
+
+Topology topologyOf(int servers)
+{
+    return Topology{*testsupport::sampleSnapshot(1, {2, servers, 100.0, 50.0})};
+}
+
+/*! All servers that an announcement from the root reaches. */
+std::set<std::string> reached(const Topology &topology, const std::string &root,
+                              const IsUsable &isUsable, int &most)
+{
+    std::set<std::string> seen{root};
+    std::vector<std::string> open{root};
+    while (!open.empty()) {
+        const auto server = open.back();
+        open.pop_back();
+        const auto children = topology.children(root, server, isUsable);
+        most = std::max(most, static_cast<int>(children.size()));
+        for (const auto &child : children) {
+            REQUIRE(seen.insert(child).second); // nobody is told twice
+            open.push_back(child);
+        }
+    }
+    return seen;
+}
+
+} // namespace
+
+TEST_CASE("a tree from any root reaches its whole zone once, with few children each")
+{
+    const auto topology = topologyOf(37);
+    const auto usable = [](const std::string &) { return true; };
+    for (const auto &root : topology.ring("z0")) {
+        int most = 0;
+        REQUIRE(reached(topology, root, usable, most).size() == 37);
+        REQUIRE(most <= 4);
+    }
+}
+
+TEST_CASE("children of members that are down are adopted")
+{
+    REQUIRE(rc::check("any set of members down", [] {
+        const auto topology = topologyOf(23);
+        const auto down = *rc::gen::container<std::set<int>>(rc::gen::inRange(0, 23));
+        const auto ring = topology.ring("z0");
+        const auto isDown = [&](const std::string &server) {
+            const auto it = std::find(ring.begin(), ring.end(), server);
+            return down.count(static_cast<int>(it - ring.begin())) > 0;
+        };
+        RC_PRE(down.size() < 23U);
+        std::string root;
+        for (const auto &server : ring) {
+            root = isDown(server) ? root : server;
+        }
+        int most = 0;
+        const auto usable = [&](const std::string &server) { return !isDown(server); };
+        RC_ASSERT(reached(topology, root, usable, most).size() == 23U - down.size());
+    }));
+}
+
+TEST_CASE("readers are the first usable members, the same for all")
+{
+    const auto topology = topologyOf(5);
+    const auto all = topology.readers("z0", [](const std::string &) { return true; });
+    REQUIRE(all.size() == 2);
+    const auto rest = topology.readers("z0", [&](const std::string &s) { return s != all[0]; });
+    REQUIRE(rest[0] == all[1]);
+    REQUIRE(topology.readers("nowhere", [](const std::string &) { return true; }).empty());
+}
--- /dev/null
+++ b/test/support/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
