Gates refuse rather than keep a call that can try elsewhere; five ledger homes; slower ramp; peers heard before the platform

A nested call queued at a full gate of its own zone, whose slots waited for that very chain, while other gates were idle; the sender's load table knew nothing of them. Ruled out: lost links, ramp falls (0 in /state). The ramp grew on good but slow answers faster than the server warmed. Now the first platform document waits for peers.

--- a/src/celeryramp/gate/concurrency_ramp.cpp
+++ b/src/celeryramp/gate/concurrency_ramp.cpp
@@ -1,13 +1,15 @@
 #include "gate/concurrency_ramp.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace celeryramp {
 
 namespace internal {
 
 constexpr double kFirstLimit = 2.0;
-constexpr double kGrowthPerLimit = 0.5; /*!< Added per full round of good answers. */
+constexpr Millis kGrowthPause{400}; /*!< A server warms up in seconds, whatever it answers. */
+constexpr int kAnswersToGrow = 4;
 constexpr double kSmoothing = 0.05;
 constexpr double kColdFactor = 4.0; /*!< Latency over baseline that speaks of a cold server. */
 constexpr int kSlowToFall = 3;
@@ -26,7 +28,8 @@
 {
     m_limit = std::min(internal::kFirstLimit, m_slots);
     m_slowInARow = 0;
-    m_lastFall = now;
+    m_goodAnswers = 0;
+    m_lastChange = now;
     ++m_falls;
 }
 
@@ -52,7 +55,7 @@
     m_baselineMicros = known ? m_baselineMicros + internal::kSmoothing * (micros - m_baselineMicros)
                              : micros;
     if (!slow && evidence == Evidence::InTarget) {
-        grow(running);
+        grow(running, now);
     }
 }
 
@@ -61,20 +64,27 @@
     return Micros{static_cast<std::int64_t>(m_baselineMicros)};
 }
 
-void ConcurrencyRamp::grow(int running)
+void ConcurrencyRamp::grow(int running, TimePoint now)
 {
     if (double(running) < internal::kFullShare * double(limit())) {
         return;
     }
-    m_limit = std::min(m_slots, m_limit + internal::kGrowthPerLimit / m_limit);
+    const bool enough = ++m_goodAnswers >= internal::kAnswersToGrow;
+    if (!enough || now - m_lastChange < internal::kGrowthPause) {
+        return;
+    }
+    m_limit = std::min(m_slots, std::floor(m_limit) + 1.0);
+    m_goodAnswers = 0;
+    m_lastChange = now;
 }
 
 void ConcurrencyRamp::fall(double factor, TimePoint now)
 {
-    if (now - m_lastFall < internal::kFallPause) {
+    if (now - m_lastChange < internal::kFallPause) {
         return;
     }
-    m_lastFall = now;
+    m_lastChange = now;
+    m_goodAnswers = 0;
     m_limit = std::max(1.0, m_limit * factor);
     ++m_falls;
 }
--- a/src/celeryramp/gate/concurrency_ramp.h
+++ b/src/celeryramp/gate/concurrency_ramp.h
@@ -15,8 +15,9 @@
 };
 
 /*!
- * @brief Concurrency that a backend server is given: starts small, grows on evidence, falls at
- * once when the server turns cold or overloaded. Health endpoints are not believed.
+ * @brief Concurrency that a backend server is given: starts small, grows by one at a time on
+ * evidence, falls at once when the server turns cold or overloaded. Health endpoints are not
+ * believed.
  */
 class ConcurrencyRamp
 {
@@ -44,14 +45,15 @@
     [[nodiscard]] std::uint64_t falls() const noexcept { return m_falls; }
 
 private:
-    void grow(int running);
+    void grow(int running, TimePoint now);
     void fall(double factor, TimePoint now);
 
     double m_slots;
     double m_limit;
     double m_baselineMicros = 0.0;
     int m_slowInARow = 0;
-    TimePoint m_lastFall;
+    int m_goodAnswers = 0; /*!< Since the limit last changed. */
+    TimePoint m_lastChange;
     std::uint64_t m_falls = 0;
 };
 
--- a/src/celeryramp/gate/gate.cpp
+++ b/src/celeryramp/gate/gate.cpp
@@ -19,7 +19,7 @@
     std::vector<Refusal> refusals;
     ++m_counters.offered;
     auto reason = m_draining ? Reason::Draining : obstacle(call, around, now);
-    if (reason == Reason::None && !canMeetDeadline(call, now)) {
+    if (reason == Reason::None && (!canMeetDeadline(call, now) || mustWait(call))) {
         reason = Reason::Busy;
     }
     if (reason != Reason::None) {
@@ -117,8 +117,18 @@
     if (auto call = m_nested.pop()) {
         return call;
     }
-    const auto kept = m_ramp.limit() / internal::kNestedPart;
-    return m_running < m_ramp.limit() - kept ? m_outside.pop() : std::nullopt;
+    return m_running < outsideLimit() ? m_outside.pop() : std::nullopt;
+}
+
+int Gate::outsideLimit() const noexcept
+{
+    return m_ramp.limit() - m_ramp.limit() / internal::kNestedPart;
+}
+
+bool Gate::mustWait(const QueuedCall &call) const noexcept
+{
+    const auto room = call.call.depth > 0 ? m_ramp.limit() : outsideLimit();
+    return !call.call.mayQueue && m_running + static_cast<int>(waiting()) >= room;
 }
 
 bool Gate::canMeetDeadline(const QueuedCall &call, TimePoint now) const
--- a/src/celeryramp/gate/gate.h
+++ b/src/celeryramp/gate/gate.h
@@ -97,6 +97,9 @@
         return m_nested.size() + m_outside.size();
     }
     [[nodiscard]] std::optional<QueuedCall> popNext();
+    [[nodiscard]] int outsideLimit() const noexcept;
+    /*! @return True when the call would wait here though it should rather try another gate. */
+    [[nodiscard]] bool mustWait(const QueuedCall &call) const noexcept;
     [[nodiscard]] bool canMeetDeadline(const QueuedCall &call, TimePoint now) const;
 
     std::string m_server;
--- a/src/celeryramp/gate/ledger_home.h
+++ b/src/celeryramp/gate/ledger_home.h
@@ -28,7 +28,7 @@
 /*!
  * @brief Keeps records of at-most-once requests at one of their homes.
  *
- * A key has three homes in different zones; an attempt may run when more than half grant it. Any
+ * A key has five homes spread over the zones; an attempt may run when more than half grant it. Any
  * two such majorities meet in a home that knows the first. A home that may have lost records, being
  * a new incarnation or a home only since a recent configuration change, records but abstains, until
  * it has every record from the other homes or the retention has passed. When too many homes abstain
--- a/src/celeryramp/gate/ledger_homes.h
+++ b/src/celeryramp/gate/ledger_homes.h
@@ -7,12 +7,11 @@
 
 namespace celeryramp {
 
-/*! @brief Homes that keep the record of one idempotency key. */
-inline constexpr std::size_t kLedgerHomes = 3;
+/*! @brief Homes that keep the record of one idempotency key; any two of them may be lost. */
+inline constexpr std::size_t kLedgerHomes = 5;
 
 /*!
- * @brief Homes of a key, by rendezvous over the declared servers, in different zones where the
- * configuration declares enough.
+ * @brief Homes of a key, by rendezvous over the declared servers, spread evenly over all zones.
  * @return Up to `kLedgerHomes` server names.
  */
 [[nodiscard]] std::vector<std::string> ledgerHomes(const Snapshot &snapshot,
--- a/src/celeryramp/node/control_duty.cpp
+++ b/src/celeryramp/node/control_duty.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t kControlRing = 8192;
 constexpr Millis kTick{100};
+constexpr Millis kPeersHeardFirst{2000};
 constexpr Millis kSearchInterval{250};
 constexpr Millis kPauseNoticed{1500};
 constexpr Millis kRumourLife{600'000};
@@ -47,7 +48,8 @@
 
 void ControlDuty::start()
 {
-    m_lastTick = Clock::now();
+    m_startedAt = Clock::now();
+    m_lastTick = m_startedAt;
     m_thread = std::thread{[this] { loop(); }};
 }
 
@@ -168,6 +170,10 @@
 
 void ControlDuty::handle(const PlatformDocumentEvent &event, TimePoint now)
 {
+    if (mustHearPeers(now)) {
+        m_heldDocument = event.document; // the platform may be stale: peers may know better
+        return;
+    }
     if (m_distributor.onPlatformDocument(event.document, usable(), now, m_out)) {
         adoptSnapshot(now);
     }
@@ -217,9 +223,18 @@
     m_rumours.onHeartbeat(message, now, m_out);
 }
 
+bool ControlDuty::mustHearPeers(TimePoint now) const
+{
+    return !m_distributor.acceptance().inForce() && !m_peerAnswered && !m_settings.seeds.empty()
+            && now - m_startedAt < internal::kPeersHeardFirst;
+}
+
 void ControlDuty::tick(TimePoint now)
 {
     m_lastTick = now;
+    if (m_heldDocument && !mustHearPeers(now)) {
+        handle(PlatformDocumentEvent{*std::exchange(m_heldDocument, std::nullopt)}, now);
+    }
     m_rumours.tick(now);
     const bool reader = isReader();
     if (reader != m_wasReader) {
--- a/src/celeryramp/node/control_duty.h
+++ b/src/celeryramp/node/control_duty.h
@@ -92,6 +92,7 @@
     void handle(const LeaveEvent &event, TimePoint now);
     void onHeartbeat(const HeartbeatMessage &message, TimePoint now);
     void tick(TimePoint now);
+    [[nodiscard]] bool mustHearPeers(TimePoint now) const;
     void sendHeartbeats(TimePoint now);
     void reportMissing(TimePoint now);
     void refuteSuspicions(TimePoint now);
@@ -128,6 +129,8 @@
     bool m_superseded = false;
     bool m_wasReader = false;
     std::chrono::system_clock::time_point m_inForceWall; /*!< For operators only. */
+    std::optional<ConfigDocument> m_heldDocument; /*!< Of the platform, until peers are heard. */
+    TimePoint m_startedAt;
     TimePoint m_lastTick;
     TimePoint m_lastHeartbeat;
     TimePoint m_lastSearch;
--- a/src/celeryramp/node/platform_duty.cpp
+++ b/src/celeryramp/node/platform_duty.cpp
@@ -16,6 +16,8 @@
 constexpr Millis kDeafAfter{15'000}; /*!< Without any confirmation for this long, look oneself. */
 constexpr Millis kDeafCheck{10'000};
 constexpr Millis kInstanceInterval{1000};
+constexpr Millis kDecisionPoll{20};
+constexpr int kDecisionPolls = 120;
 
 } // namespace internal
 
@@ -148,8 +150,10 @@
     }
     const auto stamp = document.stamp();
     m_control.push(PlatformDocumentEvent{std::move(document)});
-    for (int i = 0; i < 50 && m_control.isWanted(stamp) && !m_stopping; ++i) {
-        pause(Millis{20}); // the control duty decides; reading again before that is useless
+    // The control duty decides, at a start only after peers were heard; reading again before that
+    // is useless.
+    for (int i = 0; i < internal::kDecisionPolls && m_control.isWanted(stamp) && !m_stopping; ++i) {
+        pause(internal::kDecisionPoll);
     }
 }
 
--- a/src/celeryramp/node/road.cpp
+++ b/src/celeryramp/node/road.cpp
@@ -13,7 +13,8 @@
 namespace internal {
 
 constexpr std::uint32_t kMaxDepth = 18;
-constexpr int kMaxAttempts = 4;
+constexpr int kMaxAttempts = 5;
+constexpr int kAttemptsBeforeQueueing = 3;
 constexpr Millis kLastWord{30}; /*!< Wait past the deadline for a gate to say `not run`. */
 constexpr std::size_t kRequestIdBytes = 12;
 constexpr std::size_t kMaxIdempotencyKey = 256;
@@ -360,8 +361,15 @@
             best.note(internal::notRun(Reason::TooLate));
             break;
         }
-        const auto server
-                = m_routing.pick(*call.snapshot, *call.fleet, call.message.service, tried, now);
+        call.message.mayQueue = i >= internal::kAttemptsBeforeQueueing;
+        if (call.message.mayQueue) {
+            tried.clear(); // those that were busy may keep it now
+        }
+        auto server = m_routing.pick(*call.snapshot, *call.fleet, call.message.service, tried, now);
+        if (server.empty() && !tried.empty() && !call.message.mayQueue) {
+            i = internal::kAttemptsBeforeQueueing - 1;
+            continue;
+        }
         if (server.empty()) {
             break;
         }
--- a/src/celeryramp/wire/call_message.h
+++ b/src/celeryramp/wire/call_message.h
@@ -33,13 +33,15 @@
     std::uint32_t depth = 0; /*!< 0 for an outside call. */
     bool repeatSafe = false; /*!< The class is idempotent. */
     bool retry = false; /*!< Not the first attempt. */
+    bool mayQueue = false; /*!< A busy gate keeps it; otherwise it refuses at once. */
 
     template <typename Self, typename Archive>
     static void visit(Self &self, Archive &archive)
     {
         archive(self.id, self.request, self.chain, self.service, self.workClass, self.account,
                 self.keyId, self.method, self.target, self.headers, self.body, self.digest,
-                self.remainingMs, self.latencyMs, self.depth, self.repeatSafe, self.retry);
+                self.remainingMs, self.latencyMs, self.depth, self.repeatSafe, self.retry,
+                self.mayQueue);
     }
 };
 
--- a/test/config/parse.cpp
+++ b/test/config/parse.cpp
@@ -57,33 +57,28 @@
 {
     SECTION("a wrong type")
     {
-        const auto error = errorOf("accounts", [](json &part) {
-            part["accounts"]["acme"]["rate"] = "fast";
-        });
+        const auto error = errorOf("accounts",
+                                   [](json &part) { part["accounts"]["acme"]["rate"] = "fast"; });
         REQUIRE(error.code == ConfigErrorCode::WrongType);
         REQUIRE(error.text() == "accounts /accounts/acme/rate: must be a number");
     }
     SECTION("a value out of range")
     {
-        const auto error = errorOf("accounts", [](json &part) {
-            part["accounts"]["acme"]["rate"] = -1;
-        });
+        const auto error
+                = errorOf("accounts", [](json &part) { part["accounts"]["acme"]["rate"] = -1; });
         REQUIRE(error.code == ConfigErrorCode::OutOfRange);
         REQUIRE(error.place == "/accounts/acme/rate");
     }
     SECTION("an unknown member")
     {
-        const auto error = errorOf("zones", [](json &part) {
-            part["zones"]["z0"]["weight"] = 3;
-        });
+        const auto error = errorOf("zones", [](json &part) { part["zones"]["z0"]["weight"] = 3; });
         REQUIRE(error.code == ConfigErrorCode::UnknownMember);
         REQUIRE(error.place == "/zones/z0/weight");
     }
     SECTION("a server in a zone that is not there")
     {
-        const auto error = errorOf("servers", [](json &part) {
-            part["servers"]["s-z0-0"]["zone"] = "z9";
-        });
+        const auto error
+                = errorOf("servers", [](json &part) { part["servers"]["s-z0-0"]["zone"] = "z9"; });
         REQUIRE(error.code == ConfigErrorCode::DanglingReference);
         REQUIRE(error.text() == "servers /servers/s-z0-0/zone: there is no zone named z9");
     }
@@ -113,9 +108,8 @@
     }
     SECTION("a deadline below the latency target")
     {
-        const auto error = errorOf("services", [](json &part) {
-            part["classes"]["lookup"]["deadline_ms"] = 10;
-        });
+        const auto error = errorOf(
+                "services", [](json &part) { part["classes"]["lookup"]["deadline_ms"] = 10; });
         REQUIRE(error.place == "/classes/lookup/deadline_ms");
     }
 }
@@ -132,8 +126,7 @@
     {
         auto parts = sampleParts();
         parts.erase("keys");
-        REQUIRE(buildSnapshot(makeDocument(1, parts)).error().code
-                == ConfigErrorCode::MissingPart);
+        REQUIRE(buildSnapshot(makeDocument(1, parts)).error().code == ConfigErrorCode::MissingPart);
     }
     SECTION("not delivered")
     {
@@ -173,9 +166,8 @@
 {
     REQUIRE(rc::check("mutated parts", [] {
         auto parts = sampleParts();
-        const auto name = *rc::gen::elementOf(std::vector<std::string>{"zones", "services",
-                                                                       "accounts", "keys",
-                                                                       "servers"});
+        const auto name = *rc::gen::elementOf(
+                std::vector<std::string>{"zones", "services", "accounts", "keys", "servers"});
         auto &bytes = parts[name];
         const auto mutations = *rc::gen::inRange(1, 8);
         for (int i = 0; i < mutations; ++i) {
--- a/test/core/hash.cpp
+++ b/test/core/hash.cpp
@@ -6,8 +6,7 @@
 
 TEST_CASE("SHA-256 of a known text")
 {
-    REQUIRE(sha256Hex("abc")
-            == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    REQUIRE(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
 TEST_CASE("hashes of several strings depend on their borders")
--- a/test/distribution/distributor.cpp
+++ b/test/distribution/distributor.cpp
@@ -88,8 +88,7 @@
             const auto &stamp = distributor.acceptance().stamp();
             for (const auto &target : targets) {
                 Outbox out;
-                m_nodes.at(target).onHeartbeat({name, 1, stamp.version, stamp.digest, 0}, now,
-                                               out);
+                m_nodes.at(target).onHeartbeat({name, 1, stamp.version, stamp.digest, 0}, now, out);
                 collect(target, out);
             }
             Outbox out;
@@ -199,7 +198,8 @@
     REQUIRE(mail.node(readerOf("z0")).acceptance().rejections().size() == 1);
 }
 
-TEST_CASE("with messages lost and nodes restarted, versions never go back, and heartbeats bring all up")
+TEST_CASE("with messages lost and nodes restarted, versions never go back, and heartbeats bring "
+          "all up")
 {
     REQUIRE(rc::check("lossy delivery", [] {
         Mail mail;
--- a/test/gate/concurrency_ramp.cpp
+++ b/test/gate/concurrency_ramp.cpp
@@ -12,7 +12,24 @@
     ConcurrencyRamp ramp{12};
     REQUIRE(ramp.limit() == 2);
     for (int i = 0; i < 1000; ++i) {
-        ramp.onFinished(Evidence::InTarget, Micros{2000}, ramp.limit(), at(i));
+        ramp.onFinished(Evidence::InTarget, Micros{2000}, ramp.limit(), at(i * 10));
+    }
+    REQUIRE(ramp.limit() == 12);
+}
+
+TEST_CASE("a ramp grows by one at a time, however many good answers come")
+{
+    ConcurrencyRamp ramp{12};
+    int before = ramp.limit();
+    std::int64_t grewAt = 0;
+    for (std::int64_t now = 0; now < 6000; ++now) {
+        ramp.onFinished(Evidence::InTarget, Micros{500}, ramp.limit(), at(now));
+        if (ramp.limit() != before) {
+            REQUIRE(ramp.limit() == before + 1);
+            REQUIRE((grewAt == 0 || now - grewAt >= 400));
+            before = ramp.limit();
+            grewAt = now;
+        }
     }
     REQUIRE(ramp.limit() == 12);
 }
@@ -30,20 +47,27 @@
 {
     ConcurrencyRamp ramp{12};
     for (int i = 0; i < 1000; ++i) {
-        ramp.onFinished(Evidence::InTarget, Micros{2000}, ramp.limit(), at(i));
+        ramp.onFinished(Evidence::InTarget, Micros{2000}, ramp.limit(), at(i * 10));
+    }
+    REQUIRE(ramp.limit() == 12);
+    SECTION("shed")
+    {
+        ramp.onFinished(Evidence::Shed, Micros{0}, 12, at(20'000));
+    }
+    SECTION("failed")
+    {
+        ramp.onFinished(Evidence::Failed, Micros{0}, 12, at(20'000));
     }
-    SECTION("shed") { ramp.onFinished(Evidence::Shed, Micros{0}, 12, at(2000)); }
-    SECTION("failed") { ramp.onFinished(Evidence::Failed, Micros{0}, 12, at(2000)); }
     SECTION("slow")
     {
         for (int i = 0; i < 3; ++i) {
-            ramp.onFinished(Evidence::InTarget, Micros{20'000}, 12, at(2000 + i));
+            ramp.onFinished(Evidence::InTarget, Micros{20'000}, 12, at(20'000 + i));
         }
     }
     SECTION("late")
     {
         for (int i = 0; i < 3; ++i) {
-            ramp.onFinished(Evidence::Late, Micros{3000}, 12, at(2000 + i));
+            ramp.onFinished(Evidence::Late, Micros{3000}, 12, at(20'000 + i));
         }
     }
     REQUIRE(ramp.limit() < 12);
--- a/test/gate/gate.cpp
+++ b/test/gate/gate.cpp
@@ -18,6 +18,7 @@
     call.call.account = account;
     call.call.digest = "d" + std::to_string(id);
     call.call.depth = depth;
+    call.call.mayQueue = true;
     call.arrivedAt = at(now);
     call.deadline = at(now + deadline);
     call.dueAt = at(now + 50);
@@ -148,6 +149,21 @@
     REQUIRE(f.gate.isIdle());
 }
 
+TEST_CASE("a call that may try other gates is not kept by a busy one")
+{
+    Fixture f;
+    auto choosy = callOf(1, "a", 0);
+    choosy.call.mayQueue = false;
+    REQUIRE(f.gate.offer(choosy, f.around(), at(0)).empty());
+    REQUIRE(f.next(0));
+    REQUIRE(f.gate.offer(callOf(2, "a", 0), f.around(), at(0)).empty());
+    choosy.call.id = 3;
+    const auto refused = f.gate.offer(choosy, f.around(), at(0));
+    REQUIRE(refused.size() == 1);
+    REQUIRE(refused.front().reason == Reason::Busy);
+    REQUIRE(f.gate.offer(callOf(4, "a", 0), f.around(), at(0)).empty());
+}
+
 TEST_CASE("nested calls go first and find room that outside calls leave")
 {
     Fixture f;
--- a/test/gate/ledger.cpp
+++ b/test/gate/ledger.cpp
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 
-
 #include "core/random.h"
 #include "gate/ledger_home.h"
 #include "gate/ledger_homes.h"
@@ -119,7 +118,8 @@
     std::int64_t now = 0;
     for (const auto &[what, gap] : steps) {
         now += gap;
-        const auto &name = ledger.keyHomes()[static_cast<std::size_t>(what) % 3];
+        const auto &name
+                = ledger.keyHomes()[static_cast<std::size_t>(what) % ledger.keyHomes().size()];
         if (what < 10) {
             ledger.attempt(now);
         } else if (what < 14) {
@@ -138,7 +138,7 @@
 
 } // namespace
 
-TEST_CASE("homes of a key lie in different zones")
+TEST_CASE("homes of a key are spread over the zones")
 {
     const auto snapshot = testsupport::sampleSnapshot(1, {3, 4, 100.0, 50.0});
     const auto homes = ledgerHomes(*snapshot, "acme/key");
--- a/test/limits/rate_bound.cpp
+++ b/test/limits/rate_bound.cpp
@@ -101,9 +101,9 @@
         const auto &account = *m_snapshot->findAccount("acme");
         const auto result = m_wallets.at(name).admit(account, tried, at(now));
         if (result.ask) {
-            m_asks.push_back({name, *result.ask,
-                              result.admission == Admission::Wait ? tried
-                                                                  : std::vector<std::string>{}});
+            m_asks.push_back(
+                    {name, *result.ask,
+                     result.admission == Admission::Wait ? tried : std::vector<std::string>{}});
         }
         if (result.admission == Admission::Admitted) {
             m_admitted.push_back(now);
--- a/test/node/node_settings.cpp
+++ b/test/node/node_settings.cpp
@@ -118,10 +118,8 @@
     REQUIRE(folder.errorOf(open)
             == "node.toml:15: operator.listen: needs operator.token_file unless it is a loopback "
                "number");
-    const auto withToken
-            = with("127.0.0.1:8004\"", "10.0.0.1:8004\"\ntoken_file = \"token\"");
+    const auto withToken = with("127.0.0.1:8004\"", "10.0.0.1:8004\"\ntoken_file = \"token\"");
     REQUIRE(folder.load(withToken).value().operatorToken == "0123456789abcdef0123");
-    const auto withShort
-            = with("127.0.0.1:8004\"", "10.0.0.1:8004\"\ntoken_file = \"short\"");
+    const auto withShort = with("127.0.0.1:8004\"", "10.0.0.1:8004\"\ntoken_file = \"short\"");
     REQUIRE_FALSE(folder.load(withShort));
 }
--- a/test/observe/metrics.cpp
+++ b/test/observe/metrics.cpp
@@ -17,8 +17,7 @@
                       "celeryramp_calls_total{reason=\"busy\"} 3\n"
                       "celeryramp_calls_total{reason=\"late\"} 1\n")
             != std::string::npos);
-    REQUIRE(text.find("# TYPE celeryramp_links gauge\nceleryramp_links 2\n")
-            != std::string::npos);
+    REQUIRE(text.find("# TYPE celeryramp_links gauge\nceleryramp_links 2\n") != std::string::npos);
     REQUIRE(text.find("celeryramp_call_seconds_count 1") != std::string::npos);
 }
 
--- a/test/support/sample_config.h
+++ b/test/support/sample_config.h
@@ -17,7 +17,8 @@
     double burst = 50.0;
 };
 
-/*! @return Parts of a valid configuration: zones z0.., servers s-z0-0.., account `acme` with key `k1.secret`. */
+/*! @return Parts of a valid configuration: zones z0.., servers s-z0-0.., account `acme` with key
+ * `k1.secret`. */
 [[nodiscard]] std::map<std::string, std::string> sampleParts(const SampleShape &shape = {});
 
 /*! @return A valid document of this version. */
--- a/test/wire/codec.cpp
+++ b/test/wire/codec.cpp
@@ -62,9 +62,8 @@
 
 TEST_CASE("no bytes break the decoder")
 {
-    REQUIRE(rc::check("random bytes", [](const std::string &bytes) {
-        static_cast<void>(decode(bytes));
-    }));
+    REQUIRE(rc::check("random bytes",
+                      [](const std::string &bytes) { static_cast<void>(decode(bytes)); }));
     REQUIRE(rc::check("mutated frames", [] {
         auto frame = encode(sampleCall());
         const auto mutations = *rc::gen::inRange(1, 6);
