--- a/src/celeryramp/distribution/distributor.cpp
+++ b/src/celeryramp/distribution/distributor.cpp
@@ -4,12 +4,15 @@
 #include <limits>
 
 #include "config/delta.h"
+#include "core/hash.h"
 
 namespace celeryramp {
 
 namespace internal {
 
 constexpr std::size_t kRepairNeighbours = 3;
+constexpr Millis kGossipInterval{1000};
+constexpr int kGossipFanOut = 2;
 constexpr std::uint32_t kNeverConfirmedMs = std::numeric_limits<std::uint32_t>::max();
 
 [[nodiscard]] const ConfigDocument *findBase(const Acceptance &acceptance, const ConfigStamp &stamp)
@@ -24,8 +27,10 @@
 
 } // namespace internal
 
-Distributor::Distributor(std::string self, std::string zone, std::uint64_t incarnation)
-    : m_self{std::move(self)}, m_zone{std::move(zone)}, m_sequence{incarnation}
+Distributor::Distributor(std::string self, std::string zone, std::uint64_t incarnation,
+                         DistributionMode mode)
+    : m_self{std::move(self)}, m_zone{std::move(zone)},
+      m_sequence{incarnation}, m_mode{mode}, m_random{incarnation ^ stableHash(m_self)}
 { }
 
 bool Distributor::onPlatformDocument(ConfigDocument document, const IsUsable &isUsable,
@@ -113,6 +118,10 @@
         return false;
     }
     m_alternative.reset();
+    if (m_mode != DistributionMode::Tree) {
+        gossip(isUsable, now, out);
+        return true;
+    }
     const auto &root = answered.root;
     if (root.empty()) {
         const auto neighbours
@@ -159,8 +168,10 @@
             startPull(std::move(next), false, out);
         }
     }
-    const bool due = now - m_lastAnnounce >= kConfirmInterval;
-    if (isReader && due && m_acceptance.inForce()) {
+    const auto interval
+            = m_mode == DistributionMode::Gossip ? internal::kGossipInterval : kConfirmInterval;
+    const bool due = now - m_lastAnnounce >= interval;
+    if ((isReader || m_mode == DistributionMode::Gossip) && due && m_acceptance.inForce()) {
         announceAsRoot(true, isUsable, now, out);
     }
 }
@@ -190,6 +201,10 @@
                                  Outbox &out)
 {
     m_lastAnnounce = now;
+    if (m_mode != DistributionMode::Tree) {
+        gossip(isUsable, now, out);
+        return;
+    }
     auto message = announcement(m_self, now);
     message.sequence = ++m_sequence;
     announceDown(message, isUsable, out);
@@ -232,6 +247,21 @@
     return isFirst;
 }
 
+void Distributor::gossip(const IsUsable &isUsable, TimePoint now, Outbox &out)
+{
+    if (m_mode != DistributionMode::Gossip || !m_acceptance.inForce()) {
+        return;
+    }
+    const auto &servers = m_acceptance.inForce()->model().servers;
+    for (int i = 0; i < internal::kGossipFanOut; ++i) {
+        const auto it = std::next(servers.begin(),
+                                  static_cast<std::ptrdiff_t>(m_random.below(servers.size())));
+        if (it->first != m_self && isUsable(it->first)) {
+            out.send(it->first, announcement({}, now));
+        }
+    }
+}
+
 void Distributor::startPull(Pull pull, bool wholeOnly, Outbox &out)
 {
     ++m_counters.pulls;
--- a/src/celeryramp/distribution/distributor.h
+++ b/src/celeryramp/distribution/distributor.h
@@ -6,7 +6,9 @@
 #include <string>
 
 #include "config/acceptance.h"
+#include "core/random.h"
 #include "core/time.h"
+#include "distribution/distribution_mode.h"
 #include "distribution/outbox.h"
 #include "membership/topology.h"
 #include "wire/control_messages.h"
@@ -45,9 +47,11 @@
     /*!
      * @param self Name of this node's server.
      * @param zone Its zone.
+     * @param mode How announcements spread.
      * @param incarnation Start of the announcement sequence, above that of the predecessor.
      */
-    Distributor(std::string self, std::string zone, std::uint64_t incarnation);
+    Distributor(std::string self, std::string zone, std::uint64_t incarnation,
+                DistributionMode mode = DistributionMode::Tree);
 
     /*! @brief A complete document was read from the platform. @return True when it came in force.
      */
@@ -103,6 +107,7 @@
                              Outbox &out) const;
     void announceDown(const AnnounceMessage &message, const IsUsable &isUsable, Outbox &out);
     [[nodiscard]] bool noteSequence(const AnnounceMessage &message);
+    void gossip(const IsUsable &isUsable, TimePoint now, Outbox &out);
     void startPull(Pull pull, bool wholeOnly, Outbox &out);
     void confirm(std::uint32_t agoMs, TimePoint now);
     [[nodiscard]] AnnounceMessage announcement(const std::string &root, TimePoint now) const;
@@ -113,6 +118,8 @@
     Topology m_topology;
     std::map<std::string, std::uint64_t> m_lastSequence; /*!< Per root. */
     std::uint64_t m_sequence = 0;
+    DistributionMode m_mode;
+    RandomEngine m_random;
     std::optional<Pull> m_pull;
     std::optional<Pull> m_alternative; /*!< Another peer that announced the same or more. */
     std::optional<TimePoint> m_confirmedAt;
--- a/src/celeryramp/gate/concurrency_ramp.cpp
+++ b/src/celeryramp/gate/concurrency_ramp.cpp
@@ -20,12 +20,16 @@
 
 } // namespace internal
 
-ConcurrencyRamp::ConcurrencyRamp(int slots)
-    : m_slots{std::max(1.0, double(slots))}, m_limit{std::min(internal::kFirstLimit, m_slots)}
+ConcurrencyRamp::ConcurrencyRamp(int slots, bool isOn)
+    : m_isOn{isOn}, m_slots{std::max(1.0, double(slots))},
+      m_limit{isOn ? std::min(internal::kFirstLimit, m_slots) : m_slots}
 { }
 
 void ConcurrencyRamp::reset(TimePoint now)
 {
+    if (!m_isOn) {
+        return;
+    }
     m_limit = std::min(internal::kFirstLimit, m_slots);
     m_slowInARow = 0;
     m_goodAnswers = 0;
@@ -35,11 +39,10 @@
 
 void ConcurrencyRamp::onFinished(Evidence evidence, Micros latency, int running, TimePoint now)
 {
-    if (evidence == Evidence::Shed) {
-        fall(internal::kShedFactor, now);
+    if (!m_isOn) {
         return;
     }
-    if (evidence == Evidence::Failed) {
+    if (evidence == Evidence::Shed || evidence == Evidence::Failed) {
         fall(internal::kShedFactor, now);
         return;
     }
--- a/src/celeryramp/gate/concurrency_ramp.h
+++ b/src/celeryramp/gate/concurrency_ramp.h
@@ -23,7 +23,8 @@
 {
 public:
     /*! @param slots Requests the server runs at a time when warm; the limit never exceeds it. */
-    explicit ConcurrencyRamp(int slots);
+    /*! @param isOn Whether the limit follows evidence; otherwise it is all slots at once. */
+    explicit ConcurrencyRamp(int slots, bool isOn = true);
 
     /*! @brief The server may be cold: start over. */
     void reset(TimePoint now);
@@ -48,6 +49,7 @@
     void grow(int running, TimePoint now);
     void fall(double factor, TimePoint now);
 
+    bool m_isOn;
     double m_slots;
     double m_limit;
     double m_baselineMicros = 0.0;
--- a/src/celeryramp/gate/fair_queue.cpp
+++ b/src/celeryramp/gate/fair_queue.cpp
@@ -6,7 +6,10 @@
 
 std::optional<QueuedCall> FairQueue::push(QueuedCall call)
 {
-    const auto account = call.call.account;
+    if (!m_isFair) {
+        call.dueAt = call.arrivedAt; // one line in order of arrival
+    }
+    const auto account = m_isFair ? call.call.account : std::string{};
     auto &line = m_lines[account];
     if (line.empty()) {
         m_turns.push_back(account);
--- a/src/celeryramp/gate/fair_queue.h
+++ b/src/celeryramp/gate/fair_queue.h
@@ -22,7 +22,10 @@
 {
 public:
     /*! @param capacity Calls held at most over all accounts. */
-    explicit FairQueue(std::size_t capacity) : m_capacity{capacity} { }
+    /*! @param isFair Whether accounts take turns; otherwise first come first served. */
+    explicit FairQueue(std::size_t capacity, bool isFair = true)
+        : m_capacity{capacity}, m_isFair{isFair}
+    { }
 
     /*!
      * @brief Adds a call.
@@ -52,6 +55,7 @@
     void dropIfEmpty(const std::string &account);
 
     std::size_t m_capacity;
+    bool m_isFair;
     std::size_t m_size = 0;
     std::map<std::string, Line> m_lines;
     std::deque<std::string> m_turns;
--- a/src/celeryramp/gate/gate.cpp
+++ b/src/celeryramp/gate/gate.cpp
@@ -10,8 +10,12 @@
 
 } // namespace internal
 
-Gate::Gate(std::string server, int slots, std::size_t queueCapacity)
-    : m_server{std::move(server)}, m_ramp{slots}, m_nested{queueCapacity}, m_outside{queueCapacity}
+Gate::Gate(std::string server, int slots, std::size_t queueCapacity, Mechanisms mechanisms)
+    : m_server{std::move(server)},
+      m_mechanisms{mechanisms},
+      m_ramp{slots, mechanisms.ramp},
+      m_nested{queueCapacity, mechanisms.fairness},
+      m_outside{queueCapacity, mechanisms.fairness}
 { }
 
 std::vector<Refusal> Gate::offer(QueuedCall call, const GateSurroundings &around, TimePoint now)
@@ -92,21 +96,22 @@
     if (call.deadline <= now) {
         return Reason::TooLate;
     }
-    if (around.leaving) {
+    if (around.leaving && m_mechanisms.leaving) {
         return Reason::Draining;
     }
     const auto *server = around.snapshot->findServer(m_server);
     if (server == nullptr || server->service != call.call.service) {
         return Reason::NoServer;
     }
-    if (!around.snapshot->isZoneInService(server->zone)) {
+    if (m_mechanisms.zones && !around.snapshot->isZoneInService(server->zone)) {
         return Reason::ZoneOutOfService;
     }
-    if (!call.call.keyId.empty()
+    if (m_mechanisms.keys && !call.call.keyId.empty()
         && !around.snapshot->isKeyGranted(call.call.keyId, call.call.account)) {
         return Reason::BadKey;
     }
-    if (around.quarantined != nullptr && around.quarantined->count(call.call.digest) > 0) {
+    if (m_mechanisms.quarantine && around.quarantined != nullptr
+        && around.quarantined->count(call.call.digest) > 0) {
         return Reason::Quarantined;
     }
     return Reason::None;
--- a/src/celeryramp/gate/gate.h
+++ b/src/celeryramp/gate/gate.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "config/snapshot.h"
+#include "core/mechanisms.h"
 #include "core/time.h"
 #include "gate/concurrency_ramp.h"
 #include "gate/fair_queue.h"
@@ -55,8 +56,9 @@
     /*!
      * @param server Name of the server behind this gate. @param slots Its slots.
      * @param queueCapacity Calls that may wait.
+     * @param mechanisms What is switched on.
      */
-    Gate(std::string server, int slots, std::size_t queueCapacity);
+    Gate(std::string server, int slots, std::size_t queueCapacity, Mechanisms mechanisms = {});
 
     /*! @brief A call arrived. @return Calls refused by this: the new one or one it displaced. */
     [[nodiscard]] std::vector<Refusal> offer(QueuedCall call, const GateSurroundings &around,
@@ -103,6 +105,7 @@
     [[nodiscard]] bool canMeetDeadline(const QueuedCall &call, TimePoint now) const;
 
     std::string m_server;
+    Mechanisms m_mechanisms;
     ConcurrencyRamp m_ramp;
     FairQueue m_nested; /*!< Calls of other backend servers, whose slots wait for them. */
     FairQueue m_outside;
--- a/src/celeryramp/node/control_duty.cpp
+++ b/src/celeryramp/node/control_duty.cpp
@@ -409,6 +409,9 @@
 
 bool ControlDuty::isReader() const
 {
+    if (m_settings.distribution == DistributionMode::Watch) {
+        return m_distributor.acceptance().inForce() != nullptr;
+    }
     const auto readers = m_distributor.topology().readers(m_settings.zone, usable());
     return std::find(readers.begin(), readers.end(), m_settings.server) != readers.end();
 }
--- a/src/celeryramp/node/gate_duty.cpp
+++ b/src/celeryramp/node/gate_duty.cpp
@@ -52,7 +52,8 @@
                                                                   "gate_refused_total")},
       m_crashes{metrics.counter("gate_server_crashes_total")}, m_latency{metrics.latency(
                                                                        "gate_server_seconds")},
-      m_gate{settings.server, settings.slots, settings.queueCapacity}, m_crashWatch{settings.server}
+      m_gate{settings.server, settings.slots, settings.queueCapacity, settings.mechanisms},
+      m_crashWatch{settings.server}
 { }
 
 GateDuty::~GateDuty()
--- a/src/celeryramp/node/node_settings.cpp
+++ b/src/celeryramp/node/node_settings.cpp
@@ -1,5 +1,7 @@
 #include "node/node_settings.h"
 
+#include <algorithm>
+#include <array>
 #include <fstream>
 #include <iterator>
 
@@ -54,6 +56,42 @@
     settings.tls.privateKey = reader.file("peers.private_key");
 }
 
+struct MechanismEntry
+{
+    const char *name;
+    bool Mechanisms::*member;
+};
+
+constexpr std::array kMechanisms{MechanismEntry{"ramp", &Mechanisms::ramp},
+                                 MechanismEntry{"ledger", &Mechanisms::ledger},
+                                 MechanismEntry{"zones", &Mechanisms::zones},
+                                 MechanismEntry{"keys", &Mechanisms::keys},
+                                 MechanismEntry{"leaving", &Mechanisms::leaving},
+                                 MechanismEntry{"fairness", &Mechanisms::fairness},
+                                 MechanismEntry{"rates", &Mechanisms::rates},
+                                 MechanismEntry{"quarantine", &Mechanisms::quarantine},
+                                 MechanismEntry{"retry-budget", &Mechanisms::retryBudget}};
+
+void readTesting(SettingsReader &reader, NodeSettings &settings)
+{
+    settings.faultsAllowed = reader.flag("testing.faults", false);
+    const auto mode = reader.choice("testing.distribution", {"tree", "watch", "gossip"}, "tree");
+    settings.distribution = mode == "watch" ? DistributionMode::Watch
+            : mode == "gossip"              ? DistributionMode::Gossip
+                                            : DistributionMode::Tree;
+    for (const auto &name : reader.texts("testing.without")) {
+        const auto it = std::find_if(kMechanisms.begin(), kMechanisms.end(),
+                                     [&](const auto &entry) { return name == entry.name; });
+        if (it == kMechanisms.end()) {
+            reader.fail("testing.without", "no mechanism named " + name);
+        } else if (!settings.faultsAllowed) {
+            reader.fail("testing.without", "needs testing.faults = true");
+        } else {
+            settings.mechanisms.*(it->member) = false;
+        }
+    }
+}
+
 void readRest(SettingsReader &reader, NodeSettings &settings)
 {
     settings.backend = reader.address("server.address");
@@ -65,7 +103,7 @@
     settings.ledger.firstStart = reader.flag("ledger.first_start", false);
     const auto level = reader.choice("log.level", {"debug", "info", "warn", "error"}, "info");
     static_cast<void>(parseLogLevel(level, settings.logLevel));
-    settings.faultsAllowed = reader.flag("testing.faults", false);
+    readTesting(reader, settings);
 }
 
 } // namespace internal
--- a/src/celeryramp/node/node_settings.h
+++ b/src/celeryramp/node/node_settings.h
@@ -4,8 +4,10 @@
 #include <vector>
 
 #include "core/address.h"
+#include "core/mechanisms.h"
 #include "core/result.h"
 #include "core/time.h"
+#include "distribution/distribution_mode.h"
 #include "gate/ledger_home.h"
 #include "observe/log.h"
 #include "transport/tls_files.h"
@@ -41,6 +43,8 @@
     LedgerSettings ledger;
     LogLevel logLevel = LogLevel::Info;
     bool faultsAllowed = false; /*!< The operator port may cut links, for tests. */
+    Mechanisms mechanisms; /*!< All on, but for tests. */
+    DistributionMode distribution = DistributionMode::Tree; /*!< Others are baselines. */
 };
 
 /*! @brief One line that says what is wrong with a settings file and where. */
--- a/src/celeryramp/node/road.cpp
+++ b/src/celeryramp/node/road.cpp
@@ -217,7 +217,8 @@
         return step.error();
     }
     call.message.digest = internal::digestOf(call.message.account, request);
-    const bool quarantined = call.fleet->quarantined.count(call.message.digest) > 0;
+    const bool quarantined = m_settings.mechanisms.quarantine
+            && call.fleet->quarantined.count(call.message.digest) > 0;
     return quarantined ? Step{internal::notRun(Reason::Quarantined)} : Step{true};
 }
 
@@ -275,7 +276,8 @@
     if (call.deadline <= Clock::now()) {
         return internal::notRun(Reason::TooLate);
     }
-    const bool charged = call.door == Door::Outside && call.account != nullptr;
+    const bool charged
+            = m_settings.mechanisms.rates && call.door == Door::Outside && call.account != nullptr;
     if (charged && !m_accounts.admit(*call.account, call.deadline)) {
         return internal::notRun(Reason::RateExceeded);
     }
@@ -284,7 +286,7 @@
 
 Result<std::optional<AnswerMessage>, Ending> Road::reserve(RoadCall &call)
 {
-    if (call.message.repeatSafe || call.idempotencyKey.empty()) {
+    if (!m_settings.mechanisms.ledger || call.message.repeatSafe || call.idempotencyKey.empty()) {
         return std::optional<AnswerMessage>{};
     }
     const auto key = call.message.account + "/" + call.idempotencyKey;
@@ -433,6 +435,9 @@
         return false;
     }
     const bool below = internal::hasRetriedMark(answer);
+    if (!m_settings.mechanisms.retryBudget) {
+        return call.message.repeatSafe && Clock::now() < call.deadline;
+    }
     const bool dealtWith = std::exchange(call.retried, true);
     if (dealtWith || below || !call.message.repeatSafe || Clock::now() >= call.deadline) {
         return false;
--- a/src/celeryramp/node/routing_desk.h
+++ b/src/celeryramp/node/routing_desk.h
@@ -16,7 +16,9 @@
 class RoutingDesk
 {
 public:
-    RoutingDesk(std::string zone, std::uint64_t seed) : m_picker{std::move(zone), seed} { }
+    RoutingDesk(std::string zone, std::uint64_t seed, bool heedsZones)
+        : m_picker{std::move(zone), seed, heedsZones}
+    { }
 
     /*! @brief A configuration came in force. */
     void onSnapshot(const Snapshot &snapshot, TimePoint now);
--- a/src/celeryramp/node/settings_reader.cpp
+++ b/src/celeryramp/node/settings_reader.cpp
@@ -116,23 +116,36 @@
     return {};
 }
 
-std::vector<Address> SettingsReader::addresses(const std::string &key)
+std::vector<std::string> SettingsReader::texts(const std::string &key)
 {
     const auto *node = find(key);
-    std::vector<Address> found;
+    std::vector<std::string> found;
     if (node == nullptr) {
         return found;
     }
     const auto *array = node->as_array();
     if (array == nullptr) {
-        failAt(node, key, "accepted: a list of IP numbers with ports");
+        failAt(node, key, "accepted: a list of texts");
         return found;
     }
     for (const auto &element : *array) {
         const auto value = element.value_exact<std::string>();
-        const auto address = value ? parseAddress(*value) : std::nullopt;
+        if (!value) {
+            failAt(&element, key, "accepted: a list of texts");
+            return found;
+        }
+        found.push_back(*value);
+    }
+    return found;
+}
+
+std::vector<Address> SettingsReader::addresses(const std::string &key)
+{
+    std::vector<Address> found;
+    for (const auto &value : texts(key)) {
+        const auto address = parseAddress(value);
         if (!address) {
-            failAt(&element, key, "accepted: IP numbers with ports, such as 127.0.0.1:8080");
+            fail(key, "accepted: a list of IP numbers with ports, such as 127.0.0.1:8080");
             return found;
         }
         found.push_back(*address);
--- a/src/celeryramp/node/settings_reader.h
+++ b/src/celeryramp/node/settings_reader.h
@@ -44,6 +44,9 @@
     /*! @return IP numbers and ports of an optional key. */
     [[nodiscard]] std::vector<Address> addresses(const std::string &key);
 
+    /*! @return Texts of an optional key. */
+    [[nodiscard]] std::vector<std::string> texts(const std::string &key);
+
     /*! @return Path of a required key; the file must be readable. Relative to the settings file. */
     [[nodiscard]] std::string file(const std::string &key);
 
--- a/src/celeryramp/routing/picker.cpp
+++ b/src/celeryramp/routing/picker.cpp
@@ -20,7 +20,7 @@
     Candidates shunned;
     for (const auto &[zone, entry] : snapshot.model().zones) {
         collect(snapshot, service, zone, excluded, isOpen, loads, zones, now,
-                zone == m_zone ? home : away, shunned);
+                zone == m_zone && m_heedsZones ? home : away, shunned);
     }
     if (home.empty() && away.empty()) {
         const auto last = betterOfTwo(shunned, loads, now);
@@ -44,7 +44,7 @@
                      const LoadTable &loads, const ZoneRamp &zones, TimePoint now, Candidates &fit,
                      Candidates &shunned)
 {
-    const auto weight = zones.weight(zone, now);
+    const auto weight = m_heedsZones ? zones.weight(zone, now) : 1.0;
     if (weight <= 0.0) {
         return;
     }
--- a/src/celeryramp/routing/picker.h
+++ b/src/celeryramp/routing/picker.h
@@ -25,8 +25,11 @@
 class Picker
 {
 public:
-    /*! @param zone Zone of this node. @param seed Seed of the random choices. */
-    Picker(std::string zone, std::uint64_t seed) : m_zone{std::move(zone)}, m_random{seed} { }
+    /*! @param zone Zone of this node. @param seed Seed of the random choices. @param heedsZones Off
+     * in baselines. */
+    Picker(std::string zone, std::uint64_t seed, bool heedsZones = true)
+        : m_zone{std::move(zone)}, m_random{seed}, m_heedsZones{heedsZones}
+    { }
 
     /*!
      * @brief Picks a server of a service.
@@ -54,6 +57,7 @@
 
     std::string m_zone;
     RandomEngine m_random;
+    bool m_heedsZones;
 };
 
 } // namespace celeryramp
--- a/standin/lab/deployment.cpp
+++ b/standin/lab/deployment.cpp
@@ -236,7 +236,12 @@
         << "\n\n";
     out << "[platform]\naddress = \"" << m_platform.text() << "\"\n\n";
     out << "[ledger]\nfirst_start = " << (firstStart ? "true" : "false") << "\n\n";
-    out << "[log]\nlevel = \"" << logLevel << "\"\n\n[testing]\nfaults = true\n";
+    out << "[log]\nlevel = \"" << logLevel << "\"\n\n[testing]\nfaults = true\ndistribution = \""
+        << m_shape.distribution << "\"\nwithout = [";
+    for (std::size_t i = 0; i < m_shape.without.size(); ++i) {
+        out << (i > 0 ? ", " : "") << '"' << m_shape.without[i] << '"';
+    }
+    out << "]\n";
     return out.str();
 }
 
--- a/standin/lab/deployment.h
+++ b/standin/lab/deployment.h
@@ -25,6 +25,8 @@
     double burstSeconds = 1.0; /*!< Burst as seconds of the rate. */
     int callerThreads = 64;
     int peerSeeds = 3;
+    std::vector<std::string> without; /*!< Mechanisms that nodes switch off. */
+    std::string distribution = "tree";
 };
 
 /*! @return The shape of a deployment of the brief: `souss` or `hokkaido`; throws for others. */
--- a/standin/lab/report.cpp
+++ b/standin/lab/report.cpp
@@ -98,6 +98,9 @@
             out << "violation of " << violation.promise << ": " << violation.text << '\n';
         }
     }
+    if (report.expected > 0) {
+        out << "violations expected without the mechanism: " << report.expected << '\n';
+    }
     out << "demo: " << all.calls << " calls, " << all.answered << " answered, " << all.notRun
         << " not-run, " << all.unknown << " unknown, " << report.violations.size()
         << " violations\n";
--- a/standin/lab/scenario.cpp
+++ b/standin/lab/scenario.cpp
@@ -93,6 +93,7 @@
 
 void Scenario::adjust(DeploymentShape &shape) const
 {
+    shape.without = list(m_table, "without");
     if (const auto *table = m_table["shape"].as_table()) {
         shape.rate = real(*table, "rate", shape.rate);
         shape.burstSeconds = real(*table, "burst_seconds", shape.burstSeconds);
@@ -122,6 +123,7 @@
     site.history().versions = site.versionsInForce();
     m_report.violations = checkHistory(site.history());
     checkExpectations(site);
+    checkExpectedViolation();
     return m_report;
 }
 
@@ -495,6 +497,24 @@
     }
 }
 
+/*! A scenario without a mechanism is good when the promise is seen broken. */
+void Scenario::checkExpectedViolation()
+{
+    const auto wanted = m_table["expect"]["violation"].value_or(std::string{});
+    if (wanted.empty()) {
+        return;
+    }
+    auto &violations = m_report.violations;
+    const auto isWanted = [&](const Violation &violation) { return violation.promise == wanted; };
+    const auto n = std::count_if(violations.begin(), violations.end(), isWanted);
+    if (n == 0) {
+        fail("the promise " + wanted + " was kept without its mechanism");
+    }
+    m_report.expected = static_cast<std::size_t>(n);
+    violations.erase(std::remove_if(violations.begin(), violations.end(), isWanted),
+                     violations.end());
+}
+
 void Scenario::checkExpectations(Site &site)
 {
     const auto *expect = m_table["expect"].as_table();
--- a/standin/lab/scenario.h
+++ b/standin/lab/scenario.h
@@ -15,6 +15,7 @@
 {
     std::vector<Convergence> convergences;
     std::vector<Violation> violations;
+    std::size_t expected = 0; /*!< Violations that a scenario without a mechanism is to show. */
     std::vector<std::string> failures; /*!< Expectations that did not come true. */
 };
 
@@ -47,6 +48,7 @@
     void perform(Site &site, const toml::table &step);
     void startLoad(Site &site, std::uint64_t seed);
     void checkExpectations(Site &site);
+    void checkExpectedViolation();
 
     void publish(Site &site, const toml::table &step);
     void publishBad(Site &site, const toml::table &step);
