An incarnation says it is alive only when something is held against it

Change: facts of a start are published only to refute; a predecessor that wakes late is told by whoever gets its heartbeat.

--- a/src/celeryramp/membership/failure_detector.cpp
+++ b/src/celeryramp/membership/failure_detector.cpp
@@ -32,6 +32,12 @@
     m_watches.erase(server);
 }
 
+std::uint64_t FailureDetector::incarnationOf(const std::string &server) const
+{
+    const auto it = m_watches.find(server);
+    return it == m_watches.end() ? 0 : it->second.incarnation;
+}
+
 std::vector<Missing> FailureDetector::poll(TimePoint now)
 {
     std::vector<Missing> missing;
--- a/src/celeryramp/membership/failure_detector.h
+++ b/src/celeryramp/membership/failure_detector.h
@@ -40,6 +40,9 @@
     /*! @brief No longer watches a member that is heard elsewhere. */
     void forget(const std::string &server);
 
+    /*! @return Highest incarnation heard from a member; 0 when none was. */
+    [[nodiscard]] std::uint64_t incarnationOf(const std::string &server) const;
+
     /*! @return Members that went missing since the last call; each is reported once per silence. */
     [[nodiscard]] std::vector<Missing> poll(TimePoint now);
 
--- a/src/celeryramp/node/control_duty.cpp
+++ b/src/celeryramp/node/control_duty.cpp
@@ -218,6 +218,15 @@
 
 void ControlDuty::onHeartbeat(const HeartbeatMessage &message, TimePoint now)
 {
+    if (const auto newest = m_detector.incarnationOf(message.server);
+        message.incarnation < newest) {
+        // A predecessor that woke up late: it is to learn that its slot is taken.
+        m_out.send(message.server,
+                   RumourMessage{{internal::rumour(RumourKind::Alive, message.server, newest)},
+                                 {},
+                                 true});
+        return;
+    }
     m_detector.heard(message.server, message.incarnation, now);
     m_distributor.onHeartbeat(message, now, m_out);
     m_rumours.onHeartbeat(message, now, m_out);
@@ -310,15 +319,18 @@
     }
     const auto suspicions
             = m_rumours.store().withPrefix(RumourKind::Suspicion, m_settings.server + " ");
-    std::uint64_t highest = 0;
+    std::uint64_t highest = m_rumours.store()
+                                    .sequence(RumourKind::Leaving, m_settings.server)
+                                    .value_or(0);
+    highest = m_leaving ? 0 : highest;
     for (const auto &[subject, sequence] : suspicions) {
         highest = std::max(highest, sequence);
     }
-    if (highest >= m_incarnation) {
-        m_incarnation = highest + 1;
-        publishRumours({internal::rumour(RumourKind::Alive, m_settings.server, m_incarnation)},
-                       now);
+    if (highest == 0 || known > highest) {
+        return; // nobody holds anything against this incarnation
     }
+    m_incarnation = std::max(m_incarnation, highest + 1);
+    publishRumours({internal::rumour(RumourKind::Alive, m_settings.server, m_incarnation)}, now);
 }
 
 void ControlDuty::publishRumours(const std::vector<Rumour> &rumours, TimePoint now)
@@ -331,17 +343,12 @@
 void ControlDuty::adoptSnapshot(TimePoint now)
 {
     const auto snapshot = m_distributor.acceptance().inForce();
-    const bool first = m_snapshot.get() == nullptr;
     m_hooks.onSnapshot(snapshot, now);
     m_snapshot.set(snapshot);
     m_inForceWall = std::chrono::system_clock::now();
     logEvent(LogLevel::Info, "control", "config-in-force",
              {{"version", std::to_string(snapshot->stamp().version)},
               {"digest", snapshot->stamp().digest.substr(0, internal::kDigestShown)}});
-    if (first) {
-        publishRumours({internal::rumour(RumourKind::Alive, m_settings.server, m_incarnation)},
-                       now);
-    }
 }
 
 void ControlDuty::publishFleet()
