A node that a peer has just given a confirmed configuration does not read the platform at its start

It also dialled its seeds anew every 250 ms, one TLS connection each time. Change: first reads spread over 8 s and are left out once a peer's copy was confirmed within 5 s; known peers are asked again over the connection that is there.

--- a/src/celeryramp/distribution/distributor.cpp
+++ b/src/celeryramp/distribution/distributor.cpp
@@ -78,22 +78,30 @@
     }
 }
 
-void Distributor::onPull(const std::string &from, const PullMessage &message, Outbox &out)
+void Distributor::onPull(const std::string &from, const PullMessage &message, TimePoint now,
+                         Outbox &out)
 {
     const auto &stamp = m_acceptance.stamp();
     const ConfigStamp have{message.haveVersion, message.haveDigest};
     if (stamp.version == 0 || have == stamp) {
-        out.send(from, DocumentMessage{stamp.version == 0 ? 0 : stamp.version, true, {}});
+        out.send(from, DocumentMessage{stamp.version, true, confirmedAgoMs(now), {}});
         return;
     }
     if (const auto *base = internal::findBase(m_acceptance, have); base != nullptr) {
         ++m_counters.deltasSent;
         out.send(from,
-                 DocumentMessage{stamp.version, true, {makeDelta(*base, m_acceptance.document())}});
+                 DocumentMessage{stamp.version,
+                                 true,
+                                 confirmedAgoMs(now),
+                                 {makeDelta(*base, m_acceptance.document())}});
         return;
     }
     ++m_counters.wholesSent;
-    out.send(from, DocumentMessage{stamp.version, false, {packDocument(m_acceptance.document())}});
+    out.send(from,
+             DocumentMessage{stamp.version,
+                             false,
+                             confirmedAgoMs(now),
+                             {packDocument(m_acceptance.document())}});
 }
 
 bool Distributor::onDocument(const std::string &from, const DocumentMessage &message,
@@ -105,6 +113,9 @@
         answered.sentAt = now;
     }
     if (message.bytes.data.empty()) {
+        if (message.version != 0 && message.version == m_acceptance.stamp().version) {
+            confirm(message.confirmedAgoMs, now);
+        }
         return false;
     }
     auto document = message.delta ? applyDelta(m_acceptance.document(), message.bytes.data)
@@ -120,6 +131,7 @@
     if (!accept(std::move(*document), now)) {
         return false;
     }
+    confirm(message.confirmedAgoMs, now);
     m_alternative.reset();
     if (m_mode != DistributionMode::Tree) {
         gossip(isUsable, now, out);
@@ -296,12 +308,17 @@
     m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, at) : at;
 }
 
+std::uint32_t Distributor::confirmedAgoMs(TimePoint now) const
+{
+    const auto ago = confirmedAgo(now).count();
+    return static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(ago, 0, internal::kNeverConfirmedMs));
+}
+
 AnnounceMessage Distributor::announcement(const std::string &root, TimePoint now) const
 {
-    const auto ago
-            = std::clamp<std::int64_t>(confirmedAgo(now).count(), 0, internal::kNeverConfirmedMs);
-    return {m_acceptance.stamp().version, m_acceptance.stamp().digest, root, 0,
-            static_cast<std::uint32_t>(ago)};
+    const auto &stamp = m_acceptance.stamp();
+    return {stamp.version, stamp.digest, root, 0, confirmedAgoMs(now)};
 }
 
 } // namespace celeryramp
--- a/src/celeryramp/distribution/distributor.h
+++ b/src/celeryramp/distribution/distributor.h
@@ -66,7 +66,7 @@
                     const IsUsable &isUsable, TimePoint now, Outbox &out);
 
     /*! @brief A peer asks for the configuration in force. */
-    void onPull(const std::string &from, const PullMessage &message, Outbox &out);
+    void onPull(const std::string &from, const PullMessage &message, TimePoint now, Outbox &out);
 
     /*! @brief A peer sent a configuration. @return True when it came in force. */
     bool onDocument(const std::string &from, const DocumentMessage &message,
@@ -111,6 +111,7 @@
     void gossip(const IsUsable &isUsable, TimePoint now, Outbox &out);
     void startPull(Pull pull, bool wholeOnly, Outbox &out);
     void confirm(std::uint32_t agoMs, TimePoint now);
+    [[nodiscard]] std::uint32_t confirmedAgoMs(TimePoint now) const;
     [[nodiscard]] AnnounceMessage announcement(const std::string &root, TimePoint now) const;
 
     std::string m_self;
--- a/src/celeryramp/node/control_duty.cpp
+++ b/src/celeryramp/node/control_duty.cpp
@@ -19,6 +19,7 @@
 constexpr Millis kRumourLife{600'000};
 constexpr std::size_t kObservers = 3;
 constexpr std::size_t kPeersAskedAtStart = 3;
+constexpr std::size_t kPeersKnownAtStart = 8;
 constexpr std::size_t kDigestShown = 12;
 
 [[nodiscard]] Rumour rumour(RumourKind kind, std::string subject, std::uint64_t sequence)
@@ -126,7 +127,7 @@
     } else if (const auto *announce = std::get_if<AnnounceMessage>(&event.message)) {
         m_distributor.onAnnounce(event.from, *announce, usable(), now, m_out);
     } else if (const auto *pull = std::get_if<PullMessage>(&event.message)) {
-        m_distributor.onPull(event.from, *pull, m_out);
+        m_distributor.onPull(event.from, *pull, now, m_out);
     } else if (const auto *document = std::get_if<DocumentMessage>(&event.message)) {
         m_peerAnswered = true;
         if (m_distributor.onDocument(event.from, *document, usable(), now, m_out)) {
@@ -143,6 +144,10 @@
 
 void ControlDuty::handle(const PeerUpEvent &event, TimePoint now)
 {
+    if (!m_distributor.acceptance().inForce()
+        && m_knownPeers.size() < internal::kPeersKnownAtStart) {
+        m_knownPeers.push_back(event.name);
+    }
     const bool early = m_peersAsked < internal::kPeersAskedAtStart;
     if (early || !m_distributor.acceptance().inForce()) {
         ++m_peersAsked;
@@ -254,7 +259,7 @@
     if (!m_distributor.acceptance().inForce()) {
         if (now - m_lastSearch >= internal::kSearchInterval) {
             m_lastSearch = now;
-            m_hooks.onStillEmpty();
+            search(now);
         }
         return;
     }
@@ -267,6 +272,14 @@
     logRejections();
 }
 
+void ControlDuty::search(TimePoint now)
+{
+    m_hooks.onStillEmpty();
+    if (!m_knownPeers.empty()) {
+        m_distributor.pullFrom(m_knownPeers[m_searches++ % m_knownPeers.size()], now, m_out);
+    }
+}
+
 void ControlDuty::sendHeartbeats(TimePoint /*now*/)
 {
     const auto &stamp = m_distributor.acceptance().stamp();
@@ -319,9 +332,8 @@
     }
     const auto suspicions
             = m_rumours.store().withPrefix(RumourKind::Suspicion, m_settings.server + " ");
-    std::uint64_t highest = m_rumours.store()
-                                    .sequence(RumourKind::Leaving, m_settings.server)
-                                    .value_or(0);
+    std::uint64_t highest
+            = m_rumours.store().sequence(RumourKind::Leaving, m_settings.server).value_or(0);
     highest = m_leaving ? 0 : highest;
     for (const auto &[subject, sequence] : suspicions) {
         highest = std::max(highest, sequence);
--- a/src/celeryramp/node/control_duty.h
+++ b/src/celeryramp/node/control_duty.h
@@ -92,6 +92,7 @@
     void handle(const LeaveEvent &event, TimePoint now);
     void onHeartbeat(const HeartbeatMessage &message, TimePoint now);
     void tick(TimePoint now);
+    void search(TimePoint now);
     [[nodiscard]] bool mustHearPeers(TimePoint now) const;
     void sendHeartbeats(TimePoint now);
     void reportMissing(TimePoint now);
@@ -123,6 +124,8 @@
     std::uint64_t m_listIndex = 0;
     std::uint64_t m_fleetDigest = 0;
     std::uint64_t m_loggedRejections = 0;
+    std::vector<std::string> m_knownPeers; /*!< To ask again while nothing is known. */
+    std::size_t m_searches = 0;
     std::size_t m_peersAsked = 0;
     std::atomic<bool> m_peerAnswered{false};
     bool m_leaving = false;
--- a/src/celeryramp/node/node.cpp
+++ b/src/celeryramp/node/node.cpp
@@ -15,7 +15,7 @@
 namespace internal {
 
 constexpr Millis kPeerAnswerWait{2000};
-constexpr Millis kPlatformAnswerWait{4000};
+constexpr Millis kPlatformAnswerWait{12'000};
 constexpr Millis kAnnouncementTime{500}; /*!< Others hear of the leaving before listeners close. */
 constexpr Millis kLongestLeave{30'000};
 constexpr Millis kIdlePoll{20};
--- a/src/celeryramp/node/node_settings.cpp
+++ b/src/celeryramp/node/node_settings.cpp
@@ -98,7 +98,7 @@
     settings.slots = static_cast<int>(reader.integer("server.slots", 1, kMaxThreads, 12));
     settings.queueCapacity = reader.integer("server.queue", 1, 65536, 256);
     settings.platform = reader.address("platform.address");
-    settings.startSpread = Millis{reader.integer("platform.start_spread_ms", 0, 60'000, 500)};
+    settings.startSpread = Millis{reader.integer("platform.start_spread_ms", 0, 60'000, 8000)};
     settings.ledger.retention = Millis{1000 * reader.integer("ledger.retention_s", 5, 86'400, 300)};
     settings.ledger.firstStart = reader.flag("ledger.first_start", false);
     const auto level = reader.choice("log.level", {"debug", "info", "warn", "error"}, "info");
--- a/src/celeryramp/node/node_settings.h
+++ b/src/celeryramp/node/node_settings.h
@@ -38,7 +38,7 @@
     std::size_t queueCapacity = 256;
 
     Address platform;
-    Millis startSpread{500}; /*!< First reads of the platform spread over this time. */
+    Millis startSpread{8000}; /*!< First reads of the platform spread over this time. */
 
     LedgerSettings ledger;
     LogLevel logLevel = LogLevel::Info;
--- a/src/celeryramp/node/platform_duty.cpp
+++ b/src/celeryramp/node/platform_duty.cpp
@@ -17,6 +17,8 @@
 constexpr Millis kDeafCheck{10'000};
 constexpr Millis kInstanceInterval{1000};
 constexpr Millis kDecisionPoll{20};
+constexpr Millis kStartPoll{50};
+constexpr Millis kFreshEnough{5000};
 constexpr int kDecisionPolls = 120;
 
 } // namespace internal
@@ -70,16 +72,16 @@
 
 void PlatformDuty::loop()
 {
-    pause(jitter(m_settings.startSpread));
+    awaitStart();
     while (!m_stopping) {
-        if (m_control.stamp().version == 0) {
+        if (!m_asked) {
             readOnce(0, Millis{0});
             m_asked = true;
             continue;
         }
-        if (!m_asked) {
-            readOnce(0, Millis{0}); // peers may all be behind the platform
-            m_asked = true;
+        if (m_control.stamp().version == 0) {
+            pause(jitter(internal::kFirstBackOff));
+            readOnce(0, Millis{0});
             continue;
         }
         if (m_reader) {
@@ -94,6 +96,20 @@
     }
 }
 
+void PlatformDuty::awaitStart()
+{
+    const auto spread = m_settings.seeds.empty() ? Millis{0} : m_settings.startSpread;
+    const auto until = Clock::now() + jitter(spread);
+    while (!m_stopping && Clock::now() < until) {
+        const bool fresh = m_control.confirmedAgo(Clock::now()) < internal::kFreshEnough;
+        if (fresh && m_control.stamp().version != 0) {
+            m_asked = true; // a peer has just had this from the platform
+            return;
+        }
+        pause(internal::kStartPoll);
+    }
+}
+
 void PlatformDuty::watchOnce()
 {
     readOnce(m_control.stamp().version, internal::kWatchWait);
--- a/src/celeryramp/node/platform_duty.h
+++ b/src/celeryramp/node/platform_duty.h
@@ -39,6 +39,7 @@
 
 private:
     void loop();
+    void awaitStart();
     void watchOnce();
     void readOnce(std::uint64_t known, Millis wait);
     void fetch(const Manifest &manifest);
--- a/src/celeryramp/wire/control_messages.h
+++ b/src/celeryramp/wire/control_messages.h
@@ -72,12 +72,13 @@
 {
     std::uint64_t version = 0; /*!< 0 when the sender has none. */
     bool delta = false;
+    std::uint32_t confirmedAgoMs = 0; /*!< Age of the last confirmation by the platform. */
     Bytes bytes;
 
     template <typename Self, typename Archive>
     static void visit(Self &self, Archive &archive)
     {
-        archive(self.version, self.delta, self.bytes);
+        archive(self.version, self.delta, self.confirmedAgoMs, self.bytes);
     }
 };
 
--- a/test/distribution/distributor.cpp
+++ b/test/distribution/distributor.cpp
@@ -55,7 +55,7 @@
         if (const auto *announce = std::get_if<AnnounceMessage>(&letter.message)) {
             node.onAnnounce(letter.from, *announce, m_usable, now, out);
         } else if (const auto *pull = std::get_if<PullMessage>(&letter.message)) {
-            node.onPull(letter.from, *pull, out);
+            node.onPull(letter.from, *pull, now, out);
         } else if (const auto *document = std::get_if<DocumentMessage>(&letter.message)) {
             node.onDocument(letter.from, *document, m_usable, now, out);
         }
