--- a/src/celeryramp/node/node.cpp
+++ b/src/celeryramp/node/node.cpp
@@ -52,7 +52,7 @@
                                                                      m_policy,
                                                                      m_metrics},
       m_routing{m_settings.zone, stableHash(m_settings.server) ^ m_incarnation,
-                m_settings.mechanisms.zones},
+                m_settings.mechanisms},
       m_accounts{m_settings.zone, *this}, m_ledger{m_settings, *this, m_metrics, m_startedAt},
       m_control{m_settings, m_incarnation, m_snapshot, m_fleet, *this, *this, m_metrics},
       m_platform{m_settings, m_control, m_policy, m_metrics,
--- a/src/celeryramp/node/routing_desk.cpp
+++ b/src/celeryramp/node/routing_desk.cpp
@@ -13,7 +13,9 @@
                               TimePoint now)
 {
     const std::lock_guard lock{m_mutex};
-    const auto isOpen = [&](const std::string &server) { return fleet.isOpen(server); };
+    const auto isOpen = [&](const std::string &server) {
+        return m_mechanisms.leaving ? fleet.isOpen(server) : fleet.down.count(server) == 0;
+    };
     auto server = m_picker.pick(snapshot, service, excluded, isOpen, m_loads, m_zones, now);
     if (!server.empty()) {
         m_loads.sent(server);
--- a/src/celeryramp/node/routing_desk.h
+++ b/src/celeryramp/node/routing_desk.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "config/snapshot.h"
+#include "core/mechanisms.h"
 #include "node/fleet_view.h"
 #include "routing/picker.h"
 #include "routing/retry_budget.h"
@@ -16,8 +17,8 @@
 class RoutingDesk
 {
 public:
-    RoutingDesk(std::string zone, std::uint64_t seed, bool heedsZones)
-        : m_picker{std::move(zone), seed, heedsZones}
+    RoutingDesk(std::string zone, std::uint64_t seed, Mechanisms mechanisms)
+        : m_picker{std::move(zone), seed, mechanisms.zones}, m_mechanisms{mechanisms}
     { }
 
     /*! @brief A configuration came in force. */
@@ -50,6 +51,7 @@
     LoadTable m_loads;
     ZoneRamp m_zones;
     RetryBudget m_budget;
+    Mechanisms m_mechanisms;
 };
 
 } // namespace celeryramp
