--- a/src/celeryramp/node/node.cpp
+++ b/src/celeryramp/node/node.cpp
@@ -298,6 +298,19 @@
             {"rejections", control["config"]["rejections"]}};
 }
 
+nlohmann::json Node::servers() const
+{
+    auto list = nlohmann::json::array();
+    if (const auto snapshot = m_snapshot.get()) {
+        for (const auto &[name, server] : snapshot->model().servers) {
+            list.push_back({{"server", name},
+                            {"zone", server.zone},
+                            {"operator", server.operatorPort.text()}});
+        }
+    }
+    return list;
+}
+
 nlohmann::json Node::state() const
 {
     const auto now = Clock::now();
--- a/src/celeryramp/node/operator_port.cpp
+++ b/src/celeryramp/node/operator_port.cpp
@@ -83,6 +83,9 @@
     if (request.path == "/status") {
         return internal::json(m_view.status());
     }
+    if (request.path == "/servers") {
+        return internal::json(m_view.servers());
+    }
     if (request.path == "/explain") {
         return internal::json(m_view.explain(request.query("path")));
     }
--- a/src/celeryramp/node/operator_port.h
+++ b/src/celeryramp/node/operator_port.h
@@ -24,6 +24,9 @@
     /*! @return Version in force and its age, short. */
     [[nodiscard]] virtual nlohmann::json status() const = 0;
 
+    /*! @return All declared servers with zone and operator address. */
+    [[nodiscard]] virtual nlohmann::json servers() const = 0;
+
     /*! @return Where a call on this path would go, and why. */
     [[nodiscard]] virtual nlohmann::json explain(const std::string &path) const = 0;
 
@@ -32,8 +35,9 @@
 };
 
 /*!
- * @brief HTTP for operators: `/state`, `/status`, `/explain`, `/metrics`, `/healthz`, `/readyz`,
- * `PUT /log-level`, and `PUT /faults` when the settings allow it. Needs a token unless on loopback.
+ * @brief HTTP for operators: `/state`, `/status`, `/servers`, `/explain`, `/metrics`, `/healthz`,
+ * `/readyz`, `PUT /log-level`, and `PUT /faults` when the settings allow it. Needs a token unless
+ * on loopback.
  */
 class OperatorPort
 {
