--- a/apps/celeryrampctl.cpp
+++ b/apps/celeryrampctl.cpp
@@ -96,8 +96,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options{"celeryrampctl", "The operator's tool"};
     options.add_options()("words", "", cxxopts::value<std::vector<std::string>>())(
-            "node", "", cxxopts::value<std::string>())(
-            "token-file", "", cxxopts::value<std::string>())(
+            "node", "", cxxopts::value<std::string>())("token-file", "",
+                                                       cxxopts::value<std::string>())(
             "account", "", cxxopts::value<std::string>())("json", "")("version", "")("help", "");
     options.parse_positional({"words"});
     try {
--- a/examples/embed/embed.cpp
+++ b/examples/embed/embed.cpp
@@ -11,13 +11,14 @@
 int main()
 {
     const auto document = celeryramp::makeDocument(
-            1, {{"zones", R"({"zones":{"a":{"region":"r","status":"in"}}})"},
-                {"services", R"({"classes":{"c":{"latency_ms":50,"success":0.99,
+            1,
+            {{"zones", R"({"zones":{"a":{"region":"r","status":"in"}}})"},
+             {"services", R"({"classes":{"c":{"latency_ms":50,"success":0.99,
                     "repeat":"idempotent","deadline_ms":500}},"services":{"stock":{}},
                     "routes":[{"path":"/stock","service":"stock","class":"c","access":"open"}]})"},
-                {"accounts", R"({"accounts":{}})"},
-                {"keys", R"({"keys":{}})"},
-                {"servers", R"({"servers":{"s1":{"service":"stock","zone":"a",
+             {"accounts", R"({"accounts":{}})"},
+             {"keys", R"({"keys":{}})"},
+             {"servers", R"({"servers":{"s1":{"service":"stock","zone":"a",
                     "node":"127.0.0.1:7003","operator":"127.0.0.1:7004","slots":4}}})"}});
     celeryramp::Acceptance acceptance;
     const auto now = celeryramp::Clock::now();
--- a/src/celeryramp/ctl/commands.cpp
+++ b/src/celeryramp/ctl/commands.cpp
@@ -58,8 +58,7 @@
             const auto &server = servers[i];
             const auto address = parseAddress(server.at("operator").get<std::string>());
             auto status = client.get(*address, "/status");
-            rows[i] = status ? std::move(status.value())
-                             : Json{{"error", status.error().reason}};
+            rows[i] = status ? std::move(status.value()) : Json{{"error", status.error().reason}};
             rows[i]["server"] = server.at("server");
             rows[i]["zone"] = server.at("zone");
         }
@@ -104,7 +103,8 @@
 {
     std::ostringstream out;
     out << std::left << std::setw(24) << "SERVER" << std::setw(8) << "ZONE" << std::setw(9)
-        << "VERSION" << std::setw(15) << "CONFIRMED" << "NOTE\n";
+        << "VERSION" << std::setw(15) << "CONFIRMED"
+        << "NOTE\n";
     for (const auto &row : rows) {
         const auto ago = row.value("confirmed_ago_ms", Json{});
         out << std::left << std::setw(24) << row["server"].get<std::string>() << std::setw(8)
@@ -135,8 +135,9 @@
                                       {"reason", error.reason}}),
                     {}};
         }
-        return internal::failed(CtlExit::Bad, folder + "/" + error.part + ".json: " + error.place
-                                                      + ": " + error.reason);
+        return internal::failed(CtlExit::Bad,
+                                folder + "/" + error.part + ".json: " + error.place + ": "
+                                        + error.reason);
     }
     const auto &model = snapshot.value()->model();
     const internal::Json summary{{"good", true},
@@ -190,9 +191,8 @@
         << json.at("class").get<std::string>() << '\n';
     for (const auto &server : json.at("servers")) {
         out << "  " << std::left << std::setw(24) << server.at("server").get<std::string>()
-            << std::setw(8) << server.at("zone").get<std::string>() << "pressure "
-            << std::setw(8) << server.at("pressure").dump()
-            << server.at("verdict").get<std::string>() << '\n';
+            << std::setw(8) << server.at("zone").get<std::string>() << "pressure " << std::setw(8)
+            << server.at("pressure").dump() << server.at("verdict").get<std::string>() << '\n';
     }
     return {CtlExit::Good, out.str(), {}};
 }
--- a/test/ctl/commands.cpp
+++ b/test/ctl/commands.cpp
@@ -63,8 +63,7 @@
     REQUIRE(output.exit == CtlExit::Good);
     REQUIRE(output.out.find("secret") == std::string::npos);
     const auto entry = nlohmann::json::parse(output.out).at("k7");
-    REQUIRE(entry.at("hash")
-            == sha256Hex(entry.at("salt").get<std::string>() + "secret"));
+    REQUIRE(entry.at("hash") == sha256Hex(entry.at("salt").get<std::string>() + "secret"));
     REQUIRE(hashKey("k7", "acme").exit == CtlExit::Usage);
     REQUIRE(hashKey(".x", "acme").exit == CtlExit::Usage);
 }
