Calls whose server waits for calls of its own hold a slot but no part of the limit

Cause: of 64 chains 18 deep 5 were answered. Each chain holds a slot at 18 gates; while limits were small two chains at a time waited for one another until their deadline, and as nothing was answered no limit grew. Seen in /state: all gates running 2 of limit 2, queues of nested calls. Ruled out: repeats (0 spent), transport (0 late answers). Change: the limit counts active calls only, all of them together stay within the slots; where waiting calls hold every slot, nested ones are refused at once. The stand-in counts the same as its load.

--- a/bench/common/site_run.cpp
+++ b/bench/common/site_run.cpp
@@ -35,17 +35,27 @@
         throw std::runtime_error{name + ": the site did not become ready"};
     }
     const auto load = makeLoad(site);
-    site.startCaller("caller",
-                     {{"name", name},
-                      {"targets", targetsOf(site, load.entryZones)},
-                      {"accounts", load.accounts},
-                      {"kinds", load.kinds},
-                      {"seconds", load.seconds},
-                      {"seed", 1},
-                      {"threads_per_zone", load.threadsPerZone}});
+    const auto start = [&](const std::string &caller, const std::vector<nlohmann::json> &accounts) {
+        site.startCaller(caller,
+                         {{"name", caller},
+                          {"targets", targetsOf(site, load.entryZones)},
+                          {"accounts", accounts},
+                          {"kinds", load.kinds},
+                          {"seconds", load.seconds},
+                          {"seed", 1},
+                          {"threads_per_zone", load.threadsPerZone}});
+    };
+    std::vector<std::string> callers{"caller"};
+    start(callers.front(), load.accounts);
+    for (const auto &account : load.apart) {
+        callers.push_back("caller-" + account.at("name").get<std::string>());
+        start(callers.back(), {account});
+    }
     meanwhile(site);
-    if (site.processes().wait("caller", kCallerTimeoutMs) != 0) {
-        throw std::runtime_error{name + ": the caller did not end well"};
+    for (const auto &caller : callers) {
+        if (site.processes().wait(caller, kCallerTimeoutMs) != 0) {
+            throw std::runtime_error{name + ": " + caller + " did not end well"};
+        }
     }
     site.processes().killAll();
     site.readJournals();
--- a/bench/common/site_run.h
+++ b/bench/common/site_run.h
@@ -15,6 +15,7 @@
 {
     std::vector<nlohmann::json> kinds;
     std::vector<nlohmann::json> accounts; /*!< Name, key, rate and entry zone. */
+    std::vector<nlohmann::json> apart; /*!< Accounts whose callers are processes of their own. */
     double seconds = 5.0;
     std::size_t threadsPerZone = 32;
     std::vector<std::string> entryZones; /*!< Zones whose nodes are called; empty for all. */
--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -160,7 +160,7 @@
     const auto snapshot = snapshotOf(1400, 8);
     Gate gate{"server-0", 12, 256};
     const std::set<std::string> quarantined;
-    const GateSurroundings around{snapshot.get(), false, &quarantined};
+    const GateSurroundings around{snapshot.get(), false, &quarantined, 0};
     const auto now = Clock::now();
     QueuedCall call;
     call.call.service = "service-0";
@@ -170,7 +170,8 @@
     for (auto _ : state) {
         benchmark::DoNotOptimize(gate.offer(call, around, now));
         const auto next = gate.next(around, now, refusals);
-        gate.finished(*next, Evidence::InTarget, Micros{1000}, now);
+        benchmark::DoNotOptimize(next);
+        gate.finished(Evidence::InTarget, Micros{1000}, 0, now);
     }
 }
 BENCHMARK(gateOfferAndRun);
--- a/bench/fairness.cpp
+++ b/bench/fairness.cpp
@@ -22,15 +22,16 @@
 {
     bench::LoadShape load;
     load.seconds = 8.0;
-    load.threadsPerZone = 64;
+    load.threadsPerZone = 80;
     load.kinds = {{{"name", "lookup"},
                    {"path", "/" + site.deployment().shape().services[0]},
                    {"target_ms", 50.0}}};
     for (const auto &account : site.deployment().accounts()) {
         const bool floods = account.name == "account-1";
-        load.accounts.push_back({{"name", account.name},
-                                 {"key", account.key},
-                                 {"rate", floods ? kFloodRate : kSmallRate}});
+        auto &list = floods ? load.apart : load.accounts;
+        list.push_back({{"name", account.name},
+                        {"key", account.key},
+                        {"rate", floods ? kFloodRate : kSmallRate}});
     }
     return load;
 }
@@ -47,6 +48,7 @@
                 auto shape = standin::knownShape(name);
                 shape.rate = 1000.0; // the servers are the limit here, not the rates
                 shape.slots = 4;
+                shape.callerThreads = 160; // each connection holds one
                 shape.without
                         = fair ? std::vector<std::string>{} : std::vector<std::string>{"fairness"};
                 const auto history = bench::runSite("fairness", shape, {10'000, 500, 2.0}, kPort,
--- a/src/celeryramp/gate/context_table.cpp
+++ b/src/celeryramp/gate/context_table.cpp
@@ -33,14 +33,29 @@
     }
 }
 
-void ContextTable::noteNested(const std::string &token, Micros time)
+void ContextTable::beginNested(const std::string &token)
 {
     const std::lock_guard lock{m_mutex};
     if (const auto it = m_contexts.find(token); it != m_contexts.end()) {
+        m_waiting += it->second.nested++ == 0 ? 1 : 0;
+    }
+}
+
+void ContextTable::endNested(const std::string &token, Micros time)
+{
+    const std::lock_guard lock{m_mutex};
+    if (const auto it = m_contexts.find(token); it != m_contexts.end() && it->second.nested > 0) {
         it->second.summary.nested += time;
+        m_waiting -= --it->second.nested == 0 ? 1 : 0;
     }
 }
 
+int ContextTable::waiting() const
+{
+    const std::lock_guard lock{m_mutex};
+    return m_waiting;
+}
+
 ContextSummary ContextTable::close(const std::string &token)
 {
     const std::lock_guard lock{m_mutex};
@@ -49,6 +64,7 @@
         return {};
     }
     const auto summary = it->second.summary;
+    m_waiting -= it->second.nested > 0 ? 1 : 0;
     m_contexts.erase(it);
     return summary;
 }
--- a/src/celeryramp/gate/context_table.h
+++ b/src/celeryramp/gate/context_table.h
@@ -35,8 +35,14 @@
     /*! @brief A call made within the context failed, and the mesh has dealt with that. */
     void noteFailure(const std::string &token);
 
-    /*! @brief A call made within the context took this long. */
-    void noteNested(const std::string &token, Micros time);
+    /*! @brief A call made within the context begins: the server now waits for it. */
+    void beginNested(const std::string &token);
+
+    /*! @brief A call made within the context ended after this long. */
+    void endNested(const std::string &token, Micros time);
+
+    /*! @return Number of contexts whose server waits for a call of its own. */
+    [[nodiscard]] int waiting() const;
 
     /*! @brief Ends a context; its token is worthless from now on. @return What happened within. */
     ContextSummary close(const std::string &token);
@@ -49,10 +55,12 @@
     {
         CallContext context;
         ContextSummary summary;
+        int nested = 0; /*!< Calls within it that are under way. */
     };
 
     mutable std::mutex m_mutex;
     std::unordered_map<std::string, Entry> m_contexts;
+    int m_waiting = 0;
 };
 
 } // namespace celeryramp
--- a/src/celeryramp/gate/gate.cpp
+++ b/src/celeryramp/gate/gate.cpp
@@ -11,7 +11,8 @@
 } // namespace internal
 
 Gate::Gate(std::string server, int slots, std::size_t queueCapacity, Mechanisms mechanisms)
-    : m_server{std::move(server)}, m_mechanisms{mechanisms}, m_ramp{slots, mechanisms.ramp},
+    : m_server{std::move(server)},
+      m_mechanisms{mechanisms}, m_slots{slots}, m_ramp{slots, mechanisms.ramp},
       m_nested{queueCapacity, mechanisms.fairness}, m_outside{queueCapacity, mechanisms.fairness}
 { }
 
@@ -20,7 +21,10 @@
     std::vector<Refusal> refusals;
     ++m_counters.offered;
     auto reason = m_draining ? Reason::Draining : obstacle(call, around, now);
-    if (reason == Reason::None && (!canMeetDeadline(call, now) || mustWait(call))) {
+    const auto active = m_running - around.waiting;
+    const bool busy
+            = !canMeetDeadline(call, now) || mustWait(call, active) || isStandstill(call, active);
+    if (reason == Reason::None && busy) {
         reason = Reason::Busy;
     }
     if (reason != Reason::None) {
@@ -41,8 +45,9 @@
             ++m_counters.refused;
         }
     }
-    while (m_running < m_ramp.limit()) {
-        auto call = popNext();
+    const auto active = m_running - around.waiting;
+    while (m_running < m_slots && active < m_ramp.limit()) {
+        auto call = popNext(active);
         if (!call) {
             return std::nullopt;
         }
@@ -58,9 +63,9 @@
     return std::nullopt;
 }
 
-void Gate::finished(const QueuedCall & /*call*/, Evidence evidence, Micros latency, TimePoint now)
+void Gate::finished(Evidence evidence, Micros latency, int waiting, TimePoint now)
 {
-    m_ramp.onFinished(evidence, latency, m_running, now);
+    m_ramp.onFinished(evidence, latency, m_running - waiting, now);
     m_running = std::max(0, m_running - 1);
 }
 
@@ -114,12 +119,12 @@
     return Reason::None;
 }
 
-std::optional<QueuedCall> Gate::popNext()
+std::optional<QueuedCall> Gate::popNext(int active)
 {
     if (auto call = m_nested.pop()) {
         return call;
     }
-    return m_running < outsideLimit() ? m_outside.pop() : std::nullopt;
+    return active < outsideLimit() ? m_outside.pop() : std::nullopt;
 }
 
 int Gate::outsideLimit() const noexcept
@@ -127,10 +132,17 @@
     return m_ramp.limit() - m_ramp.limit() / internal::kNestedPart;
 }
 
-bool Gate::mustWait(const QueuedCall &call) const noexcept
+bool Gate::mustWait(const QueuedCall &call, int active) const noexcept
 {
     const auto room = call.call.depth > 0 ? m_ramp.limit() : outsideLimit();
-    return !call.call.mayQueue && m_running + static_cast<int>(waiting()) >= room;
+    const auto queued = static_cast<int>(waiting());
+    const bool full = active + queued >= room || m_running + queued >= m_slots;
+    return !call.call.mayQueue && full;
+}
+
+bool Gate::isStandstill(const QueuedCall &call, int active) const noexcept
+{
+    return call.call.depth > 0 && active <= 0 && m_running >= m_slots;
 }
 
 bool Gate::canMeetDeadline(const QueuedCall &call, TimePoint now) const
--- a/src/celeryramp/gate/gate.h
+++ b/src/celeryramp/gate/gate.h
@@ -40,6 +40,7 @@
     const Snapshot *snapshot = nullptr; /*!< Null before the first configuration. */
     bool leaving = false; /*!< The server is listed as leaving. */
     const std::set<std::string> *quarantined = nullptr; /*!< Digests not to be run. */
+    int waiting = 0; /*!< Running calls whose server waits for calls of its own. */
 };
 
 /*!
@@ -47,7 +48,10 @@
  *
  * All work passes here, so concurrency, ramp, drain, keys and zone status are local facts. Keys and
  * zone status are checked again when a call leaves the queue. Nested calls go before outside ones
- * and have a part of the concurrency to themselves, since each holds up a slot of its caller.
+ * and have a part of the concurrency to themselves, since each holds up a slot of its caller. A
+ * running call whose server waits for a call of its own holds a slot but no part of the limit, and
+ * when such calls hold all slots nested ones are refused at once, so that chains do not stand still
+ * waiting for one another.
  * Decides only; the duties around it carry calls and answers.
  */
 class Gate
@@ -72,7 +76,7 @@
                                                  std::vector<Refusal> &refusals);
 
     /*! @brief A call that `next` gave out has ended. */
-    void finished(const QueuedCall &call, Evidence evidence, Micros latency, TimePoint now);
+    void finished(Evidence evidence, Micros latency, int waiting, TimePoint now);
 
     /*! @return The call, when it was still waiting and will now never run. */
     [[nodiscard]] std::optional<QueuedCall> cancel(std::uint64_t id, ReplyPath replyPath);
@@ -98,14 +102,17 @@
     {
         return m_nested.size() + m_outside.size();
     }
-    [[nodiscard]] std::optional<QueuedCall> popNext();
+    [[nodiscard]] std::optional<QueuedCall> popNext(int active);
     [[nodiscard]] int outsideLimit() const noexcept;
     /*! @return True when the call would wait here though it should rather try another gate. */
-    [[nodiscard]] bool mustWait(const QueuedCall &call) const noexcept;
+    [[nodiscard]] bool mustWait(const QueuedCall &call, int active) const noexcept;
+    /*! @return True when only calls that wait for others could make room for a nested one. */
+    [[nodiscard]] bool isStandstill(const QueuedCall &call, int active) const noexcept;
     [[nodiscard]] bool canMeetDeadline(const QueuedCall &call, TimePoint now) const;
 
     std::string m_server;
     Mechanisms m_mechanisms;
+    int m_slots = 0;
     ConcurrencyRamp m_ramp;
     FairQueue m_nested; /*!< Calls of other backend servers, whose slots wait for them. */
     FairQueue m_outside;
--- a/src/celeryramp/node/gate_duty.cpp
+++ b/src/celeryramp/node/gate_duty.cpp
@@ -205,7 +205,7 @@
         if (answer.reason == Reason::ServerLost || answer.reason == Reason::Unreachable) {
             m_gate.serverLost(end);
         }
-        m_gate.finished(call, evidence, latency, end);
+        m_gate.finished(evidence, latency, m_contexts.waiting(), end);
         answer.load = m_gate.load();
     }
     (answer.outcome == Outcome::NotRun ? m_refused : m_answered).add();
@@ -272,7 +272,8 @@
 GateSurroundings GateDuty::surroundings(const SnapshotPtr &snapshot,
                                         const FleetViewPtr &fleet) const
 {
-    return {snapshot.get(), fleet->selfLeaving || fleet->superseded, &fleet->quarantined};
+    return {snapshot.get(), fleet->selfLeaving || fleet->superseded, &fleet->quarantined,
+            m_contexts.waiting()};
 }
 
 } // namespace celeryramp
--- a/src/celeryramp/node/road.cpp
+++ b/src/celeryramp/node/road.cpp
@@ -147,7 +147,7 @@
     const auto taken = std::chrono::duration_cast<Micros>(Clock::now() - call.startedAt);
     m_latency.record(taken);
     if (door == Door::Inside) {
-        m_contexts.noteNested(call.contextToken, taken);
+        m_contexts.endNested(call.contextToken, taken);
     }
     response.closeConnection = m_around.isLeaving() && door == Door::Outside;
     return response;
@@ -260,6 +260,7 @@
         return internal::notRun(Reason::TooDeep);
     }
     call.contextToken = token;
+    m_contexts.beginNested(token);
     call.message.account = context->account;
     call.message.keyId = context->keyId;
     call.message.chain = context->chain;
--- a/standin/backend/backend.cpp
+++ b/standin/backend/backend.cpp
@@ -108,8 +108,10 @@
     }
     std::this_thread::sleep_for(work);
     const auto depth = intQuery(request, "depth");
+    --m_running; // a request that waits for another server is no load on this one
     auto response = depth > 0 ? callOn(request, depth - 1)
                               : HttpResponse{kOk, {}, "", "text/plain", false};
+    ++m_running;
     const bool isLeaf = depth == 0 && request.query("leaf_fail") == "1";
     if (request.query("fail") == "1" || isLeaf) {
         response.status = kServerError + 2;
--- a/test/gate/context_table.cpp
+++ b/test/gate/context_table.cpp
@@ -14,11 +14,19 @@
     REQUIRE_FALSE(table.find("0123"));
     REQUIRE_FALSE(table.find(""));
     table.noteFailure(token);
-    table.noteNested(token, Micros{5});
-    table.noteNested("unknown", Micros{5});
+    table.beginNested(token);
+    table.beginNested(token);
+    REQUIRE(table.waiting() == 1);
+    table.endNested(token, Micros{5});
+    REQUIRE(table.waiting() == 1);
+    table.endNested(token, Micros{5});
+    REQUIRE(table.waiting() == 0);
+    table.endNested("unknown", Micros{5});
+    table.beginNested(token);
     const auto summary = table.close(token);
     REQUIRE(summary.failedBelow);
-    REQUIRE(summary.nested == Micros{5});
+    REQUIRE(summary.nested == Micros{10});
     REQUIRE_FALSE(table.find(token));
     REQUIRE(table.size() == 0);
+    REQUIRE(table.waiting() == 0);
 }
--- a/test/gate/gate.cpp
+++ b/test/gate/gate.cpp
@@ -31,10 +31,11 @@
     std::set<std::string> quarantined;
     Gate gate{"s-z0-0", 4, 8};
     std::vector<Refusal> refusals;
+    int waiting = 0;
 
     GateSurroundings around(bool leaving = false)
     {
-        return {snapshot.get(), leaving, &quarantined};
+        return {snapshot.get(), leaving, &quarantined, waiting};
     }
 
     std::optional<QueuedCall> next(std::int64_t now)
@@ -62,7 +63,7 @@
     Fixture f;
     SECTION("before the first configuration")
     {
-        const GateSurroundings none{nullptr, false, &f.quarantined};
+        const GateSurroundings none{nullptr, false, &f.quarantined, 0};
         REQUIRE(f.gate.offer(callOf(1, "a", 0), none, at(0)).front().reason == Reason::NotReady);
     }
     SECTION("leaving")
@@ -145,7 +146,7 @@
     const auto call = f.next(0);
     REQUIRE(call);
     REQUIRE_FALSE(f.gate.cancel(1, 0));
-    f.gate.finished(*call, Evidence::InTarget, Micros{1000}, at(1));
+    f.gate.finished(Evidence::InTarget, Micros{1000}, 0, at(1));
     REQUIRE(f.gate.isIdle());
 }
 
@@ -172,6 +173,37 @@
     REQUIRE(f.next(0)->call.id == 2);
 }
 
+TEST_CASE("calls whose server waits for calls of its own leave their part of the limit to others")
+{
+    Fixture f;
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+        REQUIRE(f.gate.offer(callOf(i, "a", 0), f.around(), at(0)).empty());
+    }
+    REQUIRE(f.next(0));
+    REQUIRE(f.next(0));
+    REQUIRE_FALSE(f.next(0));
+    f.waiting = 2;
+    REQUIRE(f.next(0));
+    REQUIRE(f.next(0));
+    f.waiting = 4;
+    REQUIRE_FALSE(f.next(0)); // four slots, all of them held
+}
+
+TEST_CASE("a nested call is refused when only waiting calls hold the slots")
+{
+    Fixture f;
+    for (std::uint64_t i = 1; i <= 4; ++i) {
+        REQUIRE(f.gate.offer(callOf(i, "a", 0), f.around(), at(0)).empty());
+        REQUIRE(f.next(0));
+        f.waiting = static_cast<int>(i);
+    }
+    const auto refused = f.gate.offer(callOf(9, "a", 0, 1000, 5), f.around(), at(0));
+    REQUIRE(refused.size() == 1);
+    REQUIRE(refused.front().reason == Reason::Busy);
+    f.waiting = 3;
+    REQUIRE(f.gate.offer(callOf(10, "a", 0, 1000, 5), f.around(), at(0)).empty());
+}
+
 TEST_CASE("every call offered is run or refused exactly once")
 {
     REQUIRE(rc::check("random work", [] {
@@ -199,8 +231,7 @@
                 }
                 note(f.refusals);
             } else if (step < 95 && !running.empty()) {
-                f.gate.finished(running.back(), static_cast<Evidence>(step % 4), Micros{1000},
-                                at(now));
+                f.gate.finished(static_cast<Evidence>(step % 4), Micros{1000}, 0, at(now));
                 running.pop_back();
             } else if (const auto call = f.gate.cancel(static_cast<std::uint64_t>(step % 9), 0)) {
                 ++ends[call->call.id];
