The platform duty's sleep ends when the node becomes a reader

Cause: a node that got its configuration from a peer at its start went into the sleep of a non-reader, 5 to 15 s, before the control duty had told it that it reads for its zone; the notice woke nobody, as the wait looked only for a stop. Where all readers fell into it nobody watched. Seen once in zone-leaves-and-returns: version 2 in force nowhere after 3 s, 215 violations of zone-out. Ruled out: lost announcements (nobody had the version to announce).

--- a/bench/convergence.cpp
+++ b/bench/convergence.cpp
@@ -50,6 +50,10 @@
     double detectionMs = 0.0;
     double falseSuspicions = 0.0;
     double configBytes = 0.0;
+    double framesPlain = 0.0; /*!< Sent and received per second by a node that reads no platform. */
+    double framesReader = 0.0; /*!< The same by a reader. */
+    double frameBytes
+            = 0.0; /*!< On the wire per frame, all headers and acknowledgements included. */
 };
 
 /*! Bytes that the loopback interface sent so far: whole packets with TLS, TCP and IP. */
@@ -80,6 +84,11 @@
     double memory = 0.0;
     double links = 0.0;
     double suspicions = 0.0;
+    double frames = 0.0; /*!< Sent. */
+    double framesPlain = 0.0; /*!< Sent and received. */
+    double framesReader = 0.0;
+    double plain = 0.0; /*!< Nodes that read no platform. */
+    double readers = 0.0;
 };
 
 Totals totalsOf(const Site &site, const std::vector<standin::ServerPlace> &servers)
@@ -93,7 +102,14 @@
         totals.cpu += state.at("process").at("cpu_seconds").get<double>();
         totals.memory += state.at("process").at("resident_bytes").get<double>();
         totals.links += state.at("links").get<double>();
-        totals.suspicions += state.at("metrics").value("suspicions_total", 0.0);
+        const auto &metrics = state.at("metrics");
+        totals.suspicions += metrics.value("suspicions_total", 0.0);
+        const auto sent = metrics.value("peer_frames_total{direction=\"sent\"}", 0.0);
+        const auto both = sent + metrics.value("peer_frames_total{direction=\"received\"}", 0.0);
+        const bool reads = state.at("reader").get<bool>();
+        totals.frames += sent;
+        (reads ? totals.framesReader : totals.framesPlain) += both;
+        (reads ? totals.readers : totals.plain) += 1.0;
     }
     return totals;
 }
@@ -115,6 +131,12 @@
     measured.memoryMiB = after.memory / n / kMebibyte;
     measured.links = after.links / n;
     measured.falseSuspicions = after.suspicions;
+    const auto time = seconds + 0.5;
+    measured.framesPlain
+            = (after.framesPlain - before.framesPlain) / time / std::max(1.0, after.plain);
+    measured.framesReader
+            = (after.framesReader - before.framesReader) / time / std::max(1.0, after.readers);
+    measured.frameBytes = bytes / seconds / std::max(1.0, (after.frames - before.frames) / time);
 }
 
 void measureChanges(Site &site, int changes, Measured &measured)
@@ -220,6 +242,8 @@
     bounded("CPU at rest", m.cpuPercent, "%core", kCpuBound);
     bounded("memory", m.memoryMiB, "MiB", kMemoryBoundMiB);
     figures.tell(name + "links", m.links, "links");
+    bounded("sent and received, plain node", m.framesPlain * m.frameBytes, "B/s", kBytesBound);
+    bounded("sent and received, reader", m.framesReader * m.frameBytes, "B/s", kBytesBound);
     if (own) {
         bounded("detection of a killed node", m.detectionMs, "ms", kDetectionBoundMs);
         figures.tell(name + "suspicions without cause", m.falseSuspicions, "");
--- a/src/celeryramp/node/platform_duty.cpp
+++ b/src/celeryramp/node/platform_duty.cpp
@@ -40,7 +40,7 @@
     m_thread = std::thread{[this] { loop(); }};
     m_instanceThread = std::thread{[this] {
         while (!m_stopping) {
-            pause(internal::kInstanceInterval);
+            m_instanceWaker.sleep(internal::kInstanceInterval);
             if (m_reader && !m_stopping) {
                 readInstances();
             }
@@ -50,11 +50,9 @@
 
 void PlatformDuty::stop()
 {
-    {
-        const std::lock_guard lock{m_mutex};
-        m_stopping = true;
-    }
-    m_wake.notify_all();
+    m_stopping = true;
+    m_watchWaker.stop();
+    m_instanceWaker.stop();
     m_client.abort();
     m_instances.abort();
     for (auto *thread : {&m_thread, &m_instanceThread}) {
@@ -67,7 +65,7 @@
 void PlatformDuty::setReader(bool isReader)
 {
     m_reader = isReader;
-    m_wake.notify_all();
+    m_watchWaker.wake();
 }
 
 void PlatformDuty::loop()
@@ -80,7 +78,7 @@
             continue;
         }
         if (m_control.stamp().version == 0) {
-            pause(jitter(internal::kFirstBackOff));
+            m_watchWaker.sleep(jitter(internal::kFirstBackOff));
             readOnce(0, Millis{0});
             continue;
         }
@@ -88,7 +86,9 @@
             watchOnce();
             continue;
         }
-        pause(internal::kDeafCheck / 2 + jitter(internal::kDeafCheck));
+        if (m_watchWaker.sleep(internal::kDeafCheck / 2 + jitter(internal::kDeafCheck))) {
+            continue;
+        }
         const bool deaf = m_control.confirmedAgo(Clock::now()) >= internal::kDeafAfter;
         if (deaf && !m_reader && !m_stopping) {
             readOnce(0, Millis{0});
@@ -106,7 +106,7 @@
             m_asked = true; // a peer has just had this from the platform
             return;
         }
-        pause(internal::kStartPoll);
+        m_watchWaker.sleep(internal::kStartPoll);
     }
 }
 
@@ -141,7 +141,7 @@
         m_control.push(PlatformConfirmedEvent{});
     }
     if (known != 0) {
-        pause(internal::kStaleBackOff + jitter(internal::kStaleBackOff));
+        m_watchWaker.sleep(internal::kStaleBackOff + jitter(internal::kStaleBackOff));
     }
 }
 
@@ -169,7 +169,7 @@
     // The control duty decides, at a start only after peers were heard; reading again before that
     // is useless.
     for (int i = 0; i < internal::kDecisionPolls && m_control.isWanted(stamp) && !m_stopping; ++i) {
-        pause(internal::kDecisionPoll);
+        m_watchWaker.sleep(internal::kDecisionPoll);
     }
 }
 
@@ -181,15 +181,9 @@
     }
 }
 
-void PlatformDuty::pause(Millis time)
-{
-    std::unique_lock lock{m_mutex};
-    m_wake.wait_for(lock, time, [this] { return m_stopping.load(); });
-}
-
 void PlatformDuty::backOff()
 {
-    pause(jitter(m_backOff));
+    m_watchWaker.sleep(jitter(m_backOff));
     m_backOff = std::min(internal::kLongestBackOff, m_backOff * 2);
 }
 
--- a/src/celeryramp/node/platform_duty.h
+++ b/src/celeryramp/node/platform_duty.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include <atomic>
-#include <condition_variable>
-#include <mutex>
 #include <thread>
 
 #include "core/random.h"
+#include "core/waker.h"
 #include "node/control_duty.h"
 #include "node/node_settings.h"
 #include "transport/platform_client.h"
@@ -44,7 +43,6 @@
     void readOnce(std::uint64_t known, Millis wait);
     void fetch(const Manifest &manifest);
     void readInstances();
-    void pause(Millis time);
     void backOff();
     [[nodiscard]] Millis jitter(Millis most);
 
@@ -57,8 +55,8 @@
     std::atomic<bool> m_reader{false};
     std::atomic<bool> m_asked{false};
     std::atomic<bool> m_stopping{false};
-    std::mutex m_mutex;
-    std::condition_variable m_wake;
+    Waker m_watchWaker; /*!< Woken when this node becomes a reader or none. */
+    Waker m_instanceWaker;
     std::thread m_thread;
     std::thread m_instanceThread;
 };
