--- a/bench/common/site_run.cpp
+++ b/bench/common/site_run.cpp
@@ -62,6 +62,35 @@
     return site.history();
 }
 
+LoadShape lookupLoad(standin::Site &site, double seconds, double rateShare)
+{
+    LoadShape load;
+    load.seconds = seconds;
+    load.kinds = {{{"name", "lookup"},
+                   {"path", "/" + site.deployment().shape().services[0]},
+                   {"target_ms", 50.0}}};
+    for (const auto &account : site.deployment().accounts()) {
+        load.accounts.push_back(
+                {{"name", account.name}, {"key", account.key}, {"rate", account.rate * rateShare}});
+    }
+    return load;
+}
+
+void forEachSite(const std::string &mechanism,
+                 const std::function<void(const std::string &site, bool with,
+                                          const standin::DeploymentShape &shape)> &measure)
+{
+    for (const auto *name : {"souss", "hokkaido"}) {
+        for (const bool with : {true, false}) {
+            auto shape = standin::knownShape(name);
+            if (!with) {
+                shape.without = {mechanism};
+            }
+            measure(name, with, shape);
+        }
+    }
+}
+
 double inTargetShare(const standin::RunHistory &history, const std::string &account)
 {
     double all = 0.0;
--- a/bench/common/site_run.h
+++ b/bench/common/site_run.h
@@ -29,6 +29,14 @@
                                           const std::function<LoadShape(standin::Site &)> &makeLoad,
                                           const std::function<void(standin::Site &)> &meanwhile);
 
+/*! @return Lookups of all accounts at this share of their rates. */
+[[nodiscard]] LoadShape lookupLoad(standin::Site &site, double seconds, double rateShare);
+
+/*! @brief Measures both sites of the brief, each with the mechanism and without it. */
+void forEachSite(const std::string &mechanism,
+                 const std::function<void(const std::string &site, bool with,
+                                          const standin::DeploymentShape &shape)> &measure);
+
 /*! @return Share of sends answered well and in target; 1 when there were none. */
 [[nodiscard]] double inTargetShare(const standin::RunHistory &history, const std::string &account);
 
--- a/bench/fairness.cpp
+++ b/bench/fairness.cpp
@@ -20,19 +20,14 @@
 
 bench::LoadShape loadOf(standin::Site &site)
 {
-    bench::LoadShape load;
-    load.seconds = 8.0;
+    auto load = bench::lookupLoad(site, 8.0, 1.0);
     load.threadsPerZone = 80;
-    load.kinds = {{{"name", "lookup"},
-                   {"path", "/" + site.deployment().shape().services[0]},
-                   {"target_ms", 50.0}}};
-    for (const auto &account : site.deployment().accounts()) {
-        const bool floods = account.name == "account-1";
-        auto &list = floods ? load.apart : load.accounts;
-        list.push_back({{"name", account.name},
-                        {"key", account.key},
-                        {"rate", floods ? kFloodRate : kSmallRate}});
+    for (auto &account : load.accounts) {
+        account["rate"] = kSmallRate;
     }
+    load.apart = {load.accounts.front()};
+    load.apart.front()["rate"] = kFloodRate;
+    load.accounts.erase(load.accounts.begin());
     return load;
 }
 
@@ -43,36 +38,29 @@
     std::signal(SIGPIPE, SIG_IGN);
     bench::FigureList figures;
     try {
-        for (const auto *name : {"souss", "hokkaido"}) {
-            for (const bool fair : {true, false}) {
-                auto shape = standin::knownShape(name);
-                shape.rate = 1000.0; // the servers are the limit here, not the rates
-                shape.slots = 4;
-                shape.callerThreads = 160; // each connection holds one
-                shape.without
-                        = fair ? std::vector<std::string>{} : std::vector<std::string>{"fairness"};
-                const auto history = bench::runSite("fairness", shape, {10'000, 500, 2.0}, kPort,
-                                                    loadOf, [](standin::Site &) {});
-                std::vector<double> shares;
-                for (int i = 2; i <= shape.accounts; ++i) {
-                    shares.push_back(bench::inTargetShare(history, "account-" + std::to_string(i)));
-                }
-                const auto worst = *std::min_element(shares.begin(), shares.end());
-                const auto median = bench::quantile(shares, 0.5);
-                const auto what = std::string{"fairness "} + name + " "
-                        + (fair ? "in turn" : "first come") + ", ";
-                figures.tell(what + "median account in target", median, "share");
-                if (fair) {
-                    figures.atLeast(what + "worst of median", median > 0 ? worst / median : 0.0,
-                                    "ratio", kWorstBound);
-                } else {
-                    figures.tell(what + "worst of median", median > 0 ? worst / median : 0.0,
-                                 "ratio");
-                }
-                figures.tell(what + "flooder in target", bench::inTargetShare(history, "account-1"),
-                             "share");
+        bench::forEachSite("fairness", [&](const auto &site, bool fair, auto shape) {
+            shape.rate = 1000.0; // the servers are the limit here, not the rates
+            shape.slots = 4;
+            shape.callerThreads = 160; // each connection holds one
+            const auto history = bench::runSite("fairness", shape, {10'000, 500, 2.0}, kPort,
+                                                loadOf, [](standin::Site &) {});
+            std::vector<double> shares;
+            for (int i = 2; i <= shape.accounts; ++i) {
+                shares.push_back(bench::inTargetShare(history, "account-" + std::to_string(i)));
             }
-        }
+            const auto worst = *std::min_element(shares.begin(), shares.end());
+            const auto median = bench::quantile(shares, 0.5);
+            const auto ratio = median > 0 ? worst / median : 0.0;
+            const auto what = "fairness " + site + " " + (fair ? "in turn" : "first come") + ", ";
+            figures.tell(what + "median account in target", median, "share");
+            if (fair) {
+                figures.atLeast(what + "worst of median", ratio, "ratio", kWorstBound);
+            } else {
+                figures.tell(what + "worst of median", ratio, "ratio");
+            }
+            figures.tell(what + "flooder in target", bench::inTargetShare(history, "account-1"),
+                         "share");
+        });
     } catch (const std::exception &error) {
         std::cerr << "bench-fairness: " << error.what() << '\n';
         return 1;
--- a/bench/ramp.cpp
+++ b/bench/ramp.cpp
@@ -15,16 +15,8 @@
 
 bench::LoadShape loadOf(standin::Site &site)
 {
-    bench::LoadShape load;
-    load.seconds = 12.0;
+    auto load = bench::lookupLoad(site, 12.0, 0.8);
     load.threadsPerZone = 48;
-    load.kinds = {{{"name", "lookup"},
-                   {"path", "/" + site.deployment().shape().services[0]},
-                   {"target_ms", 50.0}}};
-    for (const auto &account : site.deployment().accounts()) {
-        load.accounts.push_back(
-                {{"name", account.name}, {"key", account.key}, {"rate", account.rate * 0.8}});
-    }
     return load;
 }
 
@@ -47,30 +39,22 @@
     std::signal(SIGPIPE, SIG_IGN);
     bench::FigureList figures;
     try {
-        for (const auto *name : {"souss", "hokkaido"}) {
-            for (const bool ramped : {true, false}) {
-                auto shape = standin::knownShape(name);
-                shape.without
-                        = ramped ? std::vector<std::string>{} : std::vector<std::string>{"ramp"};
-                const auto history
-                        = bench::runSite("ramp", shape, {4000, 3000, 8.0}, kPort, loadOf, makeCold);
-                double newSheds = 0.0;
-                for (const auto &violation : standin::checkHistory(history)) {
-                    newSheds += violation.promise == "cold-server" ? 1.0 : 0.0;
-                }
-                const auto what = std::string{"ramp "} + name + " "
-                        + (ramped ? "ramp" : "all slots at once") + ", ";
-                if (ramped) {
-                    figures.atMost(what + "too much for a new server", newSheds, "requests", 0.0);
-                } else {
-                    figures.tell(what + "too much for a new server", newSheds, "requests");
-                }
-                figures.tell(what + "too much in all", bench::countRuns(history, "shed"),
-                             "requests");
-                figures.tell(what + "answered in target", bench::inTargetShare(history, ""),
-                             "share");
+        bench::forEachSite("ramp", [&](const auto &site, bool ramped, const auto &shape) {
+            const auto history
+                    = bench::runSite("ramp", shape, {4000, 3000, 8.0}, kPort, loadOf, makeCold);
+            double newSheds = 0.0;
+            for (const auto &violation : standin::checkHistory(history)) {
+                newSheds += violation.promise == "cold-server" ? 1.0 : 0.0;
+            }
+            const auto what = "ramp " + site + " " + (ramped ? "ramp" : "all slots at once") + ", ";
+            if (ramped) {
+                figures.atMost(what + "too much for a new server", newSheds, "requests", 0.0);
+            } else {
+                figures.tell(what + "too much for a new server", newSheds, "requests");
             }
-        }
+            figures.tell(what + "too much in all", bench::countRuns(history, "shed"), "requests");
+            figures.tell(what + "answered in target", bench::inTargetShare(history, ""), "share");
+        });
     } catch (const std::exception &error) {
         std::cerr << "bench-ramp: " << error.what() << '\n';
         return 1;
--- a/bench/zones.cpp
+++ b/bench/zones.cpp
@@ -17,15 +17,8 @@
 
 bench::LoadShape loadOf(standin::Site &site)
 {
-    bench::LoadShape load;
-    load.seconds = 14.0;
+    auto load = bench::lookupLoad(site, 14.0, 0.4);
     load.entryZones = {"a", "c"};
-    const auto &services = site.deployment().shape().services;
-    load.kinds = {{{"name", "lookup"}, {"path", "/" + services[0]}, {"target_ms", 50.0}}};
-    for (const auto &account : site.deployment().accounts()) {
-        load.accounts.push_back(
-                {{"name", account.name}, {"key", account.key}, {"rate", account.rate * 0.4}});
-    }
     return load;
 }
 
@@ -61,23 +54,17 @@
     std::signal(SIGPIPE, SIG_IGN);
     bench::FigureList figures;
     try {
-        for (const auto *name : {"souss", "hokkaido"}) {
-            for (const bool heeds : {true, false}) {
-                auto shape = standin::knownShape(name);
-                shape.without
-                        = heeds ? std::vector<std::string>{} : std::vector<std::string>{"zones"};
-                const auto history
-                        = bench::runSite("zones", shape, {}, kPort, loadOf, leaveAndReturn);
-                const auto share = bench::inTargetShare(history, "");
-                const auto what = std::string{"zones "} + name + " answered in target, "
-                        + (heeds ? "zones heeded" : "no heed of zones");
-                if (heeds) {
-                    figures.atLeast(what, share, "share", kKeptBound);
-                } else {
-                    figures.tell(what, share, "share");
-                }
+        bench::forEachSite("zones", [&](const auto &site, bool heeds, const auto &shape) {
+            const auto history = bench::runSite("zones", shape, {}, kPort, loadOf, leaveAndReturn);
+            const auto share = bench::inTargetShare(history, "");
+            const auto what = "zones " + site + " answered in target, "
+                    + (heeds ? "zones heeded" : "no heed of zones");
+            if (heeds) {
+                figures.atLeast(what, share, "share", kKeptBound);
+            } else {
+                figures.tell(what, share, "share");
             }
-        }
+        });
     } catch (const std::exception &error) {
         std::cerr << "bench-zones: " << error.what() << '\n';
         return 1;
--- a/src/celeryramp/core/waker.h
+++ b/src/celeryramp/core/waker.h
@@ -9,8 +9,8 @@
 namespace celeryramp {
 
 /*!
- * @brief A sleep that others can end. A wake that comes before the sleep is not lost: it ends the next
- * one at once.
+ * @brief A sleep that others can end. A wake that comes before the sleep is not lost: it ends the
+ * next one at once.
  */
 class Waker
 {
--- a/src/celeryramp/distribution/distributor.cpp
+++ b/src/celeryramp/distribution/distributor.cpp
@@ -11,6 +11,7 @@
 namespace internal {
 
 constexpr std::size_t kRepairNeighbours = 3;
+constexpr std::uint64_t kConfirmationsPerFarOne = 5; /*!< Other zones hear every fifth. */
 constexpr Millis kGossipInterval{1000};
 constexpr int kGossipFanOut = 2;
 constexpr std::uint32_t kNeverConfirmedMs = std::numeric_limits<std::uint32_t>::max();
@@ -165,7 +166,7 @@
     startPull({peer, {}, now}, false, out);
 }
 
-void Distributor::tick(bool isReader, const IsUsable &isUsable, TimePoint now, Outbox &out)
+void Distributor::tick(ReaderRole role, const IsUsable &isUsable, TimePoint now, Outbox &out)
 {
     if (m_pull && now - m_pull->sentAt >= kPullTimeout) {
         ++m_counters.pullTimeouts;
@@ -179,8 +180,10 @@
     const auto interval
             = m_mode == DistributionMode::Gossip ? internal::kGossipInterval : kConfirmInterval;
     const bool due = now - m_lastAnnounce >= interval;
-    if ((isReader || m_mode == DistributionMode::Gossip) && due && m_acceptance.inForce()) {
-        announceAsRoot(true, isUsable, now, out);
+    const bool isReader = role != ReaderRole::None || m_mode == DistributionMode::Gossip;
+    if (isReader && due && m_acceptance.inForce()) {
+        const bool farther = ++m_confirmations % internal::kConfirmationsPerFarOne == 0;
+        announceAsRoot(farther && role == ReaderRole::First, isUsable, now, out);
     }
 }
 
--- a/src/celeryramp/distribution/distributor.h
+++ b/src/celeryramp/distribution/distributor.h
@@ -10,6 +10,7 @@
 #include "core/time.h"
 #include "distribution/distribution_mode.h"
 #include "distribution/outbox.h"
+#include "distribution/reader_role.h"
 #include "membership/topology.h"
 #include "wire/control_messages.h"
 
@@ -79,7 +80,7 @@
     void pullFrom(const std::string &peer, TimePoint now, Outbox &out);
 
     /*! @brief Repeats what timed out; a reader confirms the version in force now and then. */
-    void tick(bool isReader, const IsUsable &isUsable, TimePoint now, Outbox &out);
+    void tick(ReaderRole role, const IsUsable &isUsable, TimePoint now, Outbox &out);
 
     [[nodiscard]] const Acceptance &acceptance() const noexcept { return m_acceptance; }
     [[nodiscard]] const Topology &topology() const noexcept { return m_topology; }
@@ -127,6 +128,7 @@
     std::optional<Pull> m_alternative; /*!< Another peer that announced the same or more. */
     std::optional<TimePoint> m_confirmedAt;
     TimePoint m_lastAnnounce;
+    std::uint64_t m_confirmations = 0; /*!< Announcements made without a change. */
     DistributorCounters m_counters;
 };
 
--- a/src/celeryramp/node/control_duty.cpp
+++ b/src/celeryramp/node/control_duty.cpp
@@ -18,6 +18,7 @@
 constexpr Millis kPauseNoticed{1500};
 constexpr Millis kRumourLife{600'000};
 constexpr std::size_t kObservers = 3;
+constexpr std::uint64_t kHeartbeatsPerFarOne = 3; /*!< Other zones get every third. */
 constexpr std::size_t kPeersAskedAtStart = 3;
 constexpr std::size_t kPeersKnownAtStart = 8;
 constexpr std::size_t kDigestShown = 12;
@@ -250,12 +251,12 @@
         handle(PlatformDocumentEvent{*std::exchange(m_heldDocument, std::nullopt)}, now);
     }
     m_rumours.tick(now);
-    const bool reader = isReader();
-    if (reader != m_wasReader) {
-        m_wasReader = reader;
-        m_hooks.onReaderChanged(reader);
+    const auto role = readerRole();
+    if (role != m_role) {
+        m_role = role;
+        m_hooks.onReaderChanged(role != ReaderRole::None);
     }
-    m_distributor.tick(reader, usable(), now, m_out);
+    m_distributor.tick(role, usable(), now, m_out);
     if (!m_distributor.acceptance().inForce()) {
         if (now - m_lastSearch >= internal::kSearchInterval) {
             m_lastSearch = now;
@@ -290,7 +291,8 @@
          topology.successors(m_settings.server, internal::kObservers, usable())) {
         m_out.send(next, heartbeat);
     }
-    if (!m_wasReader) {
+    const bool farther = ++m_heartbeats % internal::kHeartbeatsPerFarOne == 0;
+    if (m_role != ReaderRole::First || !farther) {
         return;
     }
     for (const auto &zone : topology.zones()) {
@@ -426,13 +428,17 @@
     return [this](const std::string &server) { return !m_view.isDown(server); };
 }
 
-bool ControlDuty::isReader() const
+ReaderRole ControlDuty::readerRole() const
 {
     if (m_settings.distribution == DistributionMode::Watch) {
-        return m_distributor.acceptance().inForce() != nullptr;
+        return m_distributor.acceptance().inForce() ? ReaderRole::Reader : ReaderRole::None;
     }
     const auto readers = m_distributor.topology().readers(m_settings.zone, usable());
-    return std::find(readers.begin(), readers.end(), m_settings.server) != readers.end();
+    const auto it = std::find(readers.begin(), readers.end(), m_settings.server);
+    if (it == readers.end()) {
+        return ReaderRole::None;
+    }
+    return it == readers.begin() ? ReaderRole::First : ReaderRole::Reader;
 }
 
 nlohmann::json ControlDuty::state(TimePoint now) const
@@ -459,7 +465,7 @@
             : nlohmann::json(nullptr);
     return {{"incarnation", m_incarnation},
             {"superseded", m_superseded},
-            {"reader", m_wasReader},
+            {"reader", m_role != ReaderRole::None},
             {"config",
              {{"version", acceptance.stamp().version},
               {"digest", acceptance.stamp().digest},
--- a/src/celeryramp/node/control_duty.h
+++ b/src/celeryramp/node/control_duty.h
@@ -104,7 +104,7 @@
     void flush();
     void logRejections();
     [[nodiscard]] IsUsable usable() const;
-    [[nodiscard]] bool isReader() const;
+    [[nodiscard]] ReaderRole readerRole() const;
 
     const NodeSettings &m_settings;
     Cell<Snapshot> &m_snapshot;
@@ -130,7 +130,8 @@
     std::atomic<bool> m_peerAnswered{false};
     bool m_leaving = false;
     bool m_superseded = false;
-    bool m_wasReader = false;
+    ReaderRole m_role = ReaderRole::None;
+    std::uint64_t m_heartbeats = 0;
     std::chrono::system_clock::time_point m_inForceWall; /*!< For operators only. */
     std::optional<ConfigDocument> m_heldDocument; /*!< Of the platform, until peers are heard. */
     TimePoint m_startedAt;
--- a/standin/lab/site.cpp
+++ b/standin/lab/site.cpp
@@ -69,7 +69,7 @@
 bool Site::start(int timeoutMs, bool withBackends)
 {
     const auto &platformAddress = m_deployment.platform();
-    const auto watchers = std::max<std::size_t>(64, m_deployment.servers().size() * 2);
+    const auto watchers = std::max<std::size_t>(64, m_deployment.servers().size() * 2 + 32);
     m_processes.start("platform",
                       {m_paths.programs + "/standin-platform", "--listen", platformAddress.text(),
                        "--threads", std::to_string(watchers)},
--- a/test/distribution/distributor.cpp
+++ b/test/distribution/distributor.cpp
@@ -92,7 +92,7 @@
                 collect(target, out);
             }
             Outbox out;
-            distributor.tick(false, m_usable, now, out);
+            distributor.tick(ReaderRole::None, m_usable, now, out);
             collect(name, out);
         }
     }
@@ -202,12 +202,42 @@
     node.onAnnounce("first", {stamp.version, stamp.digest, "", 0, 0}, usable, at(0), out);
     node.onAnnounce("second", {stamp.version, stamp.digest, "", 0, 0}, usable, at(1), out);
     REQUIRE(out.take().size() == 1);
-    node.tick(false, usable, at(kPullTimeout.count()), out);
+    node.tick(ReaderRole::None, usable, at(kPullTimeout.count()), out);
     const auto items = out.take();
     REQUIRE(items.size() == 1);
     REQUIRE(items.front().first == "second");
 }
 
+TEST_CASE("a reader confirms to its zone often and to other zones seldom, a change to all at once")
+{
+    Mail mail;
+    giveAll(mail, 1);
+    const auto usable = [](const std::string &) { return true; };
+    auto &first = mail.node(readerOf("z0"));
+    const auto farAnnouncements = [&](ReaderRole role, int confirmations) {
+        int far = 0;
+        for (int i = 0; i < confirmations; ++i) {
+            Outbox out;
+            static std::int64_t now = 0;
+            now += kConfirmInterval.count();
+            first.tick(role, usable, at(now), out);
+            for (const auto &[to, message] : out.take()) {
+                far += first.topology().zoneOf(to) == "z1" ? 1 : 0;
+            }
+        }
+        return far;
+    };
+    REQUIRE(farAnnouncements(ReaderRole::First, 10) == 2);
+    REQUIRE(farAnnouncements(ReaderRole::Reader, 10) == 0);
+    Outbox out;
+    first.onPlatformDocument(sampleDocument(2, kShape), usable, at(0), out);
+    int far = 0;
+    for (const auto &[to, message] : out.take()) {
+        far += first.topology().zoneOf(to) == "z1" ? 1 : 0;
+    }
+    REQUIRE(far == 1);
+}
+
 TEST_CASE("a refused version is not pulled again and reaches nobody")
 {
     Mail mail;
