--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -1,6 +1,6 @@
 /*! @file
- *  Writes the tables of docs/CAPACITY.md and a plot per resource from measured slopes: reads the points of
- *  `bench-convergence`, the figures of `bench-decisions` and `bench-path`.
+ *  Writes the tables of docs/CAPACITY.md and a plot per resource from measured slopes: reads the
+ * points of `bench-convergence`, the figures of `bench-decisions` and `bench-path`.
  */
 
 #include <algorithm>
@@ -147,11 +147,11 @@
                     "frames at the largest size (no growth expected: fan-outs are fixed); "
                             + fitText(inputs, "frames of a plain node")});
     rows.push_back({"plain node", "bytes for changes", changeRate, "B/s", 2048.0,
-                    "announcement, pull, delta", "largest size times 2,300 a day; "
-                            + fitText(inputs, "sent per change")});
+                    "announcement, pull, delta",
+                    "largest size times 2,300 a day; " + fitText(inputs, "sent per change")});
     rows.push_back({"plain node", "bytes for replacements",
-                    kReplacementsPerDay * perDay * 6.0 * frame + config * perDay
-                            * kReplacementsPerDay / kServers * 2.0,
+                    kReplacementsPerDay * perDay * 6.0 * frame
+                            + config * perDay * kReplacementsPerDay / kServers * 2.0,
                     "B/s", 2048.0, "rumours on the tree; one whole document per start",
                     "estimated: 6 frames on each node per replacement; one configuration of "
                             + plain(config / 1024.0) + " KiB by the restarted node and its peer"});
@@ -171,7 +171,8 @@
     rows.push_back({"plain node", "connections at rest", flat("links"), "links", 0.0,
                     "ring neighbours and tree parents; idle ones close after 60 s",
                     fitText(inputs, "links")});
-    // Per other zone a first reader sends and gets one heartbeat in 6 s and one announcement in 15 s.
+    // Per other zone a first reader sends and gets one heartbeat in 6 s and one announcement in 15
+    // s.
     const auto farFrames = 2.0 * (1.0 / 6.0 + 1.0 / 15.0);
     const auto readerFrames = flat("frames of a reader") + farFrames * (kZones - 3.0);
     rows.push_back({"reader", "bytes sent and received, rest", readerFrames * frame, "B/s", 2048.0,
@@ -182,8 +183,8 @@
     rows.push_back({"reader", "platform reads", 1.0 + 0.2, "1/s", 0.0,
                     "one watch of 5 s and the instance list each second",
                     "estimated from the two intervals"});
-    rows.push_back({"platform", "reads at rest, all readers",
-                    kZones * kReadersPerZone * 1.2, "1/s", 1000.0, "two readers a zone",
+    rows.push_back({"platform", "reads at rest, all readers", kZones * kReadersPerZone * 1.2, "1/s",
+                    1000.0, "two readers a zone",
                     "estimated: 12 readers; measured with 6: "
                             + plain(flat("platform reads at rest")) + "/s"});
     rows.push_back({"platform", "reads in the worst second of a whole start",
@@ -203,20 +204,19 @@
     const auto gate = inputs.path.count("path CPU of the gate node per call") > 0
             ? inputs.path.at("path CPU of the gate node per call")
             : 0.0;
-    rows.push_back({"entry of calls", "CPU for calls, not control",
-                    perNode * entry / 1e6 * 100.0, "% core", 0.0,
-                    "HTTP, key, admission, choice, peer frame",
-                    "`bench-path` " + plain(entry) + " us a call times "
-                            + plain(perNode) + " calls/s a node"});
+    rows.push_back({"entry of calls", "CPU for calls, not control", perNode * entry / 1e6 * 100.0,
+                    "% core", 0.0, "HTTP, key, admission, choice, peer frame",
+                    "`bench-path` " + plain(entry) + " us a call times " + plain(perNode)
+                            + " calls/s a node"});
     rows.push_back({"gate", "CPU for calls, not control", perNode * gate / 1e6 * 100.0, "% core",
                     0.0, "peer frame, queue, HTTP to the server",
                     "`bench-path` " + plain(gate) + " us a call"});
-    rows.push_back({"gate", "added latency, 99 in 100", inputs.path.count("path added p99") > 0
-                            ? inputs.path.at("path added p99")
-                            : 0.0,
-                    "ms", 1.1, "two hops", "`bench-path` at 2,000 calls/s into one node"});
-    rows.push_back({"minter", "token requests, all accounts evenly",
-                    outside * 1.2 / kServers, "1/s", 0.0, "one request for most outside calls",
+    rows.push_back(
+            {"gate", "added latency, 99 in 100",
+             inputs.path.count("path added p99") > 0 ? inputs.path.at("path added p99") : 0.0, "ms",
+             1.1, "two hops", "`bench-path` at 2,000 calls/s into one node"});
+    rows.push_back({"minter", "token requests, all accounts evenly", outside * 1.2 / kServers,
+                    "1/s", 0.0, "one request for most outside calls",
                     "`bench-limits` 1.2 requests a call times " + plain(outside)
                             + " outside calls/s over 1,400 nodes"});
     const auto vote = secondsOf(inputs, "ledgerVote/1400");
@@ -226,9 +226,8 @@
     rows.push_back({"ledger home", "votes, a third of outside calls keyed",
                     outside / 3.0 * 5.0 / kServers, "1/s", 0.0, "five homes a key",
                     "estimated share of keyed calls"});
-    rows.push_back({"ledger home", "CPU of votes",
-                    outside / 3.0 * 5.0 / kServers * vote * 100.0, "% core", 1.7,
-                    "rendezvous over the declared servers",
+    rows.push_back({"ledger home", "CPU of votes", outside / 3.0 * 5.0 / kServers * vote * 100.0,
+                    "% core", 1.7, "rendezvous over the declared servers",
                     "`bench-decisions` ledgerVote/1400 " + plain(vote * 1e6) + " us"});
     rows.push_back({"ledger home", "records kept", outside / 3.0 * 5.0 / kServers * 300.0,
                     "records", 1e6, "retention 300 s", "estimated share of keyed calls"});
@@ -247,8 +246,8 @@
         const bool over = row.limit > 0.0 && row.value > row.limit;
         out << "| " << row.role << " | " << row.quantity << " | " << plain(row.value) << ' '
             << row.unit << (over ? " **over**" : "") << " | "
-            << (row.limit > 0.0 ? plain(row.limit) + " " + row.unit : "-") << " | "
-            << row.mechanism << " | " << row.source << " |\n";
+            << (row.limit > 0.0 ? plain(row.limit) + " " + row.unit : "-") << " | " << row.mechanism
+            << " | " << row.source << " |\n";
     }
     return out.str();
 }
@@ -262,11 +261,10 @@
         const char *series;
         double limit;
     };
-    constexpr std::array kGrowing{Growing{"memory of a node, MiB", "memory", 256.0},
-                                  Growing{"platform reads in a whole start, 1/s",
-                                          "platform reads at start", 1000.0},
-                                  Growing{"configuration size, MiB of 1 MiB a part",
-                                          "configuration size", kMebibyte}};
+    constexpr std::array kGrowing{
+            Growing{"memory of a node, MiB", "memory", 256.0},
+            Growing{"platform reads in a whole start, 1/s", "platform reads at start", 1000.0},
+            Growing{"configuration size, MiB of 1 MiB a part", "configuration size", kMebibyte}};
     std::ostringstream out;
     out << "| quantity | 1,400 | 2,800 | 5,600 | limit | limit reached at |\n"
         << "| --- | --- | --- | --- | --- | --- |\n";
@@ -295,11 +293,9 @@
     constexpr double kMargin = 40.0;
     const auto line = series.line();
     const auto mostX = *std::max_element(series.sizes.begin(), series.sizes.end());
-    const auto mostY = std::max(1e-9, 1.1 * *std::max_element(series.values.begin(),
-                                                              series.values.end()));
-    const auto x = [&](double size) {
-        return kMargin + size / mostX * (kWidth - 2.0 * kMargin);
-    };
+    const auto mostY
+            = std::max(1e-9, 1.1 * *std::max_element(series.values.begin(), series.values.end()));
+    const auto x = [&](double size) { return kMargin + size / mostX * (kWidth - 2.0 * kMargin); };
     const auto y = [&](double value) {
         return kHeight - kMargin - value / mostY * (kHeight - 2.0 * kMargin);
     };
@@ -315,8 +311,7 @@
     for (std::size_t i = 0; i < series.sizes.size(); ++i) {
         out << "<circle cx=\"" << x(series.sizes[i]) << "\" cy=\"" << y(series.values[i])
             << "\" r=\"4\" fill=\"firebrick\"/>\n<text x=\"" << x(series.sizes[i]) - 8.0
-            << "\" y=\"" << kHeight - kMargin + 15.0 << "\">" << series.sizes[i]
-            << "</text>\n";
+            << "\" y=\"" << kHeight - kMargin + 15.0 << "\">" << series.sizes[i] << "</text>\n";
     }
     out << "<text x=\"2\" y=\"" << y(mostY) << "\">" << plain(mostY) << "</text>\n</svg>\n";
 }
@@ -350,11 +345,12 @@
 int main(int argc, char **argv)
 {
     cxxopts::Options options{"bench-capacity", "Tables of docs/CAPACITY.md"};
-    options.add_options()("slopes", "", cxxopts::value<std::string>()->default_value(
-                                                "out/slopes.tsv"))(
+    options.add_options()("slopes", "",
+                          cxxopts::value<std::string>()->default_value("out/slopes.tsv"))(
             "decisions", "", cxxopts::value<std::string>()->default_value("out/decisions.json"))(
             "path", "", cxxopts::value<std::string>()->default_value("out/path.txt"))(
-            "page", "Page to write the tables into", cxxopts::value<std::string>()->default_value(""))(
+            "page", "Page to write the tables into",
+            cxxopts::value<std::string>()->default_value(""))(
             "plots", "Folder for plots", cxxopts::value<std::string>()->default_value(""));
     const auto parsed = options.parse(argc, argv);
     try {
--- a/bench/convergence.cpp
+++ b/bench/convergence.cpp
@@ -266,7 +266,10 @@
         Slope{"in force p99", &Measured::convergedP99, "ms"},
         Slope{"platform reads at rest", &Measured::idleReadsPerSecond, "1/s"},
         Slope{"platform reads at start", &Measured::startReadsPerSecond, "1/s"},
-        Slope{"configuration size", &Measured::configBytes, "B"}};
+        Slope{"configuration size", &Measured::configBytes, "B"},
+        Slope{"frames of a plain node", &Measured::framesPlain, "1/s"},
+        Slope{"frames of a reader", &Measured::framesReader, "1/s"},
+        Slope{"wire bytes of a frame", &Measured::frameBytes, "B"}};
 
 /*! Writes `name, size, value` lines and the fitted line of each, for the capacity page. */
 void writeSlopes(const std::string &path, const std::vector<Measured> &all,
--- a/src/celeryramp/transport/peer_mesh.cpp
+++ b/src/celeryramp/transport/peer_mesh.cpp
@@ -1,12 +1,7 @@
 #include "transport/peer_mesh.h"
 
-#include <deque>
 #include <functional>
-#include <map>
-#include <mutex>
 #include <thread>
-#include <unordered_map>
-#include <vector>
 
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio.hpp>
@@ -15,6 +10,7 @@
 
 #include "core/time.h"
 #include "observe/log.h"
+#include "transport/link_table.h"
 
 namespace celeryramp {
 
@@ -28,36 +24,11 @@
 using Handle = websocketpp::connection_hdl;
 using ErrorCode = websocketpp::lib::error_code;
 
-constexpr std::size_t kMaxWaitingFrames = 1024;
 constexpr long kHandshakeTimeoutMs = 2000;
 constexpr Millis kSweepInterval{500};
 constexpr Millis kIdleClose{60'000};
-constexpr Millis kIdleAvoid{50'000};
 constexpr Millis kPauseLimit{3000};
 
-enum class Side { Accepted, Opened };
-
-struct WaitingFrame
-{
-    std::string bytes;
-    std::uint64_t token = 0;
-};
-
-struct Link
-{
-    LinkId id = 0;
-    Side side = Side::Accepted;
-    Handle handle;
-    std::string peer; /*!< Empty until the peer said hello, or known from who was called. */
-    std::string zone;
-    bool open = false;
-    bool greeted = false; /*!< The peer said hello. */
-    TimePoint lastUsed;
-    std::deque<WaitingFrame> waiting;
-};
-
-using LinkPtr = std::shared_ptr<Link>;
-
 [[nodiscard]] SslContextPtr makeContext(const TlsFiles &files)
 {
     auto context = std::make_shared<SslContext>(SslContext::tls);
@@ -123,32 +94,16 @@
             m_cut.add();
             return kSwallowed;
         }
-        auto bytes = encode(message);
-        internal::LinkPtr link;
-        {
-            const std::lock_guard lock{m_mutex};
-            link = usableLink(name);
-            if (link && !link->open) {
-                return enqueue(*link, std::move(bytes), token);
-            }
-        }
-        if (!link) {
-            return open(name, std::move(bytes), token);
-        }
-        return transmit(*link, std::move(bytes)) ? link->id : 0;
+        const auto link = m_links.usable(name, Clock::now());
+        return link ? transmitOrWait(link, encode(message), token)
+                    : open(name, encode(message), token);
     }
 
     bool reply(LinkId id, const Message &message)
     {
-        internal::LinkPtr link;
-        {
-            const std::lock_guard lock{m_mutex};
-            const auto it = m_links.find(id);
-            if (it == m_links.end() || !it->second->open) {
-                return false;
-            }
-            link = it->second;
-            link->lastUsed = Clock::now();
+        const auto link = m_links.findOpen(id, Clock::now());
+        if (!link) {
+            return false;
         }
         if (m_policy.isCut(link->zone)) {
             m_cut.add();
@@ -159,14 +114,11 @@
 
     void connectTo(const Address &address)
     {
-        internal::asio::post(m_io, [this, address] { dial(newLink({}), address); });
+        internal::asio::post(
+                m_io, [this, address] { dial(m_links.open({}, {}, Clock::now()), address); });
     }
 
-    [[nodiscard]] std::size_t links() const
-    {
-        const std::lock_guard lock{m_mutex};
-        return m_links.size();
-    }
+    [[nodiscard]] std::size_t links() const { return m_links.size(); }
 
 private:
     /*! A cut link swallows frames without a word. */
@@ -203,47 +155,18 @@
         return !ec && connection->get_ec() == websocketpp::transport::error::pass_through;
     }
 
-    /*! The link to use for a peer, if any; called with the lock held. */
-    [[nodiscard]] internal::LinkPtr usableLink(const std::string &name)
-    {
-        const auto now = Clock::now();
-        const auto it = m_byPeer.find(name);
-        if (it == m_byPeer.end()) {
-            return nullptr;
-        }
-        const auto &link = it->second;
-        const bool closesSoon = link->side == internal::Side::Accepted
-                && now - link->lastUsed >= internal::kIdleAvoid;
-        if (closesSoon) {
-            return nullptr;
-        }
-        link->lastUsed = now;
-        return link;
-    }
-
-    LinkId enqueue(internal::Link &link, std::string bytes, std::uint64_t token)
+    LinkId transmitOrWait(const LinkPtr &link, std::string bytes, std::uint64_t token)
     {
-        if (link.waiting.size() >= internal::kMaxWaitingFrames) {
+        switch (m_links.waitUnlessOpen(link, bytes, token)) {
+        case WaitResult::Waits:
+            return link->id;
+        case WaitResult::Full:
             m_dropped.add();
             return 0;
+        case WaitResult::NotNeeded:
+            break;
         }
-        link.waiting.push_back({std::move(bytes), token});
-        return link.id;
-    }
-
-    [[nodiscard]] internal::LinkPtr newLink(const std::string &name)
-    {
-        auto link = std::make_shared<internal::Link>();
-        const std::lock_guard lock{m_mutex};
-        link->id = ++m_lastLink;
-        link->side = internal::Side::Opened;
-        link->peer = name;
-        link->lastUsed = Clock::now();
-        m_links[link->id] = link;
-        if (!name.empty()) {
-            m_byPeer[name] = link;
-        }
-        return link;
+        return transmit(*link, std::move(bytes)) ? link->id : 0;
     }
 
     LinkId open(const std::string &name, std::string bytes, std::uint64_t token)
@@ -253,20 +176,13 @@
             m_dropped.add();
             return 0;
         }
-        auto link = newLink(name);
-        {
-            const std::lock_guard lock{m_mutex};
-            enqueue(*link, std::move(bytes), token);
-        }
-        const auto id = link->id;
-        link->zone = place.zone;
-        internal::asio::post(m_io, [this, link = std::move(link), address = place.address] {
-            dial(link, address);
-        });
+        const auto link = m_links.open(name, place.zone, Clock::now());
+        const auto id = transmitOrWait(link, std::move(bytes), token);
+        internal::asio::post(m_io, [this, link, address = place.address] { dial(link, address); });
         return id;
     }
 
-    void dial(const internal::LinkPtr &link, const Address &address)
+    void dial(const LinkPtr &link, const Address &address)
     {
         internal::ErrorCode ec;
         const auto connection = m_client.get_connection("wss://" + address.text() + "/", ec);
@@ -274,11 +190,7 @@
             endLink(link, false);
             return;
         }
-        link->handle = connection->get_handle();
-        {
-            const std::lock_guard lock{m_mutex};
-            m_byHandle[link->handle] = link;
-        }
+        m_links.attach(link, connection->get_handle());
         m_client.connect(connection);
     }
 
@@ -292,43 +204,17 @@
             connection->get_raw_socket().set_option(internal::asio::ip::tcp::no_delay(true),
                                                     ignored);
         }
-        std::deque<internal::WaitingFrame> waiting;
-        auto link = linkOf(handle);
+        auto link = m_links.find(handle);
         if (!link) {
-            link = adopt(handle);
+            link = m_links.adopt(handle, Clock::now());
         }
         transmitNow(*link, encode(m_settings.self));
-        // Frames that waited go first, so that later ones cannot overtake them.
-        const std::lock_guard lock{m_mutex};
-        waiting.swap(link->waiting);
-        for (auto &frame : waiting) {
-            transmitNow(*link, frame.bytes);
-        }
-        link->open = true;
-    }
-
-    [[nodiscard]] internal::LinkPtr adopt(const internal::Handle &handle)
-    {
-        auto link = std::make_shared<internal::Link>();
-        const std::lock_guard lock{m_mutex};
-        link->id = ++m_lastLink;
-        link->handle = handle;
-        link->lastUsed = Clock::now();
-        m_links[link->id] = link;
-        m_byHandle[handle] = link;
-        return link;
-    }
-
-    [[nodiscard]] internal::LinkPtr linkOf(const internal::Handle &handle)
-    {
-        const std::lock_guard lock{m_mutex};
-        const auto it = m_byHandle.find(handle);
-        return it == m_byHandle.end() ? nullptr : it->second;
+        m_links.openAndFlush(link, [&](const std::string &bytes) { transmitNow(*link, bytes); });
     }
 
     void onFrame(const internal::Handle &handle, const std::string &bytes)
     {
-        const auto link = linkOf(handle);
+        const auto link = m_links.find(handle);
         const auto now = Clock::now();
         if (!link) {
             return;
@@ -355,14 +241,11 @@
             m_cut.add();
             return;
         }
-        {
-            const std::lock_guard lock{m_mutex};
-            link->lastUsed = now;
-        }
+        m_links.touch(link, now);
         m_events.onPeerMessage(link->peer, link->id, std::move(message.value()));
     }
 
-    void greet(const internal::LinkPtr &link, const Message &message)
+    void greet(const LinkPtr &link, const Message &message)
     {
         const auto *hello = std::get_if<HelloMessage>(&message);
         if (hello == nullptr || hello->server.empty()) {
@@ -375,40 +258,23 @@
             close(*link, "cut");
             return;
         }
-        {
-            const std::lock_guard lock{m_mutex};
-            if (!link->peer.empty() && link->peer != hello->server) {
-                forgetPeer(*link);
-            }
-            link->peer = hello->server;
-            link->zone = hello->zone;
-            link->greeted = true;
-            m_byPeer.emplace(hello->server, link);
-        }
+        m_links.greet(link, hello->server, hello->zone);
         m_events.onPeerUp(link->peer, link->id);
     }
 
     void onEnd(const internal::Handle &handle, bool refused)
     {
-        if (const auto link = linkOf(handle)) {
+        if (const auto link = m_links.find(handle)) {
             endLink(link, refused);
         } else {
             m_failedLinks.add(); // a peer that never got through the TLS handshake
         }
     }
 
-    void endLink(const internal::LinkPtr &link, bool refused)
+    void endLink(const LinkPtr &link, bool refused)
     {
-        std::deque<internal::WaitingFrame> unsent;
-        {
-            const std::lock_guard lock{m_mutex};
-            m_failedLinks.add(link->open ? 0 : 1);
-            link->open = false;
-            m_links.erase(link->id);
-            m_byHandle.erase(link->handle);
-            forgetPeer(*link);
-            unsent.swap(link->waiting);
-        }
+        m_failedLinks.add(link->open ? 0 : 1);
+        const auto unsent = m_links.end(link);
         for (const auto &frame : unsent) {
             m_dropped.add();
             if (frame.token != 0) {
@@ -420,22 +286,7 @@
         }
     }
 
-    /*! Called with the lock held. */
-    void forgetPeer(const internal::Link &link)
-    {
-        const auto it = m_byPeer.find(link.peer);
-        if (it == m_byPeer.end() || it->second->id != link.id) {
-            return;
-        }
-        m_byPeer.erase(it);
-        for (const auto &[id, other] : m_links) {
-            if (other->peer == link.peer && other->id != link.id && other->open) {
-                m_byPeer[link.peer] = other;
-            }
-        }
-    }
-
-    bool transmit(const internal::Link &link, std::string bytes)
+    bool transmit(const Link &link, std::string bytes)
     {
         const auto delay = link.zone == m_settings.self.zone ? Millis{0} : m_policy.zoneDelay();
         if (delay.count() == 0) {
@@ -452,15 +303,15 @@
         return true;
     }
 
-    bool transmitNow(const internal::Link &link, const std::string &bytes)
+    bool transmitNow(const Link &link, const std::string &bytes)
     {
         return write(link.side, link.handle, bytes);
     }
 
-    bool write(internal::Side side, const internal::Handle &handle, const std::string &bytes)
+    bool write(LinkSide side, const internal::Handle &handle, const std::string &bytes)
     {
         internal::ErrorCode ec;
-        if (side == internal::Side::Accepted) {
+        if (side == LinkSide::Accepted) {
             m_server.send(handle, bytes, websocketpp::frame::opcode::binary, ec);
         } else {
             m_client.send(handle, bytes, websocketpp::frame::opcode::binary, ec);
@@ -474,28 +325,17 @@
         return true;
     }
 
-    void close(const internal::Link &link, const std::string &why)
+    void close(const Link &link, const std::string &why)
     {
         internal::ErrorCode ec;
         const auto code = websocketpp::close::status::normal;
-        if (link.side == internal::Side::Accepted) {
+        if (link.side == LinkSide::Accepted) {
             m_server.close(link.handle, code, why, ec);
         } else {
             m_client.close(link.handle, code, why, ec);
         }
     }
 
-    [[nodiscard]] std::vector<internal::LinkPtr> allLinks() const
-    {
-        const std::lock_guard lock{m_mutex};
-        std::vector<internal::LinkPtr> links;
-        links.reserve(m_links.size());
-        for (const auto &[id, link] : m_links) {
-            links.push_back(link);
-        }
-        return links;
-    }
-
     void scheduleSweep()
     {
         m_sweepTimer.expires_after(internal::kSweepInterval);
@@ -516,11 +356,8 @@
 
     void sweep(TimePoint now)
     {
-        for (const auto &link : allLinks()) {
-            const bool idle = now - link->lastUsed >= internal::kIdleClose;
-            if (idle && link->side == internal::Side::Opened) {
-                close(*link, "idle");
-            }
+        for (const auto &link : m_links.idle(internal::kIdleClose, now)) {
+            close(*link, "idle");
         }
     }
 
@@ -532,9 +369,7 @@
     {
         m_lastSweep = Clock::now();
         logEvent(LogLevel::Warn, "peers", "paused", {{"links", std::to_string(links())}});
-        for (const auto &link : allLinks()) {
-            link->greeted = false;
-            link->zone.clear();
+        for (const auto &link : m_links.all()) {
             close(*link, "paused");
             endLink(link, false);
         }
@@ -546,7 +381,7 @@
         m_sweepTimer.cancel();
         internal::ErrorCode ec;
         m_server.stop_listening(ec);
-        for (const auto &link : allLinks()) {
+        for (const auto &link : m_links.all()) {
             close(*link, "stop");
         }
         auto timer = std::make_shared<internal::asio::steady_timer>(m_io, Millis{300});
@@ -572,11 +407,7 @@
     internal::asio::steady_timer m_sweepTimer;
     TimePoint m_lastSweep;
     bool m_stopping = false;
-    mutable std::mutex m_mutex;
-    std::map<LinkId, internal::LinkPtr> m_links;
-    std::map<internal::Handle, internal::LinkPtr, std::owner_less<internal::Handle>> m_byHandle;
-    std::unordered_map<std::string, internal::LinkPtr> m_byPeer;
-    LinkId m_lastLink = kSwallowed;
+    LinkTable m_links{kSwallowed};
     std::thread m_thread;
 };
 
--- a/test/config/acceptance_model.cpp
+++ b/test/config/acceptance_model.cpp
@@ -12,10 +12,10 @@
 using testsupport::at;
 
 /*
- * Every schedule of two nodes and a platform at small size: publications, a platform that turns stale
- * and recovers, reads, pulls between the nodes, a cut between them, restarts. A node that restarts asks
- * the platform and its peer before it serves, as the control duty does. What acceptance does with each
- * offer is taken from the real class.
+ * Every schedule of two nodes and a platform at small size: publications, a platform that turns
+ * stale and recovers, reads, pulls between the nodes, a cut between them, restarts. A node that
+ * restarts asks the platform and its peer before it serves, as the control duty does. What
+ * acceptance does with each offer is taken from the real class.
  */
 
 namespace {
@@ -188,8 +188,9 @@
 
 } // namespace
 
-TEST_CASE("in every schedule of two nodes and a platform no process lowers its version, and no slot "
-          "serves less than it did when a source in reach knew better")
+TEST_CASE(
+        "in every schedule of two nodes and a platform no process lowers its version, and no slot "
+        "serves less than it did when a source in reach knew better")
 {
     const auto findings = Search{true}.run();
     REQUIRE(findings.states > 1000);
