The checker counts a change from when it could be read, and a sudden re-cold as no new server

Such a change now counts from the end of that fault, and not otherwise; planted cases test both sides.

--- a/src/celeryramp/transport/link_table.cpp
+++ b/src/celeryramp/transport/link_table.cpp
@@ -70,8 +70,8 @@
         return nullptr;
     }
     const auto &link = it->second;
-    const bool closesSoon = link->side == LinkSide::Accepted
-            && now - link->lastUsed >= internal::kIdleAvoid;
+    const bool closesSoon
+            = link->side == LinkSide::Accepted && now - link->lastUsed >= internal::kIdleAvoid;
     if (closesSoon) {
         return nullptr;
     }
--- a/src/celeryramp/transport/link_table.h
+++ b/src/celeryramp/transport/link_table.h
@@ -17,7 +17,8 @@
     Full /*!< Too many wait; the frame is dropped. */
 };
 
-/*! @brief All connections of a mesh by identity, library handle and peer. Safe to use from several threads. */
+/*! @brief All connections of a mesh by identity, library handle and peer. Safe to use from several
+ * threads. */
 class LinkTable
 {
 public:
--- a/standin/checker/checker.cpp
+++ b/standin/checker/checker.cpp
@@ -85,6 +85,21 @@
     }
 }
 
+/*!
+ * When a change that operators published at this time can be known everywhere: at once, or at the
+ * end of the outage, staleness or cut in which it was published.
+ */
+std::int64_t knowableAt(std::int64_t published, const RunHistory &history)
+{
+    auto at = published;
+    for (const auto &span : history.blind) {
+        if (published >= span.from && published < span.until) {
+            at = std::max(at, span.until);
+        }
+    }
+    return at;
+}
+
 void checkWithdrawnKeys(const RunHistory &history, const StartsByRequest &starts,
                         Violations &violations)
 {
@@ -95,7 +110,8 @@
         }
         for (const auto &span : history.keysWithdrawn) {
             const auto at = it->second->at;
-            if (send.key == span.name && at > span.from + kInForceMicros && at < span.until) {
+            const auto from = knowableAt(span.from, history) + kInForceMicros;
+            if (send.key == span.name && at > from && at < span.until) {
                 tell(violations, "withdrawn-key",
                      send.call + " ran with the withdrawn key " + span.name);
             }
@@ -111,7 +127,8 @@
             continue;
         }
         for (const auto &span : spans) {
-            const bool inside = run.at > span.from + kInForceMicros && run.at < span.until;
+            const auto from = knowableAt(span.from, history) + kInForceMicros;
+            const bool inside = run.at > from && run.at < span.until;
             if (inside && run.*member == span.name) {
                 tell(violations, promise,
                      run.call + " started at " + run.server + " in " + run.zone);
@@ -129,6 +146,9 @@
         if (run.event == "up") {
             upAt[run.server] = run.at;
         }
+        if (run.event == "cold") {
+            upAt.erase(run.server); // cold without warning is another matter than new
+        }
         const auto it = upAt.find(run.server);
         if (run.event == "shed" && it != upAt.end() && run.at - it->second < kNewServerMicros) {
             tell(violations, "cold-server", run.server + " got more than it bears when new");
--- a/standin/checker/checker.h
+++ b/standin/checker/checker.h
@@ -66,6 +66,7 @@
     std::vector<ForbiddenSpan> zonesOut;
     std::vector<ForbiddenSpan> keysWithdrawn;
     std::vector<ForbiddenSpan> serversLeaving;
+    std::vector<ForbiddenSpan> blind; /*!< When some node could not read what is published. */
     std::map<std::string, RateLimit> limits;
     std::map<std::string, std::vector<std::uint64_t>> versions; /*!< In force, by server. */
 };
--- a/standin/lab/scenario.cpp
+++ b/standin/lab/scenario.cpp
@@ -381,6 +381,9 @@
     const auto isApart = [&](const std::string &zone) {
         return std::find(apart.begin(), apart.end(), zone) != apart.end();
     };
+    if (platform) {
+        beginBlind(site, "cut");
+    }
     std::string inside;
     std::string outside;
     for (const auto &zone : site.deployment().shape().zones) {
@@ -399,15 +402,35 @@
 
 void Scenario::heal(Site &site, const toml::table & /*step*/)
 {
+    endBlind(site, "cut");
     const auto delay = site.deployment().shape().zoneDelayMs;
     for (const auto &place : site.deployment().servers()) {
         site.setFaults(place.name, "delay_ms=" + std::to_string(delay));
     }
 }
 
+void Scenario::beginBlind(Site &site, const std::string &cause)
+{
+    endBlind(site, cause);
+    site.history().blind.push_back({cause, wallMicros(), std::numeric_limits<std::int64_t>::max()});
+}
+
+void Scenario::endBlind(Site &site, const std::string &cause)
+{
+    for (auto &span : site.history().blind) {
+        if (span.name == cause && span.until == std::numeric_limits<std::int64_t>::max()) {
+            span.until = wallMicros();
+        }
+    }
+}
+
 void Scenario::platformFault(Site &site, const toml::table &step)
 {
-    site.askPlatform("/admin/faults?" + text(step, "faults"));
+    const auto faults = text(step, "faults");
+    site.askPlatform("/admin/faults?" + faults);
+    const bool blind = faults.find("outage=1") != std::string::npos
+            || faults.find("stale=1") != std::string::npos;
+    blind ? beginBlind(site, "platform") : endBlind(site, "platform");
 }
 
 void Scenario::listLeaving(Site &site, const toml::table &step)
--- a/standin/lab/scenario.h
+++ b/standin/lab/scenario.h
@@ -66,6 +66,8 @@
     void turnCold(Site &site, const toml::table &step);
     void cut(Site &site, const toml::table &step);
     void heal(Site &site, const toml::table &step);
+    void beginBlind(Site &site, const std::string &cause);
+    void endBlind(Site &site, const std::string &cause);
     void platformFault(Site &site, const toml::table &step);
     void listLeaving(Site &site, const toml::table &step);
     void expectVersion(Site &site, const toml::table &step);
--- a/test/checker/checker.cpp
+++ b/test/checker/checker.cpp
@@ -143,6 +143,28 @@
     REQUIRE(found.front() == wanted);
 }
 
+TEST_CASE("what is published while nobody can read it counts from when it can be read")
+{
+    auto history = goodHistory();
+    history.keysWithdrawn.push_back({"k1", 3 * kSecond, 100 * kSecond});
+    history.blind.push_back({"platform", 2 * kSecond, 7'500'000});
+    REQUIRE(checkHistory(history).empty());
+    history.blind.front().until = 6 * kSecond;
+    REQUIRE(promises(history).front() == "withdrawn-key");
+    history.blind.front() = {"platform", 4 * kSecond, 7'500'000};
+    REQUIRE(promises(history).front() == "withdrawn-key"); // it was readable when published
+}
+
+TEST_CASE("a server that turned cold without warning is not a new one")
+{
+    auto history = goodHistory();
+    history.runs.push_back(runOf("", kSecond, "cold"));
+    history.runs.push_back(runOf("c1", 2 * kSecond, "shed"));
+    REQUIRE(checkHistory(history).empty());
+    history.runs.push_back(runOf("", 2 * kSecond - 1, "up"));
+    REQUIRE(promises(history).front() == "cold-server");
+}
+
 TEST_CASE("changes have three seconds to be in force")
 {
     auto history = goodHistory();
