--- a/bench/common/site_run.cpp
+++ b/bench/common/site_run.cpp
@@ -12,7 +12,7 @@
 
 nlohmann::json targetsOf(const standin::Site &site, const std::vector<std::string> &zones)
 {
-    const auto all = site.targets();
+    auto all = site.targets();
     if (zones.empty()) {
         return all;
     }
@@ -54,7 +54,7 @@
     meanwhile(site);
     for (const auto &caller : callers) {
         if (site.processes().wait(caller, kCallerTimeoutMs) != 0) {
-            throw std::runtime_error{name + ": " + caller + " did not end well"};
+            throw std::runtime_error{"a caller did not end well"};
         }
     }
     site.processes().killAll();
--- a/bench/convergence.cpp
+++ b/bench/convergence.cpp
@@ -277,6 +277,7 @@
 {
     std::ofstream out{path};
     std::vector<double> sizes;
+    sizes.reserve(all.size());
     for (const auto &m : all) {
         sizes.push_back(double(m.nodes));
     }
--- a/test/gate/ledger.cpp
+++ b/test/gate/ledger.cpp
@@ -252,6 +252,7 @@
     int most = 0;
     for (int run = 0; run < 300; ++run) {
         std::vector<std::pair<int, int>> steps;
+        steps.reserve(300);
         for (int i = 0; i < 300; ++i) {
             steps.emplace_back(static_cast<int>(random.below(100)),
                                static_cast<int>(random.below(120)));
--- a/test/node/node_settings.cpp
+++ b/test/node/node_settings.cpp
@@ -47,7 +47,7 @@
     Folder(const Folder &) = delete;
     Folder &operator=(const Folder &) = delete;
 
-    Result<NodeSettings, SettingsError> load(const std::string &text) const
+    [[nodiscard]] Result<NodeSettings, SettingsError> load(const std::string &text) const
     {
         const auto path = m_path / "node.toml";
         std::ofstream{path} << text;
@@ -55,7 +55,7 @@
     }
 
     /*! Error without the folder's own path. */
-    std::string errorOf(const std::string &text) const
+    [[nodiscard]] std::string errorOf(const std::string &text) const
     {
         const auto result = load(text);
         REQUIRE_FALSE(result);
