--- a/src/celeryramp/limits/wallet.cpp
+++ b/src/celeryramp/limits/wallet.cpp
@@ -79,7 +79,6 @@
         return;
     }
     --purse->second.asksInFlight;
-    purse->second.askedInFlight -= pending.ask.amount;
     for (auto &minter : purse->second.minters) {
         if (minter.name == pending.ask.minter) {
             minter.level = double(grant.left);
@@ -108,7 +107,6 @@
     m_pending.erase(it);
     if (const auto purse = m_purses.find(pending.ask.account); purse != m_purses.end()) {
         --purse->second.asksInFlight;
-        purse->second.askedInFlight -= pending.ask.amount;
         for (auto &minter : purse->second.minters) {
             if (minter.name == pending.ask.minter) {
                 minter.blockedUntil = now + internal::kUnreachablePause;
@@ -230,7 +228,6 @@
     TokenAsk ask{++m_lastId, minter.name, account.name, amount};
     minter.level = std::max(0.0, minter.level - double(amount));
     ++purse.asksInFlight;
-    purse.askedInFlight += amount;
     m_pending.emplace(ask.id, Pending{ask, now, grantLife(account)});
     return ask;
 }
--- a/src/celeryramp/limits/wallet.h
+++ b/src/celeryramp/limits/wallet.h
@@ -95,7 +95,6 @@
         double demandPerSecond = 0.0; /*!< Smoothed rate of calls here. */
         TimePoint lastCall;
         int asksInFlight = 0;
-        MicroTokens askedInFlight = 0;
     };
     struct Pending
     {
