A slow platform holds a version up once, and a process that was stopped doubts its keys

One duty read manifest, part, manifest, part one after the other, so that a version published 100 ms after another was in force 3.4 s later when each read takes 1 s. Ruled out: the peers (zones b and c had the version 2.0 s after it was published once the reads overlapped). The list of instances is watched by index in place of being read each second.

--- a/src/celeryramp/distribution/fwd.h
+++ b/src/celeryramp/distribution/fwd.h
@@ -10,5 +10,6 @@
 class Distributor;
 class Outbox;
 class RumourMill;
+class WakeGuard;
 
 } // namespace celeryramp
--- a/src/celeryramp/node/control_duty.cpp
+++ b/src/celeryramp/node/control_duty.cpp
@@ -15,7 +15,6 @@
 constexpr Millis kTick{100};
 constexpr Millis kPeersHeardFirst{2000};
 constexpr Millis kSearchInterval{250};
-constexpr Millis kPauseNoticed{1500};
 constexpr Millis kRumourLife{600'000};
 constexpr std::size_t kObservers = 3;
 constexpr std::uint64_t kHeartbeatsPerFarOne = 3; /*!< Other zones get every third. */
@@ -82,6 +81,15 @@
     return acceptance.isNewer(stamp) && !acceptance.wasRejected(stamp);
 }
 
+void ControlDuty::onDocument(ConfigDocument document)
+{
+    const auto version = document.manifest.version;
+    if (!push(PlatformDocumentEvent{std::move(document)})) {
+        logEvent(LogLevel::Warn, "control", "document-dropped",
+                 {{"version", std::to_string(version)}, {"reason", "ring full"}});
+    }
+}
+
 ConfigDocument ControlDuty::document() const
 {
     const std::lock_guard lock{m_mutex};
@@ -94,6 +102,12 @@
     return m_distributor.confirmedAgo(now);
 }
 
+bool ControlDuty::doubtsKeys(TimePoint now) const
+{
+    const std::lock_guard lock{m_mutex};
+    return m_wakeGuard.doubtsKeys(now);
+}
+
 void ControlDuty::loop()
 {
     while (!m_stopping) {
@@ -101,11 +115,12 @@
         const auto now = Clock::now();
         {
             const std::lock_guard lock{m_mutex};
-            if (now - m_lastTick >= internal::kPauseNoticed) {
-                notePause(now);
+            if (const auto pause = m_wakeGuard.onAlive(now)) {
+                notePause(*pause, now);
             }
             if (event) {
                 handle(*event, now);
+                m_wakeGuard.onConfirmed(now - m_distributor.confirmedAgo(now));
             }
             if (now - m_lastTick >= internal::kTick) {
                 tick(now);
@@ -393,9 +408,8 @@
     m_fleet.set(std::move(fleet));
 }
 
-void ControlDuty::notePause(TimePoint now)
+void ControlDuty::notePause(Millis pause, TimePoint now)
 {
-    const auto pause = millisBetween(m_lastTick, now);
     m_pauses.add();
     m_detector.forgive(now);
     m_hooks.onPaused(pause, now);
--- a/src/celeryramp/node/control_duty.h
+++ b/src/celeryramp/node/control_duty.h
@@ -11,10 +11,12 @@
 #include "core/ring.h"
 #include "distribution/distributor.h"
 #include "distribution/rumour_mill.h"
+#include "distribution/wake_guard.h"
 #include "membership/failure_detector.h"
 #include "membership/membership_view.h"
 #include "node/cell.h"
 #include "node/control_event.h"
+#include "node/document_target.h"
 #include "node/fleet_view.h"
 #include "node/node_settings.h"
 #include "node/post_office.h"
@@ -45,13 +47,13 @@
  * @brief The duty that owns configuration, membership and small facts.
  * Its ring is bounded; what finds it full is dropped, counted and repaired by later heartbeats.
  */
-class ControlDuty
+class ControlDuty final : public DocumentTarget
 {
 public:
     ControlDuty(const NodeSettings &settings, std::uint64_t incarnation, Cell<Snapshot> &snapshot,
                 Cell<FleetView> &fleet, PostOffice &post, ControlHooks &hooks,
                 MetricsRegistry &metrics);
-    ~ControlDuty();
+    ~ControlDuty() override;
     ControlDuty(const ControlDuty &) = delete;
     ControlDuty &operator=(const ControlDuty &) = delete;
 
@@ -65,10 +67,13 @@
     [[nodiscard]] ConfigStamp stamp() const;
 
     /*! @return True when a platform document with this stamp is worth fetching. */
-    [[nodiscard]] bool isWanted(const ConfigStamp &stamp) const;
+    [[nodiscard]] bool isWanted(const ConfigStamp &stamp) const override;
 
     /*! @return Document in force, so that unchanged parts need no reading. */
-    [[nodiscard]] ConfigDocument document() const;
+    [[nodiscard]] ConfigDocument document() const override;
+
+    /*! @brief The platform publishes this document. */
+    void onDocument(ConfigDocument document) override;
 
     /*! @return True when a peer told this incarnation what it has in force. */
     [[nodiscard]] bool hasPeerAnswered() const noexcept { return m_peerAnswered; }
@@ -76,6 +81,9 @@
     /*! @return Age of the last confirmation by the platform. */
     [[nodiscard]] Millis confirmedAgo(TimePoint now) const;
 
+    /*! @return True after a pause of this process, until the configuration is confirmed. */
+    [[nodiscard]] bool doubtsKeys(TimePoint now) const;
+
     /*! @return State for operators. */
     [[nodiscard]] nlohmann::json state(TimePoint now) const;
 
@@ -100,7 +108,7 @@
     void publishRumours(const std::vector<Rumour> &rumours, TimePoint now);
     void adoptSnapshot(TimePoint now);
     void publishFleet();
-    void notePause(TimePoint now);
+    void notePause(Millis pause, TimePoint now);
     void flush();
     void logRejections();
     [[nodiscard]] IsUsable usable() const;
@@ -136,6 +144,7 @@
     std::optional<ConfigDocument> m_heldDocument; /*!< Of the platform, until peers are heard. */
     TimePoint m_startedAt;
     TimePoint m_lastTick;
+    WakeGuard m_wakeGuard;
     TimePoint m_lastHeartbeat;
     TimePoint m_lastSearch;
     std::atomic<bool> m_stopping{false};
--- /dev/null
+++ b/src/celeryramp/node/document_target.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "config/config_document.h"
+#include "config/manifest.h"
+
+namespace celeryramp {
+
+/*! @brief Where documents that were read from the platform go. Safe to use from any thread. */
+class DocumentTarget
+{
+public:
+    virtual ~DocumentTarget() = default;
+
+    /*! @return True while this version is newer than the one in force and was not rejected. */
+    [[nodiscard]] virtual bool isWanted(const ConfigStamp &stamp) const = 0;
+    /*! @return The document in force. */
+    [[nodiscard]] virtual ConfigDocument document() const = 0;
+    /*! @brief A whole document was read. */
+    virtual void onDocument(ConfigDocument document) = 0;
+};
+
+} // namespace celeryramp
--- a/src/celeryramp/node/fwd.h
+++ b/src/celeryramp/node/fwd.h
@@ -9,6 +9,8 @@
 
 class AccountsDuty;
 class ControlDuty;
+class DocumentFetcher;
+class DocumentTarget;
 class GateDuty;
 class Node;
 class OperatorPort;
--- a/src/celeryramp/node/node.cpp
+++ b/src/celeryramp/node/node.cpp
@@ -282,6 +282,11 @@
     return m_control.confirmedAgo(now);
 }
 
+bool Node::doubtsKeys(TimePoint now) const
+{
+    return m_control.doubtsKeys(now);
+}
+
 nlohmann::json Node::status() const
 {
     const auto now = Clock::now();
--- a/src/celeryramp/node/platform_duty.cpp
+++ b/src/celeryramp/node/platform_duty.cpp
@@ -15,7 +15,10 @@
 constexpr Millis kStaleBackOff{1000};
 constexpr Millis kDeafAfter{15'000}; /*!< Without any confirmation for this long, look oneself. */
 constexpr Millis kDeafCheck{10'000};
+/*! Pause between two reads of the list of instances, and how long the platform holds an unchanged
+ *  one back. The list of 1,400 instances is 56 KB, so that it is read only when it changed. */
 constexpr Millis kInstanceInterval{1000};
+constexpr Millis kInstanceWait{5000};
 constexpr Millis kDecisionPoll{20};
 constexpr Millis kStartPoll{50};
 constexpr Millis kFreshEnough{5000};
@@ -26,8 +29,8 @@
 PlatformDuty::PlatformDuty(const NodeSettings &settings, ControlDuty &control,
                            const LinkPolicy &policy, MetricsRegistry &metrics, std::uint64_t seed)
     : m_settings{settings}, m_control{control}, m_client{settings.platform, policy, metrics},
-      m_instances{settings.platform, policy, metrics}, m_random{seed},
-      m_backOff{internal::kFirstBackOff}
+      m_parts{settings.platform, policy, metrics}, m_instances{settings.platform, policy, metrics},
+      m_fetcher{m_parts, control, seed + 1}, m_random{seed}, m_backOff{internal::kFirstBackOff}
 { }
 
 PlatformDuty::~PlatformDuty()
@@ -37,6 +40,7 @@
 
 void PlatformDuty::start()
 {
+    m_fetcher.start();
     m_thread = std::thread{[this] { loop(); }};
     m_instanceThread = std::thread{[this] {
         while (!m_stopping) {
@@ -54,7 +58,9 @@
     m_watchWaker.stop();
     m_instanceWaker.stop();
     m_client.abort();
+    m_parts.abort();
     m_instances.abort();
+    m_fetcher.stop();
     for (auto *thread : {&m_thread, &m_instanceThread}) {
         if (thread->joinable()) {
             thread->join();
@@ -112,7 +118,8 @@
 
 void PlatformDuty::watchOnce()
 {
-    readOnce(m_control.stamp().version, internal::kWatchWait);
+    // Also past a version whose parts are still being read.
+    readOnce(std::max(m_seenVersion, m_control.stamp().version), internal::kWatchWait);
 }
 
 void PlatformDuty::readOnce(std::uint64_t known, Millis wait)
@@ -128,13 +135,21 @@
     }
     m_backOff = internal::kFirstBackOff;
     if (!manifest.value()) {
-        m_control.push(PlatformConfirmedEvent{});
+        if (known == m_control.stamp().version) {
+            m_control.push(PlatformConfirmedEvent{});
+        }
         return;
     }
     const auto &found = *manifest.value();
     const ConfigStamp stamp{found.version, found.digest()};
     if (m_control.isWanted(stamp)) {
-        fetch(found);
+        m_fetcher.want(found);
+        m_seenVersion = std::max(m_seenVersion, found.version);
+        if (m_control.stamp().version == 0) {
+            // At a start the control duty decides only after peers were heard; reading again
+            // before that is useless.
+            awaitDecision(stamp);
+        }
         return;
     }
     if (stamp == m_control.stamp()) {
@@ -145,29 +160,8 @@
     }
 }
 
-void PlatformDuty::fetch(const Manifest &manifest)
+void PlatformDuty::awaitDecision(const ConfigStamp &stamp)
 {
-    const auto present = m_control.document();
-    ConfigDocument document{manifest, {}};
-    for (const auto &[name, hash] : manifest.parts) {
-        const auto known = present.manifest.parts.find(name);
-        if (known != present.manifest.parts.end() && known->second == hash) {
-            document.parts[name] = present.parts.at(name);
-            continue;
-        }
-        auto part = m_client.readPart(hash);
-        if (!part) {
-            logEvent(LogLevel::Warn, "platform", "part-missing",
-                     {{"part", name}, {"reason", part.error().reason}});
-            backOff();
-            return;
-        }
-        document.parts[name] = std::move(part.value());
-    }
-    const auto stamp = document.stamp();
-    m_control.push(PlatformDocumentEvent{std::move(document)});
-    // The control duty decides, at a start only after peers were heard; reading again before that
-    // is useless.
     for (int i = 0; i < internal::kDecisionPolls && m_control.isWanted(stamp) && !m_stopping; ++i) {
         m_watchWaker.sleep(internal::kDecisionPoll);
     }
@@ -175,9 +169,17 @@
 
 void PlatformDuty::readInstances()
 {
-    auto list = m_instances.readInstances();
-    if (list) {
-        m_control.push(InstanceListEvent{std::move(list.value())});
+    auto list = m_instances.readInstances(m_instanceIndex, internal::kInstanceWait);
+    if (!list) {
+        if (!m_stopping) {
+            logEvent(LogLevel::Debug, "platform", "instances-unread",
+                     {{"reason", list.error().reason}});
+        }
+        return;
+    }
+    if (list.value()) {
+        m_instanceIndex = list.value()->index;
+        m_control.push(InstanceListEvent{std::move(*list.value())});
     }
 }
 
--- a/src/celeryramp/node/platform_duty.h
+++ b/src/celeryramp/node/platform_duty.h
@@ -6,6 +6,7 @@
 #include "core/random.h"
 #include "core/waker.h"
 #include "node/control_duty.h"
+#include "node/document_fetcher.h"
 #include "node/node_settings.h"
 #include "transport/platform_client.h"
 
@@ -41,7 +42,7 @@
     void awaitStart();
     void watchOnce();
     void readOnce(std::uint64_t known, Millis wait);
-    void fetch(const Manifest &manifest);
+    void awaitDecision(const ConfigStamp &stamp);
     void readInstances();
     void backOff();
     [[nodiscard]] Millis jitter(Millis most);
@@ -49,9 +50,13 @@
     const NodeSettings &m_settings;
     ControlDuty &m_control;
     PlatformClient m_client;
+    PlatformClient m_parts;
     PlatformClient m_instances;
+    DocumentFetcher m_fetcher;
     RandomEngine m_random;
     Millis m_backOff;
+    std::uint64_t m_seenVersion = 0; /*!< Newest whose manifest was read. */
+    std::uint64_t m_instanceIndex = 0; /*!< Of the list that was read last. */
     std::atomic<bool> m_reader{false};
     std::atomic<bool> m_asked{false};
     std::atomic<bool> m_stopping{false};
--- a/src/celeryramp/node/road.cpp
+++ b/src/celeryramp/node/road.cpp
@@ -240,8 +240,9 @@
     if (call.account == nullptr) {
         return internal::notRun(Reason::BadKey);
     }
-    if (const auto limit = call.workClass->keyFreshness;
-        limit.count() > 0 && m_around.confirmedAgo(call.startedAt) > limit) {
+    const auto limit = call.workClass->keyFreshness;
+    const bool isStale = limit.count() > 0 && m_around.confirmedAgo(call.startedAt) > limit;
+    if (isStale || m_around.doubtsKeys(call.startedAt)) {
         return internal::notRun(Reason::KeysStale);
     }
     call.message.account = call.account->name;
--- a/src/celeryramp/node/road.h
+++ b/src/celeryramp/node/road.h
@@ -32,6 +32,9 @@
 
     /*! @return Age of the last confirmation of the configuration. */
     [[nodiscard]] virtual Millis confirmedAgo(TimePoint now) const = 0;
+
+    /*! @return True after a pause of this process, until the configuration is confirmed. */
+    [[nodiscard]] virtual bool doubtsKeys(TimePoint now) const = 0;
 };
 
 /*!
--- a/src/celeryramp/transport/platform_client.cpp
+++ b/src/celeryramp/transport/platform_client.cpp
@@ -16,6 +16,14 @@
 constexpr Millis kAnswerTimeout{3000};
 constexpr std::size_t kMaxInstanceListBytes = 4 * 1024 * 1024;
 
+/*! @return Query of a read that waits for something other than what is known. */
+[[nodiscard]] std::string watchQuery(std::uint64_t known, Millis wait)
+{
+    return known == 0
+            ? std::string{}
+            : "?not=" + std::to_string(known) + "&wait_ms=" + std::to_string(wait.count());
+}
+
 [[nodiscard]] PlatformError cutError()
 {
     return {PlatformErrorCode::Unreachable, "the way to the platform is cut"};
@@ -81,10 +89,7 @@
 Result<std::optional<Manifest>, PlatformError> PlatformClient::readManifest(std::uint64_t known,
                                                                             Millis wait)
 {
-    const auto query = known == 0
-            ? std::string{}
-            : "?not=" + std::to_string(known) + "&wait_ms=" + std::to_string(wait.count());
-    auto response = m_impl->get("/v1/config/manifest" + query, wait);
+    auto response = m_impl->get("/v1/config/manifest" + internal::watchQuery(known, wait), wait);
     if (!response) {
         return response.error();
     }
@@ -107,12 +112,16 @@
     return std::move(response.value().body);
 }
 
-Result<InstanceList, PlatformError> PlatformClient::readInstances()
+Result<std::optional<InstanceList>, PlatformError>
+PlatformClient::readInstances(std::uint64_t known, Millis wait)
 {
-    auto response = m_impl->get("/v1/instances", Millis{0});
+    auto response = m_impl->get("/v1/instances" + internal::watchQuery(known, wait), wait);
     if (!response) {
         return response.error();
     }
+    if (response.value().status == internal::kHttpNotModified) {
+        return std::optional<InstanceList>{};
+    }
     const auto json = response.value().body.size() > internal::kMaxInstanceListBytes
             ? nlohmann::json{}
             : nlohmann::json::parse(response.value().body, nullptr, false);
@@ -124,7 +133,7 @@
                 list.leaving.insert(instance.at("server").get<std::string>());
             }
         }
-        return list;
+        return std::optional<InstanceList>{std::move(list)};
     } catch (const nlohmann::json::exception &error) {
         return PlatformError{PlatformErrorCode::Malformed, error.what()};
     }
--- a/src/celeryramp/transport/platform_client.h
+++ b/src/celeryramp/transport/platform_client.h
@@ -21,7 +21,8 @@
     [[nodiscard]] Result<std::optional<Manifest>, PlatformError> readManifest(std::uint64_t known,
                                                                               Millis wait) override;
     [[nodiscard]] Result<std::string, PlatformError> readPart(const std::string &hash) override;
-    [[nodiscard]] Result<InstanceList, PlatformError> readInstances() override;
+    [[nodiscard]] Result<std::optional<InstanceList>, PlatformError>
+    readInstances(std::uint64_t known, Millis wait) override;
 
     /*! @brief Ends a read under way; safe to use from another thread. */
     void abort();
--- a/src/celeryramp/transport/platform_source.h
+++ b/src/celeryramp/transport/platform_source.h
@@ -50,8 +50,14 @@
     /*! @brief Reads one part by its hash. */
     [[nodiscard]] virtual Result<std::string, PlatformError> readPart(const std::string &hash) = 0;
 
-    /*! @brief Reads the list of instances. */
-    [[nodiscard]] virtual Result<InstanceList, PlatformError> readInstances() = 0;
+    /*!
+     * @brief Reads the list of instances, or waits for one that differs.
+     * @param known Index to wait past; 0 reads at once. @param wait How long the platform may hold
+     * the answer back.
+     * @return The list; nothing when it did not change in time.
+     */
+    [[nodiscard]] virtual Result<std::optional<InstanceList>, PlatformError>
+    readInstances(std::uint64_t known, Millis wait) = 0;
 };
 
 } // namespace celeryramp
--- a/standin/platform/platform.cpp
+++ b/standin/platform/platform.cpp
@@ -67,7 +67,7 @@
         return manifest(request);
     }
     if (request.path == "/v1/instances") {
-        return instances();
+        return instances(request);
     }
     constexpr std::string_view kPartPrefix = "/v1/config/parts/";
     if (request.path.rfind(kPartPrefix, 0) == 0) {
@@ -121,9 +121,22 @@
     return it == m_parts.end() ? text(kNotFound, "{}") : text(kOk, it->second);
 }
 
-HttpResponse Platform::instances()
+HttpResponse Platform::instances(const HttpRequest &request)
 {
-    const std::lock_guard lock{m_mutex};
+    const auto known = number(request.query("not"));
+    const Millis wait{static_cast<std::int64_t>(number(request.query("wait_ms")))};
+    std::unique_lock lock{m_mutex};
+    if (known != 0 && m_instanceIndex == known) {
+        ++m_waiting;
+        m_changed.wait_for(lock, wait, [&] { return m_faults.outage || m_instanceIndex != known; });
+        --m_waiting;
+        if (m_faults.outage) {
+            return text(kUnavailable, "{}");
+        }
+        if (m_instanceIndex == known) {
+            return {kNotModified, {}, "", "application/json", false};
+        }
+    }
     auto list = nlohmann::json::array();
     for (const auto &[server, state] : m_instances) {
         list.push_back({{"server", server}, {"state", state}});
@@ -211,6 +224,7 @@
     const std::lock_guard lock{m_mutex};
     m_instances[request.query("server")] = request.query("state");
     ++m_instanceIndex;
+    m_changed.notify_all();
     return text(kOk, "{}");
 }
 
--- a/standin/platform/platform.h
+++ b/standin/platform/platform.h
@@ -33,7 +33,7 @@
     [[nodiscard]] celeryramp::HttpResponse read(const celeryramp::HttpRequest &request);
     [[nodiscard]] celeryramp::HttpResponse manifest(const celeryramp::HttpRequest &request);
     [[nodiscard]] celeryramp::HttpResponse part(const std::string &hash);
-    [[nodiscard]] celeryramp::HttpResponse instances();
+    [[nodiscard]] celeryramp::HttpResponse instances(const celeryramp::HttpRequest &request);
     [[nodiscard]] celeryramp::HttpResponse admin(const celeryramp::HttpRequest &request);
     [[nodiscard]] celeryramp::HttpResponse publish(const std::string &body);
     [[nodiscard]] celeryramp::HttpResponse setFaults(const celeryramp::HttpRequest &request);
--- /dev/null
+++ b/test/node/document_fetcher.cpp
@@ -0,0 +1,162 @@
+#include "node/document_fetcher.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using celeryramp::ConfigDocument;
+using celeryramp::ConfigStamp;
+using celeryramp::InstanceList;
+using celeryramp::Manifest;
+using celeryramp::Millis;
+using celeryramp::PlatformError;
+using celeryramp::PlatformErrorCode;
+using celeryramp::Result;
+
+constexpr std::chrono::seconds kPatience{10};
+
+/*! Holds each read of a part back until the test lets it go. */
+class HeldSource final : public celeryramp::PlatformSource
+{
+public:
+    Result<std::optional<Manifest>, PlatformError> readManifest(std::uint64_t, Millis) override
+    {
+        return std::optional<Manifest>{};
+    }
+    Result<std::optional<InstanceList>, PlatformError> readInstances(std::uint64_t, Millis) override
+    {
+        return std::optional<InstanceList>{};
+    }
+    Result<std::string, PlatformError> readPart(const std::string &hash) override
+    {
+        std::unique_lock lock{m_mutex};
+        m_asked.push_back(hash);
+        m_changed.notify_all();
+        m_changed.wait_for(lock, kPatience, [this] { return m_allowed > 0; });
+        --m_allowed;
+        if (hash == "missing") {
+            return PlatformError{PlatformErrorCode::Refused, "status 404"};
+        }
+        return "bytes of " + hash;
+    }
+
+    void allow(int n)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_allowed += n;
+        m_changed.notify_all();
+    }
+    std::vector<std::string> awaitAsked(std::size_t n)
+    {
+        std::unique_lock lock{m_mutex};
+        m_changed.wait_for(lock, kPatience, [&] { return m_asked.size() >= n; });
+        return m_asked;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<std::string> m_asked;
+    int m_allowed = 0;
+};
+
+class Target final : public celeryramp::DocumentTarget
+{
+public:
+    bool isWanted(const ConfigStamp &stamp) const override
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_inForce.stamp() < stamp;
+    }
+    ConfigDocument document() const override
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_inForce;
+    }
+    void onDocument(ConfigDocument document) override
+    {
+        const std::lock_guard lock{m_mutex};
+        m_inForce = std::move(document);
+        m_versions.push_back(m_inForce.manifest.version);
+        m_changed.notify_all();
+    }
+    std::vector<std::uint64_t> awaitVersions(std::size_t n)
+    {
+        std::unique_lock lock{m_mutex};
+        m_changed.wait_for(lock, kPatience, [&] { return m_versions.size() >= n; });
+        return m_versions;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    ConfigDocument m_inForce;
+    std::vector<std::uint64_t> m_versions;
+};
+
+struct Site
+{
+    HeldSource source;
+    Target target;
+    celeryramp::DocumentFetcher fetcher{source, target, 7};
+
+    Site() { fetcher.start(); }
+    ~Site()
+    {
+        source.allow(1000);
+        fetcher.stop();
+    }
+};
+
+} // namespace
+
+TEST_CASE("A version that is replaced while its parts are read costs the next one a single part")
+{
+    Site site;
+    site.fetcher.want({1, {{"accounts", "a1"}, {"keys", "k1"}, {"zones", "z1"}}});
+    site.source.awaitAsked(1);
+    site.fetcher.want({2, {{"accounts", "a1"}, {"keys", "k2"}, {"zones", "z2"}}});
+    site.source.allow(3);
+    CHECK(site.target.awaitVersions(1) == std::vector<std::uint64_t>{2});
+    CHECK(site.source.awaitAsked(3) == std::vector<std::string>{"a1", "k2", "z2"});
+    CHECK(site.target.document().parts.at("accounts") == "bytes of a1");
+}
+
+TEST_CASE("Parts that are in force already are not read again")
+{
+    Site site;
+    site.fetcher.want({1, {{"accounts", "a1"}, {"keys", "k1"}}});
+    site.source.allow(2);
+    site.target.awaitVersions(1);
+    site.fetcher.want({2, {{"accounts", "a1"}, {"keys", "k2"}}});
+    site.source.allow(1);
+    site.target.awaitVersions(2);
+    CHECK(site.source.awaitAsked(3) == std::vector<std::string>{"a1", "k1", "k2"});
+}
+
+TEST_CASE("A version with a part that cannot be read gives way to the next one")
+{
+    Site site;
+    site.fetcher.want({1, {{"accounts", "missing"}}});
+    site.source.allow(1);
+    site.source.awaitAsked(1);
+    site.fetcher.want({2, {{"accounts", "a2"}}});
+    site.source.allow(100);
+    CHECK(site.target.awaitVersions(1) == std::vector<std::uint64_t>{2});
+}
+
+TEST_CASE("An older version is never wanted again")
+{
+    Site site;
+    site.source.allow(100);
+    site.fetcher.want({2, {{"accounts", "a2"}}});
+    site.target.awaitVersions(1);
+    site.fetcher.want({1, {{"accounts", "a1"}}});
+    site.fetcher.want({3, {{"accounts", "a3"}}});
+    CHECK(site.target.awaitVersions(2) == std::vector<std::uint64_t>{2, 3});
+}
