--- a/apps/celeryrampctl.cpp
+++ b/apps/celeryrampctl.cpp
@@ -9,6 +9,7 @@
 #include <cxxopts.hpp>
 
 #include "ctl/commands.h"
+#include "ctl/request_trace.h"
 
 namespace {
 
@@ -21,6 +22,8 @@
   status  --node IP:PORT       version in force on every node, laggards marked
   dump    --node IP:PORT       the whole state of one process as JSON
   explain --node IP:PORT PATH  where a call on this path would go, and why
+  trace ID [FILE]...           what the logs of nodes say of a request; reads standard input
+                               without files
   keys hash --account NAME     read a key id.secret from standard input, print the entry to publish
 
 Options: --json for machines, --token-file FILE for operator ports beyond loopback, --version, --help
@@ -66,6 +69,22 @@
                              : usage("explain needs a path");
 }
 
+CtlOutput trace(const std::vector<std::string> &words)
+{
+    celeryramp::RequestTrace trace{words[1]};
+    if (words.size() == 2) {
+        trace.read(std::cin);
+    }
+    for (std::size_t i = 2; i < words.size(); ++i) {
+        std::ifstream in{words[i]};
+        if (!in) {
+            return usage("cannot read " + words[i]);
+        }
+        trace.read(in);
+    }
+    return trace.output();
+}
+
 CtlOutput run(const cxxopts::ParseResult &parsed)
 {
     const auto words = parsed.count("words") > 0 ? parsed["words"].as<std::vector<std::string>>()
@@ -81,6 +100,9 @@
     if (command == "status" || command == "dump" || command == "explain") {
         return askNode(parsed, command, words);
     }
+    if (command == "trace") {
+        return words.size() > 1 ? trace(words) : usage("trace needs the id of a request");
+    }
     if (command == "keys" && words.size() == 2 && words[1] == "hash") {
         return parsed.count("account") > 0
                 ? celeryramp::hashKey(readLine(std::cin), parsed["account"].as<std::string>())
--- a/src/celeryramp/ctl/fwd.h
+++ b/src/celeryramp/ctl/fwd.h
@@ -8,5 +8,7 @@
 
 class OperatorClient;
 struct CtlOutput;
+struct LogLine;
+class RequestTrace;
 
 } // namespace celeryramp
