--- a/src/celeryramp/directory/fwd.h
+++ b/src/celeryramp/directory/fwd.h
@@ -13,6 +13,7 @@
 struct Directory;
 struct InputLimits;
 class ItemDecoder;
+struct ReaderPosition;
 class ItemSink;
 class ItemSource;
 class Replica;
--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -1,5 +1,6 @@
 #include "engine/backend_gate.h"
 
+#include <algorithm>
 #include <vector>
 
 #include "core/boot_clock.h"
@@ -22,15 +23,16 @@
 constexpr Millis kUnknownCold{3000};
 /*! A server that is left less time would only start what it cannot end. */
 constexpr Millis kLeastHandedOver{5};
+constexpr int kServerError = 500;
 
 } // namespace internal
 
 BackendGate::BackendGate(boost::asio::io_context &context, const EngineSettings &settings,
                          const proxy::Dialect &dialect, proxy::CrashRegistry &crashes,
                          MetricsRegistry &metrics)
-    : m_timer{context}, m_settings{settings}, m_dialect{dialect}, m_crashes{crashes},
-      m_metrics{metrics}, m_pool{context, settings.backend,
-                                 http::PoolSettings{internal::kConnectTimeout}}
+    : m_startedAt{bootNow()}, m_timer{context}, m_settings{settings}, m_dialect{dialect},
+      m_crashes{crashes}, m_metrics{metrics}, m_pool{context, settings.backend,
+                                                     http::PoolSettings{internal::kConnectTimeout}}
 { }
 
 proxy::Reason BackendGate::closedReason() const
@@ -55,8 +57,8 @@
         m_server = {};
     } else {
         if (m_server.id.empty()) {
-            // What a predecessor of this process handed over in the last second is not known.
-            m_gate.cold().markUsed(now);
+            // What a predecessor of this process handed over in its last second is not known.
+            m_gate.cold().markUsed(m_startedAt);
         }
         if (!m_server.isSameIncarnation(*server)) {
             doubtServer("new-incarnation");
@@ -168,8 +170,8 @@
     call.isRunning = true;
     call.handedOver = now;
     if (left < internal::kLeastHandedOver) {
-        finish(ticket, {call.frame.id, proxy::ReplyKind::NotRun, proxy::Reason::DeadlinePassed},
-               std::nullopt, now);
+        finish(ticket, proxy::notRunReply(call.frame.id, proxy::Reason::DeadlinePassed),
+               proxy::HandoverEnd::NotSent, now);
         return;
     }
     http::Exchange exchange;
@@ -198,13 +200,14 @@
     const auto now = bootNow();
     proxy::ReplyFrame reply;
     reply.id = it->second.frame.id;
-    std::optional<Micros> served;
+    auto handover = proxy::HandoverEnd::Failed;
     switch (end) {
     case http::ExchangeEnd::Answered: {
         const auto facts = m_dialect.readAnswer(answer);
         if (facts.isOtherServer) {
             reply.kind = proxy::ReplyKind::NotRun;
             reply.reason = proxy::Reason::WrongServer;
+            handover = proxy::HandoverEnd::NotSent;
         } else if (facts.isNotRun) {
             reply.kind = proxy::ReplyKind::NotRun;
             reply.reason = proxy::Reason::Shed;
@@ -214,7 +217,9 @@
             reply.reason = proxy::Reason::Malformed;
         } else {
             reply.kind = proxy::ReplyKind::Answer;
-            served = std::chrono::duration_cast<Micros>(now - it->second.handedOver);
+            if (answer.status < internal::kServerError) {
+                handover = proxy::HandoverEnd::Served;
+            }
             http::eraseHopByHop(answer.headers);
             reply.answer = std::move(answer);
         }
@@ -241,7 +246,7 @@
         }
         break;
     }
-    finish(ticket, std::move(reply), served, now);
+    finish(ticket, std::move(reply), handover, now);
     pump(now);
 }
 
@@ -251,11 +256,12 @@
     if (it == m_calls.end()) {
         return;
     }
-    finish(ticket, {it->second.frame.id, proxy::ReplyKind::NotRun, reason}, std::nullopt, now);
+    finish(ticket, proxy::notRunReply(it->second.frame.id, reason), proxy::HandoverEnd::NotSent,
+           now);
 }
 
-void BackendGate::finish(std::uint64_t ticket, proxy::ReplyFrame reply,
-                         std::optional<Micros> served, TimePoint now)
+void BackendGate::finish(std::uint64_t ticket, proxy::ReplyFrame reply, proxy::HandoverEnd end,
+                         TimePoint now)
 {
     const auto it = m_calls.find(ticket);
     if (it == m_calls.end()) {
@@ -265,7 +271,7 @@
     m_calls.erase(it);
     m_tickets.erase({call.origin, call.frame.id});
     if (call.isRunning) {
-        m_gate.finished(served);
+        m_gate.finished(end, std::chrono::duration_cast<Micros>(now - call.handedOver), now);
     }
     reply.load = m_gate.load(now);
     logGateEnd(call.frame, reply, m_server.id, millisBetween(call.arrived, now),
@@ -291,7 +297,8 @@
     if (!call.isRunning) {
         m_gate.cancel(ticket);
     } else {
-        m_gate.finished(std::nullopt);
+        m_gate.finished(proxy::HandoverEnd::Cancelled,
+                        std::chrono::duration_cast<Micros>(now - call.handedOver), now);
         if (call.connection) {
             call.connection->cancel();
         }
@@ -311,6 +318,22 @@
     }
 }
 
+std::optional<int> BackendGate::runningRank() const
+{
+    std::vector<int> ranks;
+    for (const auto &[ticket, call] : m_calls) {
+        if (call.isRunning) {
+            ranks.push_back(call.frame.rank);
+        }
+    }
+    if (ranks.empty()) {
+        return std::nullopt;
+    }
+    const auto middle = ranks.begin() + static_cast<std::ptrdiff_t>(ranks.size() / 2);
+    std::nth_element(ranks.begin(), middle, ranks.end());
+    return *middle;
+}
+
 void BackendGate::doubtServer(const char *why)
 {
     const auto cold
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -59,6 +59,10 @@
     [[nodiscard]] const std::string &serverId() const noexcept { return m_server.id; }
     [[nodiscard]] proxy::GateLoad load(TimePoint now) { return m_gate.load(now); }
 
+    /*! @return Rank of the work that the server does now, for calls that it sends itself: the
+     * median of what runs, or nothing when nothing is known to run. */
+    [[nodiscard]] std::optional<int> runningRank() const;
+
 private:
     struct Call
     {
@@ -76,7 +80,7 @@
     void handOver(std::uint64_t ticket, TimePoint now);
     void onEnded(std::uint64_t ticket, http::ExchangeEnd end, http::Answer answer);
     void refuse(std::uint64_t ticket, proxy::Reason reason, TimePoint now);
-    void finish(std::uint64_t ticket, proxy::ReplyFrame reply, std::optional<Micros> served,
+    void finish(std::uint64_t ticket, proxy::ReplyFrame reply, proxy::HandoverEnd end,
                 TimePoint now);
     void armTimer();
     void doubtServer(const char *why);
@@ -85,6 +89,7 @@
     [[nodiscard]] proxy::Reason closedReason() const;
     void updateClosed(TimePoint now);
 
+    TimePoint m_startedAt; /*!< A predecessor of this process ended before. */
     boost::asio::steady_timer m_timer;
     const EngineSettings &m_settings;
     const proxy::Dialect &m_dialect;
--- a/src/celeryramp/engine/call_desk.cpp
+++ b/src/celeryramp/engine/call_desk.cpp
@@ -12,24 +12,17 @@
 
 namespace internal {
 
-/*! Gates asked for one call before it is refused; each costs a round trip and no execution. */
-constexpr int kMaxAsks = 6;
-/*! Least time left with which another server is tried. */
-constexpr Millis kLeastLeft{30};
 /*! A node that said it leaves is avoided for this long; it is restarted or gone by then. */
 constexpr Millis kLeavingMemory{8000};
 /*! When callers over their limit may come again, in ms. */
 constexpr Millis kLimitPause{500};
-/*! Bounds of the time after which refused callers may come again. */
-constexpr Millis kLeastPause{50};
-constexpr Millis kMostPause{1000};
 /*! Deadline of a request whose caller names none; the longest that routes usually allow. */
 constexpr Millis kUnnamedDeadline{30'000};
 /*! Part of the mesh's repetitions that may be spent; the rest covers uneven entry. */
 constexpr double kBudgetShare = 0.5;
 /*! Repetitions for each service that a node may make beyond its share. */
 constexpr double kNodeReserve = 1.0;
-/*! Nested calls go before all ranks of callers; see `ServerGate`. Account before route. */
+/*! Account before route. */
 constexpr int kRanksPerAccountPriority = 16;
 constexpr std::string_view kOwnNode = "own";
 
@@ -142,18 +135,30 @@
         return;
     }
     const auto id = m_nextId++;
-    auto &call = m_calls[id];
-    call.id = id;
-    call.connection = connection;
-    call.view = view;
-    call.route = route;
-    call.arrived = now;
-    call.deadline
+    proxy::CallTerms terms;
+    terms.service = m_splits.choose(*route);
+    terms.isIdempotent = route->isIdempotent;
+    terms.maxAttempts = route->maxAttempts;
+    terms.target = now + (route->targetLatency.count() > 0 ? route->targetLatency : route->timeout);
+    terms.deadline
             = now + std::min(facts.deadline.value_or(internal::kUnnamedDeadline), route->timeout);
-    call.target = now + (route->targetLatency.count() > 0 ? route->targetLatency : route->timeout);
+    terms.maySpill = request.body.size() + m_answerSizes.expected(route->name)
+            <= proxy::spillAllowance(route->priority);
+    m_retries.onFirstAttempt(terms.service);
+    auto &call = m_calls.emplace(id,
+                                 Call{id,
+                                      connection,
+                                      view,
+                                      route,
+                                      {},
+                                      proxy::CallCourse{std::move(terms)},
+                                      now,
+                                      {},
+                                      nullptr})
+                         .first->second;
     call.frame.id = id;
     call.frame.requestId = facts.requestId;
-    call.frame.service = m_splits.choose(*route);
+    call.frame.service = call.course.terms().service;
     call.frame.account = account != nullptr ? account->name : "";
     call.frame.callerService = m_around.settings.service;
     call.frame.isIdempotent = route->isIdempotent;
@@ -161,19 +166,22 @@
     call.frame.rank
             = (account != nullptr ? account->priority : 0) * internal::kRanksPerAccountPriority
             + route->priority;
+    if (call.frame.isNested) {
+        // The work that waits for it at the own server is what is urgent or not.
+        call.frame.rank = m_around.gate.runningRank().value_or(call.frame.rank);
+    }
     call.frame.request = std::move(request);
     http::eraseHopByHop(call.frame.request.headers);
     m_around.dialect.stripCaller(call.frame.request.headers);
     m_byConnection[connection.get()] = id;
-    m_retries.onFirstAttempt(call.frame.service);
     call.timer = std::make_unique<boost::asio::steady_timer>(m_context);
-    call.timer->expires_after(call.deadline - now);
+    call.timer->expires_after(call.course.terms().deadline - now);
     call.timer->async_wait([this, id](const boost::system::error_code &ec) {
         if (!ec) {
             onTimeout(id);
         }
     });
-    advance(call, now);
+    follow(call, call.course.begin(tools(), now), nullptr, now);
 }
 
 void CallDesk::onBadRequest(int status)
@@ -182,18 +190,19 @@
     logEvent(LogLevel::Info, "desk", "request-unreadable", {{"status", std::to_string(status)}});
 }
 
-std::vector<proxy::Candidate> CallDesk::candidates(const Call &call, TimePoint now) const
+std::vector<proxy::Candidate> CallDesk::candidates(const std::string &service,
+                                                   const std::set<std::string> &asked,
+                                                   TimePoint now) const
 {
     const auto &view = *m_around.replica.view();
     std::vector<proxy::Candidate> sound;
     std::vector<proxy::Candidate> lastResort;
-    const auto place = view.byService.find(call.frame.service);
+    const auto place = view.byService.find(service);
     if (place == view.byService.end()) {
         return sound;
     }
     for (const auto *server : place->second) {
-        if (server->isDraining || call.asked.count(server->id) > 0
-            || view.evacuatedZones.count(server->zone) > 0) {
+        if (server->isDraining || view.evacuatedZones.count(server->zone) > 0) {
             continue;
         }
         const bool isHere = server->address.host == m_around.settings.links.host;
@@ -202,46 +211,40 @@
                                            now)) {
             continue;
         }
-        const proxy::Candidate candidate{server, server->zone == m_around.settings.zone};
+        const proxy::Candidate candidate{server, server->zone == m_around.settings.zone,
+                                         asked.count(server->id) > 0};
         const auto leaving = m_leaving.find(server->address.host);
         const bool isLeaving = leaving != m_leaving.end();
         (isLeaving ? lastResort : sound).push_back(candidate);
     }
-    return sound.empty() ? lastResort : sound;
+    const bool areAllAsked = std::all_of(sound.begin(), sound.end(),
+                                         [](const auto &candidate) { return candidate.isAsked; });
+    if (areAllAsked) {
+        sound.insert(sound.end(), lastResort.begin(), lastResort.end());
+    }
+    return sound;
 }
 
-void CallDesk::advance(Call &call, TimePoint now)
+void CallDesk::follow(Call &call, const proxy::CallStep &step, const proxy::ReplyFrame *reply,
+                      TimePoint now)
 {
-    const auto *server
-            = call.asks < internal::kMaxAsks ? m_picker.pick(candidates(call, now), now) : nullptr;
-    if (server == nullptr && !call.takesLate && !call.asked.empty() && call.arrivals == 0
-        && call.lastReason == proxy::Reason::Busy) {
-        // Nobody can meet the target; a late answer is still worth something to the caller.
-        call.takesLate = true;
-        call.asked.clear();
-        call.asks = 0;
-        server = m_picker.pick(candidates(call, now), now);
-    }
-    if (server == nullptr) {
-        if (call.lastReason == proxy::Reason::None) {
-            call.lastReason = proxy::Reason::NoServer;
-        }
-        giveUp(call, now);
-        return;
+    if (const auto *next = std::get_if<proxy::AskStep>(&step)) {
+        ask(call, *next, now);
+    } else if (const auto *end = std::get_if<proxy::GiveUpStep>(&step)) {
+        giveUp(call, *end, now);
+    } else {
+        m_answerSizes.onAnswer(call.route->name, reply->answer.body.size());
+        answer(call, reply->answer, proxy::Reason::None, now);
     }
-    ask(call, *server, now);
 }
 
-void CallDesk::ask(Call &call, const directory::BackendServer &server, TimePoint now)
+void CallDesk::ask(Call &call, const proxy::AskStep &step, TimePoint now)
 {
-    ++call.asks;
-    call.asked.insert(server.id);
-    call.serverId = server.id;
+    const auto &server = *step.server;
     call.frame.serverId = server.id;
-    call.frame.deadline = millisBetween(now, call.deadline);
-    call.frame.target = millisBetween(now, call.target);
-    call.frame.mayQueue = call.takesLate;
-    m_picker.onSent(server.id);
+    call.frame.deadline = millisBetween(now, call.course.terms().deadline);
+    call.frame.target = millisBetween(now, call.course.terms().target);
+    call.frame.mayQueue = step.mayBeLate;
     const auto id = call.id;
     if (server.address.host == m_around.settings.links.host) {
         call.peer = {};
@@ -259,7 +262,7 @@
     call.peer = {server.address.host, m_around.settings.links.port};
     if (!m_around.peers.send(call.peer, proxy::encodeFrame(call.frame), now)) {
         boost::asio::post(m_context, [this, id] {
-            onGateReply(id, {id, proxy::ReplyKind::NotRun, proxy::Reason::Unreachable}, bootNow());
+            onGateReply(id, proxy::notRunReply(id, proxy::Reason::Unreachable), bootNow());
         });
     }
 }
@@ -275,97 +278,19 @@
 void CallDesk::onGateReply(std::uint64_t id, const proxy::ReplyFrame &reply, TimePoint now)
 {
     const auto it = m_calls.find(id);
-    if (it == m_calls.end() || it->second.serverId.empty()) {
+    if (it == m_calls.end() || it->second.course.askedServer().empty()) {
         return;
     }
     auto &call = it->second;
-    const bool isGood = reply.kind == proxy::ReplyKind::Answer
-            ? reply.answer.status < 500
-            : reply.kind == proxy::ReplyKind::NotRun && !reply.reachedServer
-                    && reply.reason != proxy::Reason::Unreachable;
-    m_picker.onReply(call.serverId, reply.load, isGood, now);
-    call.serverId.clear();
-    call.lastReason = reply.reason;
-    switch (reply.kind) {
-    case proxy::ReplyKind::Answer:
-        ++call.arrivals;
-        if (reply.answer.status >= 500 && mayRepeat(call, now)) {
-            call.mayHaveRun = true;
-            advance(call, now);
-            return;
-        }
-        answer(call, reply.answer, proxy::Reason::None, now);
-        return;
-    case proxy::ReplyKind::NotRun:
-        onNotRun(call, reply, now);
-        return;
-    case proxy::ReplyKind::Failed:
-        ++call.arrivals;
-        call.mayHaveRun = true;
-        onFailed(call, now);
-        return;
-    }
-}
-
-Millis CallDesk::backOff(const proxy::ReplyFrame &reply) const
-{
-    const auto &load = reply.load;
-    const int over = load.running + load.waiting - load.slots;
-    const Millis pause{over > 0 && load.slots > 0 ? over * load.serviceMillis / load.slots : 0};
-    return std::clamp(pause, internal::kLeastPause, internal::kMostPause);
-}
-
-void CallDesk::onNotRun(Call &call, const proxy::ReplyFrame &reply, TimePoint now)
-{
-    call.retryAfter = call.retryAfter.count() == 0 ? backOff(reply)
-                                                   : std::min(call.retryAfter, backOff(reply));
-    if (reply.reachedServer) {
-        ++call.arrivals;
-        const bool isAllowed
-                = call.arrivals < call.route->maxAttempts && m_retries.trySpend(call.frame.service);
-        if (!isAllowed) {
-            giveUp(call, now);
-            return;
-        }
-    }
-    if (millisBetween(now, call.deadline) < internal::kLeastLeft) {
-        giveUp(call, now);
-        return;
-    }
-    advance(call, now);
-}
-
-bool CallDesk::mayRepeat(const Call &call, TimePoint now)
-{
-    return call.route->isIdempotent && call.arrivals < call.route->maxAttempts
-            && millisBetween(now, call.deadline) >= internal::kLeastLeft
-            && m_retries.trySpend(call.frame.service);
-}
-
-void CallDesk::onFailed(Call &call, TimePoint now)
-{
-    if (mayRepeat(call, now)) {
-        advance(call, now);
-    } else {
-        giveUp(call, now);
-    }
+    follow(call, call.course.onReply(reply, tools(), now), &reply, now);
 }
 
-void CallDesk::giveUp(Call &call, TimePoint now)
+void CallDesk::giveUp(Call &call, const proxy::GiveUpStep &step, TimePoint now)
 {
-    const auto reason = call.lastReason;
-    int status = 503;
-    if (reason == proxy::Reason::TimedOut) {
-        status = 504;
-    } else if (call.mayHaveRun) {
-        status = 502;
-    }
-    std::optional<Millis> retryAfter;
-    if (status == 503) {
-        retryAfter = std::max(call.retryAfter, internal::kLeastPause);
-    }
-    answer(call, m_around.dialect.ownAnswer({status, reason, call.frame.requestId, retryAfter}),
-           reason, now);
+    answer(call,
+           m_around.dialect.ownAnswer(
+                   {step.status, step.reason, call.frame.requestId, step.retryAfter}),
+           step.reason, now);
 }
 
 void CallDesk::answer(Call &call, const http::Answer &answer, proxy::Reason reason, TimePoint now)
@@ -396,10 +321,10 @@
                   {"account", call.frame.account},
                   {"version", std::to_string(call.view->routing->version())},
                   {"server", call.frame.serverId},
-                  {"asks", std::to_string(call.asks)},
-                  {"arrivals", std::to_string(call.arrivals)},
+                  {"asks", std::to_string(call.course.asks())},
+                  {"arrivals", std::to_string(call.course.arrivals())},
                   {"spent_ms", std::to_string(millisBetween(call.arrived, now).count())},
-                  {"retry_ms", std::to_string(call.retryAfter.count())}});
+                  {"retry_ms", std::to_string(call.course.retryAfter().count())}});
     }
     const auto connection = call.connection;
     m_byConnection.erase(connection.get());
@@ -409,10 +334,9 @@
 
 void CallDesk::cancelAtGate(Call &call, TimePoint now)
 {
-    if (call.serverId.empty()) {
+    if (call.course.askedServer().empty()) {
         return;
     }
-    m_picker.onNoReply(call.serverId, now);
     if (call.peer.host.empty()) {
         m_around.gate.cancel(std::string{internal::kOwnNode}, call.id, now);
     } else if (!m_around.peers.send(call.peer, proxy::encodeFrame(proxy::CancelFrame{call.id}),
@@ -420,7 +344,6 @@
         logEvent(LogLevel::Warn, "desk", "cancel-not-sent",
                  {{"request", call.frame.requestId}, {"peer", call.peer.text()}});
     }
-    call.serverId.clear();
 }
 
 void CallDesk::onTimeout(std::uint64_t id)
@@ -431,10 +354,8 @@
     }
     const auto now = bootNow();
     auto &call = it->second;
-    call.mayHaveRun = call.mayHaveRun || !call.serverId.empty();
     cancelAtGate(call, now);
-    call.lastReason = proxy::Reason::TimedOut;
-    giveUp(call, now);
+    giveUp(call, call.course.onTimeout(tools(), now), now);
 }
 
 void CallDesk::onClosed(const http::CallerConnectionPtr &connection)
@@ -454,9 +375,10 @@
     m_around.metrics.counter("requests_total{outcome=\"cancelled\"}").add();
     logEvent(LogLevel::Info, "desk", "request-cancelled",
              {{"request", call.frame.requestId},
-              {"server", call.serverId},
+              {"server", call.course.askedServer()},
               {"spent_ms", std::to_string(millisBetween(call.arrived, now).count())}});
     cancelAtGate(call, now);
+    call.course.onCallerLeft(tools());
     m_calls.erase(it);
 }
 
@@ -465,7 +387,7 @@
     m_leaving.erase(peer.host);
     std::vector<std::uint64_t> ids;
     for (const auto &[id, call] : m_calls) {
-        if (!call.serverId.empty() && call.peer == peer) {
+        if (!call.course.askedServer().empty() && call.peer == peer) {
             ids.push_back(id);
         }
     }
@@ -486,7 +408,7 @@
 bool CallDesk::isAwaiting(const Address &peer) const
 {
     return std::any_of(m_calls.begin(), m_calls.end(), [&peer](const auto &entry) {
-        return !entry.second.serverId.empty() && entry.second.peer == peer;
+        return !entry.second.course.askedServer().empty() && entry.second.peer == peer;
     });
 }
 
--- a/src/celeryramp/engine/call_desk.h
+++ b/src/celeryramp/engine/call_desk.h
@@ -15,6 +15,8 @@
 #include "engine/fleet_talk.h"
 #include "http/caller_connection.h"
 #include "links/peer_links.h"
+#include "proxy/answer_sizes.h"
+#include "proxy/call_course.h"
 #include "proxy/fleet_limiter.h"
 #include "proxy/server_picker.h"
 #include "proxy/split_chooser.h"
@@ -40,7 +42,7 @@
  * @brief Takes the requests of callers on their way: identify, admit, choose, hand to a gate,
  * repeat where that is safe, answer.
  */
-class CallDesk final : public http::CallerEvents
+class CallDesk final : public http::CallerEvents, private proxy::CandidateSource
 {
 public:
     CallDesk(boost::asio::io_context &context, CallSurroundings around, std::uint64_t seed);
@@ -77,41 +79,34 @@
         directory::DirectoryPtr view;
         const directory::Route *route = nullptr;
         proxy::CallFrame frame;
+        proxy::CallCourse course;
         TimePoint arrived;
-        TimePoint deadline;
-        TimePoint target;
-        std::set<std::string> asked; /*!< Servers whose gates were asked, by id. */
-        std::string serverId; /*!< Asked now; empty when none is. */
-        Address peer; /*!< Whose gate is asked now. */
-        int arrivals = 0; /*!< At servers. */
-        int asks = 0; /*!< Of gates. */
-        bool mayHaveRun = false;
-        bool takesLate = false; /*!< Gates may keep it beyond its target. */
-        proxy::Reason lastReason = proxy::Reason::None;
-        Millis retryAfter{0};
+        Address peer; /*!< Whose gate is asked now; without host when it is the own one. */
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
 
     void refuseUnstarted(const http::CallerConnectionPtr &connection, const std::string &requestId,
                          int status, proxy::Reason reason, std::optional<Millis> retryAfter,
                          const std::string &account = {}, const std::string &detail = {});
-    void advance(Call &call, TimePoint now);
-    void ask(Call &call, const directory::BackendServer &server, TimePoint now);
+    void ask(Call &call, const proxy::AskStep &step, TimePoint now);
     void onGateReply(std::uint64_t id, const proxy::ReplyFrame &reply, TimePoint now);
-    void onNotRun(Call &call, const proxy::ReplyFrame &reply, TimePoint now);
-    void onFailed(Call &call, TimePoint now);
-    [[nodiscard]] bool mayRepeat(const Call &call, TimePoint now);
-    [[nodiscard]] std::vector<proxy::Candidate> candidates(const Call &call, TimePoint now) const;
+    [[nodiscard]] std::vector<proxy::Candidate> candidates(const std::string &service,
+                                                           const std::set<std::string> &asked,
+                                                           TimePoint now) const override;
+    /*! @brief Takes the next step of a call. @param reply Whose answer is passed on. */
+    void follow(Call &call, const proxy::CallStep &step, const proxy::ReplyFrame *reply,
+                TimePoint now);
+    [[nodiscard]] proxy::CourseTools tools() { return {m_picker, m_retries, *this}; }
     void answer(Call &call, const http::Answer &answer, proxy::Reason reason, TimePoint now);
-    void giveUp(Call &call, TimePoint now);
+    void giveUp(Call &call, const proxy::GiveUpStep &step, TimePoint now);
     void onTimeout(std::uint64_t id);
     void cancelAtGate(Call &call, TimePoint now);
-    [[nodiscard]] Millis backOff(const proxy::ReplyFrame &reply) const;
 
     boost::asio::io_context &m_context;
     CallSurroundings m_around;
     proxy::SplitChooser m_splits;
     proxy::ServerPicker m_picker;
+    proxy::AnswerSizes m_answerSizes;
     RetryBudget m_retries;
     RandomEngine m_random;
     std::map<std::uint64_t, Call> m_calls;
--- a/src/celeryramp/engine/fleet_talk.cpp
+++ b/src/celeryramp/engine/fleet_talk.cpp
@@ -1,8 +1,8 @@
 #include "engine/fleet_talk.h"
 
 #include <algorithm>
-#include <array>
 
+#include "directory/reader_rota.h"
 #include "observe/log.h"
 #include "proxy/frame_codec.h"
 
@@ -15,12 +15,9 @@
 constexpr Millis kZoneReportInterval{200};
 /*! Zones stop telling sums when nobody has asked for anything for this long. */
 constexpr Millis kQuietAfter{5000};
-/*! Time between reports of a node whose callers are quiet. */
-constexpr Millis kQuietInterval{1000};
-/*! Pauses after changes of the nodes of a zone that read the platform. There are two, so that a cut
- *  or slow one holds nobody up; the second is there for that alone and reads more at once. Both
- *  leave over half of the 2 s within which a configuration must be in force. */
-constexpr std::array<Millis, 2> kReadPauses{Millis{500}, Millis{1000}};
+/*! Time between reports of a node whose callers are quiet; with it and the pause of readers its
+ *  knowledge stays younger than the age at which it would read for itself. */
+constexpr Millis kQuietInterval{500};
 /*! News beyond this are only announced: a reader's link of 10 Mbit/s carries it to 20 nodes in a
  *  second, while the platform's link is a hundred times faster. */
 constexpr std::size_t kLargeNews = 64 * 1024;
@@ -32,8 +29,8 @@
 constexpr Millis kUnableMemory{2500};
 /*! Age of the own knowledge from which peers are asked; above the usual time between reads. */
 constexpr Millis kStaleAfter{2700};
-/*! Age from which a node reads for itself though others should have. */
-constexpr Millis kReadAfter{3000};
+/*! Age of a peer's knowledge up to which it confirms the own one. */
+constexpr Millis kConfirming{3000};
 /*! Pause between two questions to peers. */
 constexpr Millis kSyncPause{500};
 
@@ -92,24 +89,19 @@
 
 std::optional<Millis> FleetTalk::readPause(TimePoint now) const
 {
-    if (!m_replica.isComplete() || m_replica.age(now) > internal::kReadAfter
-        || m_replica.revision() < m_readTo) {
-        return internal::kReadPauses.front();
-    }
     const auto place = [this, now](const std::string &host) {
         return std::make_pair(isUnable(host, now), host);
     };
     const auto own = place(m_settings.links.host);
-    std::size_t before = 0;
+    directory::ReaderPosition position;
+    position.age = m_replica.age(now);
+    position.isBehind = !m_replica.isComplete() || m_replica.revision() < m_readTo;
     for (const auto &node : nodesOf(m_settings.zone)) {
         if (place(node.host) < own && isSteady(node, now)) {
-            ++before;
+            ++position.place;
         }
     }
-    if (before >= internal::kReadPauses.size()) {
-        return std::nullopt;
-    }
-    return internal::kReadPauses[before];
+    return directory::readPause(position);
 }
 
 bool FleetTalk::isUnable(const std::string &host, TimePoint now) const
@@ -314,7 +306,7 @@
     m_limiter.onLevels(frame, now);
     if (frame.revision > m_replica.revision()) {
         askPeer(peer, now);
-    } else if (frame.revision == m_replica.revision() && frame.age < internal::kReadAfter) {
+    } else if (frame.revision == m_replica.revision() && frame.age < internal::kConfirming) {
         // What was true when the report left cannot be older than the knowledge that answered it.
         m_replica.confirm(TimePoint{TimePoint::duration{frame.askedAt}} - frame.age);
     }
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -88,8 +88,9 @@
     out.push_back(static_cast<int>(frame.kind));
     out.push_back(static_cast<int>(frame.reason));
     out.push_back(frame.reachedServer);
-    out.push_back(Json::array({frame.load.running, frame.load.waiting, frame.load.slots,
-                               frame.load.serviceMillis, frame.load.rateLeft}));
+    out.push_back(
+            Json::array({frame.load.running, frame.load.waiting, frame.load.slots,
+                         frame.load.serviceMillis, frame.load.rateLeft, frame.load.badPercent}));
     if (frame.kind == ReplyKind::Answer) {
         out.push_back(frame.answer.status);
         out.push_back(binary(frame.answer.reason));
@@ -115,7 +116,7 @@
     frame.reachedServer = json.at(4).get<bool>();
     const auto &load = json.at(5);
     frame.load = {load.at(0).get<int>(), load.at(1).get<int>(), load.at(2).get<int>(),
-                  load.at(3).get<int>(), load.at(4).get<int>()};
+                  load.at(3).get<int>(), load.at(4).get<int>(), load.at(5).get<int>()};
     if (frame.kind == ReplyKind::Answer) {
         frame.answer.status = json.at(6).get<int>();
         frame.answer.reason = bytesOf(json.at(7));
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -50,6 +50,15 @@
     http::Answer answer;
 };
 
+/*! @return A reply that says that nothing of the call reached a server. */
+[[nodiscard]] inline ReplyFrame notRunReply(std::uint64_t id, Reason reason)
+{
+    ReplyFrame reply;
+    reply.id = id;
+    reply.reason = reason;
+    return reply;
+}
+
 /*! @brief The caller of this call left. */
 struct CancelFrame
 {
--- a/src/celeryramp/proxy/fwd.h
+++ b/src/celeryramp/proxy/fwd.h
@@ -7,6 +7,8 @@
 
 namespace celeryramp::proxy {
 
+class AnswerSizes;
+class CallCourse;
 struct CallFrame;
 class Dialect;
 struct GateLoad;
--- a/src/celeryramp/proxy/gate_load.h
+++ b/src/celeryramp/proxy/gate_load.h
@@ -10,6 +10,7 @@
     int slots = 1;
     int serviceMillis = 0; /*!< Smoothed time at the server. */
     int rateLeft = -1; /*!< Requests a cold server still bears this second; -1 when warm. */
+    int badPercent = 0; /*!< Smoothed share of what the server was handed that it failed. */
 };
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -7,8 +7,18 @@
 
 namespace internal {
 
-/*! Weight of the newest time at the server in the smoothed one; about the last 20 answers. */
-constexpr double kServiceWeight = 0.05;
+/*! Weight of the newest time at the server in the smoothed one; about the last 10 answers. */
+constexpr double kServiceWeight = 0.1;
+/*! Weight of the newest end in the share of failures; about the last 12. */
+constexpr double kBadWeight = 0.08;
+/*! Failures fade over this time, so that a server that was bad is tried again. */
+constexpr double kBadMemorySeconds = 3.0;
+/*! A call given up after this many times the smoothed time counts as failed by the server. */
+constexpr double kHungFactor = 3.0;
+/*! Time over which the use of the server by calls in time is measured; a few calls long. */
+constexpr double kUseSeconds = 1.0;
+/*! Least part of the server that late calls are expected to get. */
+constexpr double kLeastGap = 0.02;
 /*! Part of the smoothed time at the server that a call needs at least; half of the calls of a
  *  usual spread take less than 0.8 of the mean. */
 constexpr double kQuickShare = 0.5;
@@ -23,8 +33,21 @@
 
 bool ServerGate::isLate(const GateCall &call, TimePoint now) const
 {
-    const Millis quick{std::lround(m_serviceMillis * internal::kQuickShare)};
-    return now + quick > call.target;
+    // The sender of a nested call is late only when its own deadline is near.
+    return now + quickMillis() > (call.isNested ? call.deadline : call.target);
+}
+
+Millis ServerGate::quickMillis() const
+{
+    return Millis{std::lround(m_serviceMillis * internal::kQuickShare)};
+}
+
+TimePoint ServerGate::latestStart(const GateCall &call) const
+{
+    if (!call.mayBeLate) {
+        return call.target - quickMillis();
+    }
+    return call.deadline - quickMillis();
 }
 
 bool ServerGate::goesBefore(const GateCall &a, const GateCall &b, TimePoint now) const
@@ -41,13 +64,17 @@
     return a.target < b.target;
 }
 
-Millis ServerGate::estimateWait(std::size_t ahead, TimePoint now)
+Millis ServerGate::estimateWait(std::size_t ahead, bool isLateCall, TimePoint now)
 {
     double millis = 0.0;
     const int free = std::max(0, m_slots - m_running);
     if (ahead >= static_cast<std::size_t>(free)) {
         millis = static_cast<double>(ahead - static_cast<std::size_t>(free) + 1) * m_serviceMillis
                 / m_slots;
+        if (isLateCall) {
+            // Late calls only get what calls in time leave.
+            millis /= std::max(internal::kLeastGap, 1.0 - useInTime(now));
+        }
     }
     if (const int left = m_cold.left(m_coldPerSecond, now);
         left >= 0 && ahead >= static_cast<std::size_t>(left)) {
@@ -65,10 +92,8 @@
     const auto ahead = static_cast<std::size_t>(
             std::count_if(m_waiting.begin(), m_waiting.end(),
                           [&](const GateCall &other) { return !goesBefore(call, other, now); }));
-    const auto wait = estimateWait(ahead, now);
-    const Millis quick{std::lround(m_serviceMillis * internal::kQuickShare)};
-    const auto finish = now + wait + quick;
-    if (wait.count() > 0 && finish > (call.mayBeLate ? call.deadline : call.target)) {
+    const auto wait = estimateWait(ahead, isLate(call, now), now);
+    if (wait.count() > 0 && now + wait > latestStart(call)) {
         return Reason::Busy;
     }
     if (now >= call.deadline) {
@@ -88,6 +113,10 @@
             m_waiting.begin(), m_waiting.end(),
             [&](const GateCall &a, const GateCall &b) { return goesBefore(a, b, now); });
     const auto ticket = it->ticket;
+    if (!isLate(*it, now)) {
+        m_useInTime = useInTime(now) + m_serviceMillis / 1000.0 / m_slots / internal::kUseSeconds;
+        m_usedAt = now;
+    }
     m_waiting.erase(it);
     ++m_running;
     m_cold.onHandedOver(now);
@@ -106,11 +135,9 @@
     }
     std::sort(m_waiting.begin(), m_waiting.end(),
               [&](const GateCall &a, const GateCall &b) { return goesBefore(a, b, now); });
-    const Millis quick{std::lround(m_serviceMillis * internal::kQuickShare)};
     std::vector<GateCall> kept;
     for (const auto &call : m_waiting) {
-        const auto limit = call.mayBeLate ? call.deadline : call.target;
-        if (now + estimateWait(kept.size(), now) + quick > limit) {
+        if (now + estimateWait(kept.size(), isLate(call, now), now) > latestStart(call)) {
             refusals.push_back({call.ticket, Reason::Busy});
         } else {
             kept.push_back(call);
@@ -120,13 +147,32 @@
     return refusals;
 }
 
-void ServerGate::finished(std::optional<Micros> served)
+double ServerGate::useInTime(TimePoint now) const
+{
+    return m_useInTime * std::exp(-secondsBetween(m_usedAt, now) / internal::kUseSeconds);
+}
+
+void ServerGate::finished(HandoverEnd end, Micros spent, TimePoint now)
 {
     m_running = std::max(0, m_running - 1);
-    if (served) {
-        const double millis = static_cast<double>(served->count()) / 1000.0;
+    const double millis = static_cast<double>(spent.count()) / 1000.0;
+    const bool isHung
+            = end == HandoverEnd::Cancelled && millis > m_serviceMillis * internal::kHungFactor;
+    if (end == HandoverEnd::Served
+        || (end == HandoverEnd::Cancelled && !isHung && millis > m_serviceMillis)) {
         m_serviceMillis += internal::kServiceWeight * (millis - m_serviceMillis);
     }
+    if (end == HandoverEnd::NotSent || (end == HandoverEnd::Cancelled && !isHung)) {
+        return;
+    }
+    const double bad = end == HandoverEnd::Failed || isHung ? 1.0 : 0.0;
+    m_badShare = badShare(now) + internal::kBadWeight * (bad - badShare(now));
+    m_badAt = now;
+}
+
+double ServerGate::badShare(TimePoint now) const
+{
+    return m_badShare * std::exp(-secondsBetween(m_badAt, now) / internal::kBadMemorySeconds);
 }
 
 bool ServerGate::cancel(std::uint64_t ticket)
@@ -142,8 +188,12 @@
 
 GateLoad ServerGate::load(TimePoint now)
 {
-    return {m_running, static_cast<int>(m_waiting.size()), m_slots,
-            static_cast<int>(std::lround(m_serviceMillis)), m_cold.left(m_coldPerSecond, now)};
+    return {m_running,
+            static_cast<int>(m_waiting.size()),
+            m_slots,
+            static_cast<int>(std::lround(m_serviceMillis)),
+            m_cold.left(m_coldPerSecond, now),
+            static_cast<int>(std::lround(badShare(now) * 100.0))};
 }
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/server_gate.h
+++ b/src/celeryramp/proxy/server_gate.h
@@ -8,6 +8,7 @@
 #include "core/time.h"
 #include "proxy/cold_window.h"
 #include "proxy/gate_load.h"
+#include "proxy/handover_end.h"
 #include "proxy/reason.h"
 
 namespace celeryramp::proxy {
@@ -35,9 +36,10 @@
  * @brief The only way into one backend server: who is handed over, who waits, who is refused.
  *
  * Concurrency, the rate a cold server bears, draining and evacuation are local facts here. Calls of
- * servers go first, since each holds up a slot of its sender. Then calls that can still meet their
- * target, by rank, go before those that are late anyway. A call that cannot be served before its
- * deadline is refused as soon as that is foreseeable.
+ * servers go first: the work of their senders is lost with them. Then calls that can still meet
+ * their target go before those that are late anyway, and then by rank. A call that cannot be served
+ * before its deadline is refused as soon as that is foreseeable. Late calls are served in the gaps
+ * that calls in time leave, and wait only as far as these gaps reach.
  */
 class ServerGate
 {
@@ -60,8 +62,8 @@
     /*! @return Calls that cannot be served any more, taken out. */
     [[nodiscard]] std::vector<GateRefusal> expire(TimePoint now);
 
-    /*! @brief A running call ended. @param served Time at the server, if it was served. */
-    void finished(std::optional<Micros> served);
+    /*! @brief A running call ended. @param spent Time since it was handed over. */
+    void finished(HandoverEnd end, Micros spent, TimePoint now);
 
     /*! @return True when the call was still waiting; it is then forgotten. */
     bool cancel(std::uint64_t ticket);
@@ -72,11 +74,18 @@
 
     /*! @return Time until a call that arrives now would be handed over. @param ahead Calls that go
      * before it. */
-    [[nodiscard]] Millis estimateWait(std::size_t ahead, TimePoint now);
+    [[nodiscard]] Millis estimateWait(std::size_t ahead, bool isLateCall, TimePoint now);
 
 private:
     [[nodiscard]] bool goesBefore(const GateCall &a, const GateCall &b, TimePoint now) const;
     [[nodiscard]] bool isLate(const GateCall &call, TimePoint now) const;
+    /*! @return Time that a call needs at least. */
+    [[nodiscard]] Millis quickMillis() const;
+    /*! @return When a call must be handed over to be kept waiting until then. */
+    [[nodiscard]] TimePoint latestStart(const GateCall &call) const;
+    /*! @return Part of the server's time that calls in time took lately. */
+    [[nodiscard]] double useInTime(TimePoint now) const;
+    [[nodiscard]] double badShare(TimePoint now) const;
 
     std::vector<GateCall> m_waiting;
     ColdWindow m_cold;
@@ -84,6 +93,10 @@
     double m_coldPerSecond = 0.0;
     int m_running = 0;
     double m_serviceMillis; /*!< Smoothed time at the server. */
+    double m_badShare = 0.0; /*!< Smoothed share of hand-overs that the server failed. */
+    TimePoint m_badAt; /*!< When the share was changed last. */
+    double m_useInTime = 0.0; /*!< Of the server by calls in time, when one was handed over last. */
+    TimePoint m_usedAt;
     Reason m_closed = Reason::NoServer;
 
 public:
--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
 
 namespace celeryramp::proxy {
 
@@ -14,68 +13,137 @@
 constexpr double kBadMemorySeconds = 3.0;
 /*! Weight of the newest outcome in the share of failures; about the last 8 calls. */
 constexpr double kBadWeight = 0.12;
-/*! Wait in ms that a server whose calls all fail counts as having; over any real wait. */
+/*! Time in ms that a server whose calls all fail counts as taking longer; over any real wait. */
 constexpr double kBadMillis = 2000.0;
-/*! Share of failures below which a server counts as sound. */
+/*! Share of failures above that of the soundest server from which a server is passed over. */
 constexpr double kSoundShare = 0.1;
 constexpr Millis kForgetAfter{60'000};
-/*! Time at a server in ms that is assumed before it told its own. */
+/*! Time at a server in ms that is assumed before any told its own. */
 constexpr double kUnknownService = 100.0;
+/*! Candidates of the own zone, and of all others, that are compared for a call. */
+constexpr std::size_t kDraws = 2;
+/*! Keeps a mean of nothing from being one. */
+constexpr double kLeastWeight = 1e-9;
+
+[[nodiscard]] double freshness(TimePoint heardAt, TimePoint now)
+{
+    const auto age = static_cast<double>(millisBetween(heardAt, now).count());
+    return std::clamp(1.0 - age / kLoadMemory.count(), 0.0, 1.0);
+}
 
 } // namespace internal
 
-double ServerPicker::expectedWait(const directory::BackendServer &server, TimePoint now) const
+std::vector<ServerPicker::Entry> ServerPicker::look(gsl::span<const Candidate> candidates,
+                                                    TimePoint now) const
 {
-    const auto it = m_known.find(server.id);
-    if (it == m_known.end()) {
-        return 0.0;
+    std::vector<Entry> entries;
+    entries.reserve(candidates.size());
+    for (const auto &candidate : candidates) {
+        const auto it = m_known.find(candidate.server->id);
+        if (it == m_known.end()) {
+            entries.push_back({&candidate, nullptr, 0.0});
+            continue;
+        }
+        const auto &known = it->second;
+        const double share = std::max(known.badShare, known.load.badPercent / 100.0);
+        const double fade
+                = std::exp(-secondsBetween(known.heardAt, now) / internal::kBadMemorySeconds);
+        entries.push_back({&candidate, &known, share * fade});
     }
-    const auto &known = it->second;
-    const double service
-            = known.load.serviceMillis > 0 ? known.load.serviceMillis : internal::kUnknownService;
-    const double aged
-            = std::clamp(1.0
-                                 - static_cast<double>(millisBetween(known.heardAt, now).count())
-                                         / internal::kLoadMemory.count(),
-                         0.0, 1.0);
-    const double occupied
-            = std::max<double>(known.inFlight, aged * (known.load.running + known.load.waiting));
-    const double over = occupied - server.slots + 1;
-    // Below its slots a server costs little, but the emptier one is still the better.
-    double wait = over > 0.0 ? over * service / server.slots : occupied / server.slots;
-    if (known.load.rateLeft == 0 && aged > 0.0) {
-        wait += aged * 1000.0;
+    return entries;
+}
+
+ServerPicker::Field ServerPicker::summarize(const std::vector<Entry> &entries, TimePoint now)
+{
+    Field field;
+    double told = 0.0;
+    double weightNear = 0.0;
+    double weightFar = 0.0;
+    for (const auto &entry : entries) {
+        field.leastBad = std::min(field.leastBad, entry.bad);
+        if (entry.known == nullptr || entry.known->load.serviceMillis <= 0) {
+            continue;
+        }
+        const auto &load = entry.known->load;
+        told += 1.0;
+        field.serviceMillis += load.serviceMillis;
+        const double fresh = internal::freshness(entry.known->heardAt, now);
+        const bool isNear = entry.candidate->isOwnZone;
+        (isNear ? weightNear : weightFar) += fresh;
+        (isNear ? field.utilizationNear : field.utilizationFar)
+                += fresh * (load.running + load.waiting) / std::max(1, load.slots);
     }
-    const double bad = known.badShare
-            * std::exp(-secondsBetween(known.heardAt, now) / internal::kBadMemorySeconds);
-    return bad > internal::kSoundShare ? wait + bad * internal::kBadMillis : wait;
+    field.serviceMillis = told > 0.0 ? field.serviceMillis / told : internal::kUnknownService;
+    field.utilizationNear /= std::max(weightNear, internal::kLeastWeight);
+    field.utilizationFar /= std::max(weightFar, internal::kLeastWeight);
+    return field;
+}
+
+bool ServerPicker::isSound(const Entry &entry, const Field &field)
+{
+    return entry.bad <= field.leastBad + internal::kSoundShare;
 }
 
-const directory::BackendServer *ServerPicker::pick(gsl::span<const Candidate> candidates,
-                                                   TimePoint now)
+double ServerPicker::expectedMillis(const Entry &entry, const Field &field, TimePoint now)
 {
-    std::vector<const directory::BackendServer *> pool;
-    for (const bool isOwnZone : {true, false}) {
-        for (const auto &candidate : candidates) {
-            if (candidate.isOwnZone == isOwnZone) {
-                pool.push_back(candidate.server);
+    const double slots = std::max(1, entry.candidate->server->slots);
+    double service = field.serviceMillis;
+    double occupied
+            = slots * (entry.candidate->isOwnZone ? field.utilizationNear : field.utilizationFar);
+    double blocked = 0.0;
+    if (entry.known != nullptr) {
+        const auto &known = *entry.known;
+        const double fresh = internal::freshness(known.heardAt, now);
+        service = known.load.serviceMillis > 0 ? known.load.serviceMillis : service;
+        occupied = fresh * (known.load.running + known.load.waiting) + (1.0 - fresh) * occupied;
+        occupied = std::max<double>(known.inFlight, occupied);
+        blocked = known.load.rateLeft == 0 ? fresh * 1000.0 : 0.0;
+    }
+    const double use = std::min(1.0, occupied / slots);
+    const double over = std::max(0.0, occupied + 1.0 - slots);
+    // The nearer a server is to its slots, the likelier others fill them before the call arrives.
+    const double millis = service * (1.0 + use * use) + over * service / slots + blocked;
+    return isSound(entry, field) ? millis : millis + entry.bad * internal::kBadMillis;
+}
+
+Choice ServerPicker::pick(gsl::span<const Candidate> candidates, const Wanted &wanted,
+                          TimePoint now)
+{
+    const auto entries = look(candidates, now);
+    const auto field = summarize(entries, now);
+    const auto near = best(entries, field, true, now);
+    const auto far = best(entries, field, false, now);
+    const bool isFarBetter = near.server == nullptr
+            || (wanted.maySpill && near.expected > wanted.left && far.expected < near.expected
+                && far.expected <= wanted.left);
+    return far.server != nullptr && isFarBetter ? far : near;
+}
+
+Choice ServerPicker::best(const std::vector<Entry> &entries, const Field &field, bool isOwnZone,
+                          TimePoint now)
+{
+    std::vector<const Entry *> pool;
+    for (const bool wantsSound : {true, false}) {
+        for (const auto &entry : entries) {
+            const auto &candidate = *entry.candidate;
+            if (!candidate.isAsked && candidate.isOwnZone == isOwnZone
+                && isSound(entry, field) == wantsSound) {
+                pool.push_back(&entry);
             }
         }
         if (!pool.empty()) {
             break;
         }
     }
-    if (pool.empty()) {
-        return nullptr;
-    }
-    const auto first = m_random.below(pool.size());
-    if (pool.size() == 1) {
-        return pool.front();
+    Choice choice;
+    for (std::size_t i = 0; i < internal::kDraws && i < pool.size(); ++i) {
+        std::swap(pool[i], pool[i + m_random.below(pool.size() - i)]);
+        const Millis expected{std::lround(expectedMillis(*pool[i], field, now))};
+        if (choice.server == nullptr || expected < choice.expected) {
+            choice = {pool[i]->candidate->server, expected};
+        }
     }
-    auto second = m_random.below(pool.size() - 1);
-    second += second >= first ? 1 : 0;
-    return expectedWait(*pool[first], now) <= expectedWait(*pool[second], now) ? pool[first]
-                                                                               : pool[second];
+    return choice;
 }
 
 void ServerPicker::onSent(const std::string &serverId)
@@ -93,6 +161,12 @@
     known.badShare += internal::kBadWeight * ((wasGood ? 0.0 : 1.0) - known.badShare);
 }
 
+void ServerPicker::onAbandoned(const std::string &serverId)
+{
+    auto &known = m_known[serverId];
+    known.inFlight = std::max(0, known.inFlight - 1);
+}
+
 void ServerPicker::onNoReply(const std::string &serverId, TimePoint now)
 {
     auto &known = m_known[serverId];
--- /dev/null
+++ b/test/proxy/call_course.cpp
@@ -0,0 +1,191 @@
+#include "proxy/call_course.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+using namespace celeryramp;
+using namespace celeryramp::proxy;
+
+namespace {
+
+const TimePoint kStart{std::chrono::hours{1}};
+
+/*! A service with servers whose ids begin with `near` in the own zone and others elsewhere. */
+class Site final : public CandidateSource
+{
+public:
+    explicit Site(std::initializer_list<const char *> ids)
+    {
+        for (const auto *id : ids) {
+            directory::BackendServer server;
+            server.id = id;
+            server.slots = 10;
+            m_servers.push_back(server);
+        }
+    }
+
+    std::vector<Candidate> candidates(const std::string &, const std::set<std::string> &asked,
+                                      TimePoint) const override
+    {
+        std::vector<Candidate> pool;
+        for (const auto &server : m_servers) {
+            pool.push_back({&server, server.id.rfind("near", 0) == 0, asked.count(server.id) > 0});
+        }
+        return pool;
+    }
+
+    CourseTools tools() { return {m_picker, m_retries, *this}; }
+    RetryBudget &retries() { return m_retries; }
+
+private:
+    std::vector<directory::BackendServer> m_servers;
+    ServerPicker m_picker{1};
+    RetryBudget m_retries{0.2, 10.0, 10.0};
+};
+
+CallTerms terms(bool isIdempotent = true, int maxAttempts = 2)
+{
+    return {"stock", isIdempotent, maxAttempts, kStart + Millis{500}, kStart + Millis{1200}};
+}
+
+ReplyFrame refusal(Reason reason, bool reachedServer = false)
+{
+    ReplyFrame reply;
+    reply.kind = ReplyKind::NotRun;
+    reply.reason = reason;
+    reply.reachedServer = reachedServer;
+    reply.load = {10, 5, 10, 200, -1, 0};
+    return reply;
+}
+
+ReplyFrame lost()
+{
+    ReplyFrame reply;
+    reply.kind = ReplyKind::Failed;
+    reply.reason = Reason::Lost;
+    return reply;
+}
+
+ReplyFrame answered(int status)
+{
+    ReplyFrame reply;
+    reply.kind = ReplyKind::Answer;
+    reply.answer.status = status;
+    return reply;
+}
+
+} // namespace
+
+TEST_CASE("A call that must not run twice is never asked for again once it may have run")
+{
+    Site site{"near-1", "near-2"};
+    CallCourse course{terms(false)};
+    REQUIRE(std::holds_alternative<AskStep>(course.begin(site.tools(), kStart)));
+    const auto step = course.onReply(lost(), site.tools(), kStart + Millis{10});
+    REQUIRE(std::get<GiveUpStep>(step).status == 502);
+    REQUIRE_FALSE(std::get<GiveUpStep>(step).retryAfter);
+}
+
+TEST_CASE("A failure of the server that must not be repeated is passed on as it is")
+{
+    Site site{"near-1", "near-2"};
+    CallCourse course{terms(false)};
+    static_cast<void>(course.begin(site.tools(), kStart));
+    REQUIRE(std::holds_alternative<AnswerStep>(
+            course.onReply(answered(500), site.tools(), kStart + Millis{10})));
+}
+
+TEST_CASE("A call that may run twice is repeated within its attempts")
+{
+    Site site{"near-1", "near-2", "near-3"};
+    CallCourse course{terms(true, 2)};
+    const auto first = std::get<AskStep>(course.begin(site.tools(), kStart));
+    const auto second = std::get<AskStep>(course.onReply(lost(), site.tools(), kStart));
+    REQUIRE(first.server->id != second.server->id);
+    const auto end = std::get<GiveUpStep>(course.onReply(lost(), site.tools(), kStart));
+    REQUIRE(end.status == 502);
+    REQUIRE(course.arrivals() == 2);
+}
+
+TEST_CASE("A call that may have run at one server never ends as not run by another's refusal")
+{
+    Site site{"near-1", "near-2"};
+    CallCourse course{terms(true, 3)};
+    static_cast<void>(course.begin(site.tools(), kStart));
+    REQUIRE(std::holds_alternative<AskStep>(course.onReply(lost(), site.tools(), kStart)));
+    const auto end = course.onReply(refusal(Reason::Busy), site.tools(), kStart);
+    REQUIRE(std::get<GiveUpStep>(end).status == 502);
+}
+
+TEST_CASE("Refusals of gates cost no attempt, those of servers do and draw on the budget")
+{
+    Site site{"near-1", "near-2", "near-3", "far-1"};
+    CallCourse course{terms(false, 1)};
+    static_cast<void>(course.begin(site.tools(), kStart));
+    REQUIRE(std::holds_alternative<AskStep>(
+            course.onReply(refusal(Reason::Draining), site.tools(), kStart)));
+    REQUIRE(course.arrivals() == 0);
+    const auto end = course.onReply(refusal(Reason::Shed, true), site.tools(), kStart);
+    REQUIRE(std::get<GiveUpStep>(end).status == 503);
+    REQUIRE(std::get<GiveUpStep>(end).retryAfter);
+}
+
+TEST_CASE("Pattern: retry storm, repetitions end with the budget")
+{
+    Site site{"near-1", "near-2", "near-3"};
+    while (site.retries().trySpend("stock")) { }
+    CallCourse course{terms(true, 3)};
+    static_cast<void>(course.begin(site.tools(), kStart));
+    REQUIRE(std::get<GiveUpStep>(course.onReply(lost(), site.tools(), kStart)).status == 502);
+}
+
+TEST_CASE("Pattern: a large zone is full, other zones are asked before the asks are used up")
+{
+    Site site{"near-1", "near-2", "near-3", "near-4", "near-5",
+              "near-6", "near-7", "near-8", "near-9", "far-1"};
+    CallCourse course{terms()};
+    auto step = course.begin(site.tools(), kStart);
+    bool hasAskedFar = false;
+    for (int i = 0; i < 6 && std::holds_alternative<AskStep>(step); ++i) {
+        const auto &ask = std::get<AskStep>(step);
+        hasAskedFar = hasAskedFar || ask.server->id == "far-1";
+        auto reply = refusal(Reason::Busy);
+        reply.load.waiting = 100;
+        step = course.onReply(reply, site.tools(), kStart);
+    }
+    REQUIRE(hasAskedFar);
+}
+
+TEST_CASE("Pattern: overload, few gates are asked again to serve late, then the caller is told")
+{
+    Site site{"near-1", "near-2", "near-3", "near-4", "near-5", "near-6"};
+    CallCourse course{terms()};
+    auto step = course.begin(site.tools(), kStart);
+    int late = 0;
+    while (std::holds_alternative<AskStep>(step)) {
+        late += std::get<AskStep>(step).mayBeLate ? 1 : 0;
+        step = course.onReply(refusal(Reason::Busy), site.tools(), kStart);
+    }
+    REQUIRE(late == 4);
+    const auto end = std::get<GiveUpStep>(step);
+    REQUIRE(end.status == 503);
+    REQUIRE(end.reason == Reason::Busy);
+    REQUIRE(*end.retryAfter >= Millis{50});
+}
+
+TEST_CASE("A call whose time ends at a gate may have run; one that was never asked for has not")
+{
+    Site site{"near-1"};
+    CallCourse course{terms()};
+    static_cast<void>(course.begin(site.tools(), kStart));
+    REQUIRE(course.onTimeout(site.tools(), kStart + Millis{1200}).status == 504);
+
+    Site empty{};
+    CallCourse other{terms()};
+    const auto end = std::get<GiveUpStep>(other.begin(empty.tools(), kStart));
+    REQUIRE(end.status == 503);
+    REQUIRE(end.reason == Reason::NoServer);
+}
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -49,7 +49,7 @@
 
 TEST_CASE("News tell removed items from empty ones")
 {
-    NewsFrame news{4, 6, {{"a", "", 5, true}, {"b", "x", 6, false}}};
+    NewsFrame news{4, 6, {{"a", "", 5, true}, {"b", "x", 6, false}}, {}};
     const auto decoded = decodeFrame(encodeFrame(news));
     const auto &back = std::get<NewsFrame>(decoded.value());
     REQUIRE(back.after == 4);
--- a/test/proxy/server_gate.cpp
+++ b/test/proxy/server_gate.cpp
@@ -1,5 +1,7 @@
 #include "proxy/server_gate.h"
 
+#include <deque>
+
 #include <catch2/catch.hpp>
 
 using namespace celeryramp;
@@ -36,7 +38,7 @@
         ++started;
     }
     REQUIRE(started == 3);
-    gate.finished(Micros{90'000});
+    gate.finished(HandoverEnd::Served, Micros{90'000}, kStart);
     REQUIRE(gate.next(kStart));
     REQUIRE_FALSE(gate.next(kStart));
 }
@@ -48,12 +50,13 @@
     static_cast<void>(gate.offer(call(2, 0, Millis{600}), kStart));
     static_cast<void>(gate.offer(call(3, 0, Millis{400}), kStart));
     static_cast<void>(gate.offer(call(4, 5, Millis{500}, Millis{1500}, true), kStart));
+    static_cast<void>(gate.offer(call(5, 3, Millis{500}, Millis{1500}, true), kStart));
     std::vector<std::uint64_t> order;
     while (const auto ticket = gate.next(kStart)) {
         order.push_back(*ticket);
-        gate.finished(std::nullopt);
+        gate.finished(HandoverEnd::NotSent, Micros{0}, kStart);
     }
-    REQUIRE(order == std::vector<std::uint64_t>{4, 3, 2, 1});
+    REQUIRE(order == std::vector<std::uint64_t>{5, 4, 3, 2, 1});
 }
 
 TEST_CASE("Pattern: overload with many late calls, those that can be in time go first")
@@ -105,7 +108,7 @@
                 gate.offer(call(ticket++, 0, Millis{500}, Millis{1500}, false, now), now));
         while (gate.next(now)) {
             handed.push_back(now);
-            gate.finished(Micros{5000});
+            gate.finished(HandoverEnd::Served, Micros{5000}, now);
         }
     }
     REQUIRE(handed.size() >= 25);
@@ -156,3 +159,100 @@
         REQUIRE(gate.next(kStart + Millis{1001}));
     }
 }
+
+TEST_CASE(
+        "Pattern: overload by urgent calls, the work of servers that wait for answers is not lost")
+{
+    auto gate = openGate(1);
+    REQUIRE(gate.offer(call(1), kStart) == Reason::None);
+    REQUIRE(gate.next(kStart));
+    for (std::uint64_t i = 10; i < 13; ++i) {
+        REQUIRE(gate.offer(call(i, 0), kStart) == Reason::None);
+    }
+    REQUIRE(gate.offer(call(20, 2, Millis{150}, Millis{500}, true), kStart) == Reason::None);
+    gate.finished(HandoverEnd::Served, Micros{100'000}, kStart);
+    REQUIRE(*gate.next(kStart) == 20);
+}
+
+TEST_CASE("Pattern: lasting overload, late calls are told at once in place of waiting in vain")
+{
+    auto gate = openGate(4);
+    auto now = kStart;
+    std::uint64_t ticket = 1;
+    int lateTaken = 0;
+    std::deque<TimePoint> ends;
+    // 4 slots of 100 ms bear 40 calls a second; 50 come that can be in time, and 10 late ones.
+    for (int ms = 0; ms < 4000; ms += 20) {
+        now = kStart + Millis{ms};
+        while (!ends.empty() && ends.front() <= now) {
+            ends.pop_front();
+            gate.finished(HandoverEnd::Served, Micros{100'000}, now);
+        }
+        static_cast<void>(gate.offer(
+                {ticket++, 0, false, false, now, now + Millis{400}, now + Millis{1500}}, now));
+        if (ms >= 2000 && ms % 100 == 0) {
+            const GateCall late{ticket++, 0, false, true, now, now - Millis{1}, now + Millis{1500}};
+            lateTaken += gate.offer(late, now) == Reason::None ? 1 : 0;
+        }
+        while (gate.next(now)) {
+            ends.push_back(now + Millis{100});
+        }
+        static_cast<void>(gate.expire(now));
+    }
+    REQUIRE(lateTaken <= 2);
+}
+
+TEST_CASE("Pattern: a server turns slow, its gate learns it from calls that were given up")
+{
+    auto gate = openGate(16);
+    auto now = kStart;
+    for (std::uint64_t i = 1; i <= 16; ++i) {
+        REQUIRE(gate.offer(call(i, 0, Millis{500}, Millis{1500}, false, now), now) == Reason::None);
+        REQUIRE(gate.next(now));
+    }
+    now += Millis{1500};
+    for (int i = 0; i < 16; ++i) {
+        gate.finished(HandoverEnd::Cancelled, Micros{1'500'000}, now);
+    }
+    REQUIRE(gate.load(now).badPercent > 50);
+    SECTION("and from those that it served late")
+    {
+        for (std::uint64_t i = 20; i < 40; ++i) {
+            REQUIRE(gate.offer(call(i, 0, Millis{500}, Millis{1500}, false, now), now)
+                    == Reason::None);
+            REQUIRE(gate.next(now));
+            gate.finished(HandoverEnd::Served, Micros{1'200'000}, now);
+        }
+        REQUIRE(gate.load(now).serviceMillis > 900);
+    }
+}
+
+TEST_CASE("Pattern: callers that leave early tell nothing against the server")
+{
+    auto gate = openGate(16);
+    for (std::uint64_t i = 1; i <= 16; ++i) {
+        REQUIRE(gate.offer(call(i), kStart) == Reason::None);
+        REQUIRE(gate.next(kStart));
+    }
+    for (int i = 0; i < 16; ++i) {
+        gate.finished(HandoverEnd::Cancelled, Micros{50'000}, kStart + Millis{50});
+    }
+    REQUIRE(gate.load(kStart + Millis{50}).serviceMillis == 100);
+    REQUIRE(gate.load(kStart + Millis{50}).badPercent == 0);
+}
+
+TEST_CASE("Pattern: a grey server is told by its gate and forgiven with time")
+{
+    auto gate = openGate(16);
+    auto now = kStart;
+    for (std::uint64_t i = 1; i <= 60; ++i) {
+        now += Millis{20};
+        REQUIRE(gate.offer(call(i, 0, Millis{500}, Millis{1500}, false, now), now) == Reason::None);
+        REQUIRE(gate.next(now));
+        gate.finished(i % 2 == 0 ? HandoverEnd::Failed : HandoverEnd::Served, Micros{10'000}, now);
+    }
+    const auto told = gate.load(now).badPercent;
+    REQUIRE(told > 30);
+    REQUIRE(told < 70);
+    REQUIRE(gate.load(now + Millis{9000}).badPercent < 5);
+}
--- a/test/proxy/server_picker.cpp
+++ b/test/proxy/server_picker.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 const TimePoint kStart{std::chrono::hours{1}};
+const Wanted kWanted{Millis{500}, true};
 
 directory::BackendServer server(const char *id, int slots = 10)
 {
@@ -26,28 +27,28 @@
 {
     const auto near = server("near");
     const auto far = server("far");
-    const std::vector<Candidate> candidates{{&far, false}, {&near, true}};
+    const std::vector<Candidate> candidates{{&far, false, false}, {&near, true, false}};
     ServerPicker picker{1};
     for (int i = 0; i < 20; ++i) {
-        REQUIRE(picker.pick(candidates, kStart)->id == "near");
+        REQUIRE(picker.pick(candidates, kWanted, kStart).server->id == "near");
     }
-    REQUIRE(picker.pick({candidates.data(), 1}, kStart)->id == "far");
-    REQUIRE(picker.pick({}, kStart) == nullptr);
+    REQUIRE(picker.pick({candidates.data(), 1}, kWanted, kStart).server->id == "far");
+    REQUIRE(picker.pick({}, kWanted, kStart).server == nullptr);
 }
 
 TEST_CASE("Pattern: a server that fails part of its calls loses work and gets it back when sound")
 {
     const auto good = server("good");
     const auto bad = server("bad");
-    const std::vector<Candidate> candidates{{&good, true}, {&bad, true}};
+    const std::vector<Candidate> candidates{{&good, true, false}, {&bad, true, false}};
     ServerPicker picker{1};
-    const GateLoad load{1, 0, 10, 100, -1};
+    const GateLoad load{1, 0, 10, 100, -1, 0};
     std::map<std::string, int> counts;
     RandomEngine outcomes{3};
     auto now = kStart;
     for (int i = 0; i < 300; ++i) {
         now += Millis{10};
-        const auto id = picker.pick(candidates, now)->id;
+        const auto id = picker.pick(candidates, kWanted, now).server->id;
         ++counts[id];
         picker.onSent(id);
         picker.onReply(id, load, id == "good" || outcomes.unit() < 0.5, now);
@@ -56,7 +57,7 @@
     counts.clear();
     for (int i = 0; i < 2000; ++i) {
         now += Millis{10};
-        const auto id = picker.pick(candidates, now)->id;
+        const auto id = picker.pick(candidates, kWanted, now).server->id;
         ++counts[id];
         picker.onSent(id);
         picker.onReply(id, load, true, now);
@@ -68,13 +69,102 @@
 {
     const auto big = server("big", 30);
     const auto small = server("small", 5);
-    const std::vector<Candidate> candidates{{&big, true}, {&small, true}};
+    const std::vector<Candidate> candidates{{&big, true, false}, {&small, true, false}};
     ServerPicker picker{1};
     std::map<std::string, int> inFlight;
     for (int i = 0; i < 30; ++i) {
-        const auto id = picker.pick(candidates, kStart)->id;
+        const auto id = picker.pick(candidates, kWanted, kStart).server->id;
         picker.onSent(id);
         ++inFlight[id];
     }
     REQUIRE(inFlight["small"] <= 5);
 }
+
+TEST_CASE("Pattern: servers of unequal speed, the faster ones go first until they are nearly full")
+{
+    const auto fast = server("fast", 16);
+    const auto slow = server("slow", 16);
+    const std::vector<Candidate> candidates{{&fast, true, false}, {&slow, true, false}};
+    ServerPicker picker{1};
+    const auto hear = [&picker](const char *id, int running, int millis) {
+        picker.onSent(id);
+        picker.onReply(id, {running, 0, 16, millis, -1, 0}, true, kStart);
+    };
+    hear("fast", 6, 140);
+    hear("slow", 2, 420);
+    for (int i = 0; i < 20; ++i) {
+        REQUIRE(picker.pick(candidates, kWanted, kStart).server->id == "fast");
+    }
+    hear("fast", 60, 140);
+    for (int i = 0; i < 20; ++i) {
+        REQUIRE(picker.pick(candidates, kWanted, kStart).server->id == "slow");
+    }
+}
+
+TEST_CASE("Pattern: the only server of a zone is overloaded, others are asked in good time")
+{
+    const auto near = server("near", 16);
+    const auto far = server("far", 16);
+    const std::vector<Candidate> candidates{{&near, true, false}, {&far, false, false}};
+    ServerPicker picker{1};
+    const auto hear = [&picker](const char *id, int running) {
+        picker.onSent(id);
+        picker.onReply(id, {running, 0, 16, 150, -1, 0}, true, kStart);
+    };
+    hear("near", 15);
+    hear("far", 4);
+    // Nearly full is no reason to pay for bytes between zones.
+    REQUIRE(picker.pick(candidates, kWanted, kStart).server->id == "near");
+    hear("near", 40);
+    REQUIRE(picker.pick(candidates, kWanted, kStart).server->id == "far");
+    // What takes more bytes than it is worth stays.
+    REQUIRE(picker.pick(candidates, {Millis{500}, false}, kStart).server->id == "near");
+    // With ample time the wait does not matter.
+    REQUIRE(picker.pick(candidates, {Millis{5000}, true}, kStart).server->id == "near");
+}
+
+TEST_CASE("Pattern: most servers of a zone are grey, sound ones elsewhere are found by what gates "
+          "tell")
+{
+    std::vector<directory::BackendServer> servers;
+    for (const char *id : {"grey-1", "grey-2", "grey-3", "grey-4", "sound"}) {
+        servers.push_back(server(id));
+    }
+    std::vector<Candidate> candidates;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        candidates.push_back({&servers[i], i < 4, false});
+    }
+    ServerPicker picker{1};
+    for (const auto &it : servers) {
+        picker.onSent(it.id);
+        picker.onReply(it.id, {1, 0, 10, 50, -1, it.id == "sound" ? 0 : 50}, true, kStart);
+    }
+    for (int i = 0; i < 20; ++i) {
+        REQUIRE(picker.pick(candidates, kWanted, kStart).server->id == "sound");
+    }
+    // All alike: nothing is gained by going elsewhere.
+    picker.onSent("sound");
+    picker.onReply("sound", {1, 0, 10, 50, -1, 50}, true, kStart);
+    int near = 0;
+    for (int i = 0; i < 20; ++i) {
+        near += picker.pick(candidates, kWanted, kStart).server->id == "sound" ? 0 : 1;
+    }
+    REQUIRE(near == 20);
+}
+
+TEST_CASE("A call that its caller gives up tells nothing against the server")
+{
+    const auto one = server("one");
+    const auto other = server("other");
+    const std::vector<Candidate> candidates{{&one, true, false}, {&other, true, false}};
+    ServerPicker picker{1};
+    for (int i = 0; i < 20; ++i) {
+        picker.onSent("one");
+        picker.onAbandoned("one");
+    }
+    int chosen = 0;
+    for (int i = 0; i < 100; ++i) {
+        chosen += picker.pick(candidates, kWanted, kStart).server->id == "one" ? 1 : 0;
+    }
+    REQUIRE(chosen > 20);
+}
