--- a/src/celeryramp/engine/call_desk.cpp
+++ b/src/celeryramp/engine/call_desk.cpp
@@ -323,6 +323,9 @@
                   {"server", call.frame.serverId},
                   {"asks", std::to_string(call.course.asks())},
                   {"arrivals", std::to_string(call.course.arrivals())},
+                  {"expected_ms", std::to_string(call.course.expected().count())},
+                  {"took_late", call.course.takesLate() ? "1" : "0"},
+                  {"may_spill", call.course.terms().maySpill ? "1" : "0"},
                   {"spent_ms", std::to_string(millisBetween(call.arrived, now).count())},
                   {"retry_ms", std::to_string(call.course.retryAfter().count())}});
     }
--- a/src/celeryramp/engine/fleet_talk.cpp
+++ b/src/celeryramp/engine/fleet_talk.cpp
@@ -13,8 +13,10 @@
 /*! Time between the sums that zones tell one another: each tick, as a sudden account is admitted
  *  in full until the news of it have been to the other zones and back. */
 constexpr Millis kZoneReportInterval{200};
-/*! Zones stop telling sums when nobody has asked for anything for this long. */
+/*! A node or a zone counts as quiet when nobody has asked it for anything for this long. */
 constexpr Millis kQuietAfter{5000};
+/*! Time between reports of a quiet zone, which keep others from taking it for cut off. */
+constexpr Millis kQuietZoneInterval{2000};
 /*! Time between reports of a node whose callers are quiet; with it and the pause of readers its
  *  knowledge stays younger than the age at which it would read for itself. */
 constexpr Millis kQuietInterval{500};
@@ -233,19 +235,20 @@
             nodes.push_back(host);
         }
     }
-    m_ledger.countSilent(nodes, m_seen.size() + 1, now);
+    m_ledger.countNodes(nodes, m_seen.size() + 1, now);
     if (!report.accounts.empty()) {
         m_zoneUsedAt = now;
     }
     if (m_replica.view()->routing) {
         m_limiter.onLevels(m_ledger.levels(*m_replica.view()->routing, now), now);
     }
-    if (millisBetween(m_zoneReportedAt, now) < internal::kZoneReportInterval
-        || millisBetween(m_zoneUsedAt, now) > internal::kQuietAfter) {
+    const bool isQuiet = millisBetween(m_zoneUsedAt, now) > internal::kQuietAfter;
+    if (millisBetween(m_zoneReportedAt, now)
+        < (isQuiet ? internal::kQuietZoneInterval : internal::kZoneReportInterval)) {
         return;
     }
     m_zoneReportedAt = now;
-    const auto sum = m_ledger.takeZoneReport();
+    const auto sum = m_ledger.takeZoneReport(isQuiet);
     for (const auto &zone : zones()) {
         if (zone == m_settings.zone) {
             continue;
--- a/src/celeryramp/proxy/call_course.cpp
+++ b/src/celeryramp/proxy/call_course.cpp
@@ -73,6 +73,7 @@
     ++m_asks;
     m_asked.insert(choice.server->id);
     m_serverId = choice.server->id;
+    m_expected = choice.expected;
     tools.picker.onSent(m_serverId);
     return AskStep{choice.server, m_takesLate};
 }
--- a/src/celeryramp/proxy/call_course.h
+++ b/src/celeryramp/proxy/call_course.h
@@ -92,6 +92,10 @@
     [[nodiscard]] int asks() const noexcept { return m_asks; }
     [[nodiscard]] int arrivals() const noexcept { return m_arrivals; }
     [[nodiscard]] Millis retryAfter() const noexcept { return m_retryAfter; }
+    /*! @return Time to the answer that the last choice of a server rested on. */
+    [[nodiscard]] Millis expected() const noexcept { return m_expected; }
+    /*! @return True once gates were asked to serve it late. */
+    [[nodiscard]] bool takesLate() const noexcept { return m_takesLate; }
     [[nodiscard]] const CallTerms &terms() const noexcept { return m_terms; }
 
 private:
@@ -113,6 +117,7 @@
     bool m_metBusy = false; /*!< Some gate could not serve it in time. */
     Reason m_lastReason = Reason::None;
     Millis m_retryAfter{0};
+    Millis m_expected{0};
 };
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -146,7 +146,8 @@
 void append(Json &out, const UsageFrame &frame)
 {
     out.push_back(frame.zone);
-    out.push_back(static_cast<float>(frame.silentShare));
+    out.push_back(frame.heardNodes);
+    out.push_back(frame.isQuiet);
     out.push_back(frame.sentAt);
     for (const auto &[account, usage] : frame.accounts) {
         out.push_back(account);
@@ -159,9 +160,10 @@
 {
     UsageFrame frame;
     frame.zone = json.at(1).get<std::string>();
-    frame.silentShare = json.at(2).get<double>();
-    frame.sentAt = json.at(3).get<std::int64_t>();
-    for (std::size_t i = 4; i + 2 < json.size(); i += 3) {
+    frame.heardNodes = json.at(2).get<int>();
+    frame.isQuiet = json.at(3).get<bool>();
+    frame.sentAt = json.at(4).get<std::int64_t>();
+    for (std::size_t i = 5; i + 2 < json.size(); i += 3) {
         frame.accounts[json[i].get<std::string>()]
                 = {json[i + 1].get<double>(), json[i + 2].get<double>()};
     }
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -81,7 +81,8 @@
 struct UsageFrame
 {
     std::string zone; /*!< Set when the figures are of a whole zone. */
-    double silentShare = 0.0; /*!< Of all nodes of the fleet: those of the zone that are silent. */
+    int heardNodes = 0; /*!< Nodes of the zone that its sender hears, with itself. */
+    bool isQuiet = false; /*!< Nobody of the zone asks for anything; it reports seldom. */
     std::int64_t sentAt = 0; /*!< On the clock of the sending node; echoed by the levels. */
     std::map<std::string, AccountUsage> accounts;
 };
--- a/src/celeryramp/proxy/usage_ledger.cpp
+++ b/src/celeryramp/proxy/usage_ledger.cpp
@@ -7,13 +7,12 @@
 
 namespace internal {
 
-/*! A zone counts as silent when it was not heard of for this long: a report is late. Being
- *  wrong costs only accounts at their limit. */
+/*! A zone counts as silent when it was not heard of for this long: a report is late. */
 constexpr Millis kZoneSilence{600};
-/*! A node counts as silent after this; quiet ones report once a second. */
+/*! The same of a zone without requests, which reports every 2 s. */
+constexpr Millis kQuietZoneSilence{5000};
+/*! A node counts as silent after this; quiet ones report twice a second. */
 constexpr Millis kNodeSilence{1400};
-/*! Age of the shares that hold while a zone is silent; above the time it takes to notice. */
-constexpr Millis kShareAge{1000};
 /*! Span over which demand is measured; short, so that a sudden rise is met at once. */
 constexpr double kMeasureSeconds = 0.24;
 /*! Weight of the newest measurement when demand falls; a rise counts in full. */
@@ -22,8 +21,6 @@
 constexpr double kNoDemand = 0.02;
 /*! Part of a burst that is given out; the rest covers what is admitted while news travel. */
 constexpr double kBurstShare = 0.75;
-/*! Requests a second by which shares lean towards even ones, for accounts that ask for little. */
-constexpr double kEvenDemand = 1.0;
 
 } // namespace internal
 
@@ -52,52 +49,60 @@
     if (report.zone == m_zone) {
         return;
     }
-    m_heardAt[report.zone] = now;
-    m_silentShares[report.zone] = report.silentShare;
+    m_zones[report.zone] = {now, report.heardNodes, report.isQuiet};
     take(report.zone, report);
 }
 
-UsageFrame UsageLedger::takeZoneReport()
+UsageFrame UsageLedger::takeZoneReport(bool isQuiet)
 {
     UsageFrame report = std::move(m_unreported);
     report.zone = m_zone;
-    report.silentShare = m_silentShares[m_zone];
+    report.heardNodes = m_nodes;
+    report.isQuiet = isQuiet;
     m_unreported = {};
     return report;
 }
 
-void UsageLedger::countSilent(const std::vector<std::string> &nodes, std::size_t fleet,
-                              TimePoint now)
+void UsageLedger::countNodes(const std::vector<std::string> &others, std::size_t fleet,
+                             TimePoint now)
 {
-    const auto silent = std::count_if(nodes.begin(), nodes.end(), [&](const std::string &node) {
+    const auto heard = std::count_if(others.begin(), others.end(), [&](const std::string &node) {
         const auto it = m_nodesHeardAt.find(node);
-        return it == m_nodesHeardAt.end()
-                || millisBetween(it->second, now) > internal::kNodeSilence;
+        return it != m_nodesHeardAt.end()
+                && millisBetween(it->second, now) <= internal::kNodeSilence;
     });
-    m_silentShares[m_zone]
-            = fleet == 0 ? 0.0 : static_cast<double>(silent) / static_cast<double>(fleet);
+    m_nodes = static_cast<int>(heard) + 1;
+    m_fleet = std::max<std::size_t>(1, fleet);
 }
 
 bool UsageLedger::isHeard(const std::string &zone, TimePoint now) const
 {
-    const auto at = m_heardAt.find(zone);
-    return zone == m_zone
-            || (at != m_heardAt.end() && millisBetween(at->second, now) < internal::kZoneSilence);
+    if (zone == m_zone) {
+        return true;
+    }
+    const auto it = m_zones.find(zone);
+    return it != m_zones.end()
+            && millisBetween(it->second.heardAt, now)
+            < (it->second.isQuiet ? internal::kQuietZoneSilence : internal::kZoneSilence);
 }
 
-double UsageLedger::measure(Account &account, double span, bool isMeasured, TimePoint now)
+double UsageLedger::share(TimePoint now) const
 {
-    // A zone counts with every account, also where nothing was asked for in it yet.
-    for (const auto &[zone, at] : m_heardAt) {
-        account.zones.try_emplace(zone);
+    int heard = m_nodes;
+    for (const auto &[name, zone] : m_zones) {
+        heard += isHeard(name, now) ? zone.nodes : 0;
     }
-    account.zones.try_emplace(m_zone);
-    bool areAllHeard = true;
+    return std::min(1.0, static_cast<double>(heard) / static_cast<double>(m_fleet));
+}
+
+double UsageLedger::measure(Account &account, double span, bool isMeasured, TimePoint now)
+{
     double all = 0.0;
     for (auto &[zone, demand] : account.zones) {
-        const bool isZoneHeard = isHeard(zone, now);
-        areAllHeard = areAllHeard && isZoneHeard;
-        if (isMeasured && isZoneHeard) {
+        if (!isHeard(zone, now)) {
+            continue;
+        }
+        if (isMeasured) {
             // Less what chance may add, so that small accounts do not seem to rise and fall.
             const double newest = std::max(0.0, demand.recent - std::sqrt(demand.recent)) / span;
             demand.perSecond = newest > demand.perSecond
@@ -105,27 +110,9 @@
                     : demand.perSecond + internal::kFallWeight * (newest - demand.perSecond);
             demand.recent = 0.0;
         }
-        all += isZoneHeard ? demand.perSecond : 0.0;
-    }
-    account.demand = all;
-    if (areAllHeard) {
-        const double even = internal::kEvenDemand / static_cast<double>(account.zones.size());
-        const bool isOld = millisBetween(account.sharesAt, now) >= internal::kShareAge;
-        for (auto &[zone, demand] : account.zones) {
-            const double newest = (demand.perSecond + even) / (all + internal::kEvenDemand);
-            if (isOld) {
-                demand.olderShare = demand.share > 0.0 ? demand.share : newest;
-            }
-            demand.share = newest;
-        }
-        account.sharesAt = isOld ? now : account.sharesAt;
-        return 1.0;
-    }
-    double share = 0.0;
-    for (const auto &[zone, demand] : account.zones) {
-        share += isHeard(zone, now) ? demand.olderShare : 0.0;
+        all += demand.perSecond;
     }
-    return share;
+    return all;
 }
 
 LevelsFrame UsageLedger::levels(const directory::RoutingTable &routing, TimePoint now)
@@ -137,31 +124,26 @@
     if (isMeasured) {
         m_measuredAt = now;
     }
-    double spoken = 1.0;
-    for (const auto &[zone, silent] : m_silentShares) {
-        spoken -= silent;
-    }
-    spoken = std::clamp(spoken, 0.0, 1.0);
+    const double part = share(now);
     LevelsFrame frame;
     for (auto it = m_accounts.begin(); it != m_accounts.end();) {
         auto &account = it->second;
-        const double share = spoken * measure(account, span, isMeasured, now);
+        const double demand = measure(account, span, isMeasured, now);
         const auto *limits = routing.findAccount(it->first);
         if (limits == nullptr || limits->rate <= 0.0
-            || (account.demand < internal::kNoDemand && isMeasured)) {
+            || (demand < internal::kNoDemand && isMeasured)) {
             it = m_accounts.erase(it);
             continue;
         }
-        const double size = limits->burst * internal::kBurstShare * share;
+        const double size = limits->burst * internal::kBurstShare * part;
         if (!account.isKnown) {
             account.isKnown = true;
             account.level = size;
         }
         account.level
-                = std::min(size, account.level + elapsed * limits->rate * share - account.admitted);
+                = std::min(size, account.level + elapsed * limits->rate * part - account.admitted);
         account.admitted = 0.0;
-        frame.accounts.emplace(it->first,
-                               AccountLevel{account.level, account.demand, limits->rate * share});
+        frame.accounts.emplace(it->first, AccountLevel{account.level, demand, limits->rate * part});
         ++it;
     }
     return frame;
