Other zones are asked only where the gates of the own one would refuse

The picker compared times that were raised for nearly full servers, so that slow servers counted as out of time, and looked at two of the zone only. Change: the least time to an answer, as gates reckon it, of all servers of the zone; the allowance of bytes 8 KB for the most urgent calls.

--- a/src/celeryramp/proxy/answer_sizes.cpp
+++ b/src/celeryramp/proxy/answer_sizes.cpp
@@ -6,8 +6,8 @@
 
 namespace internal {
 
-/*! For the most urgent calls: about twice a large answer of a business service. */
-constexpr std::size_t kUrgentAllowance = 12'000;
+/*! For the most urgent calls: a large answer of a business service. */
+constexpr std::size_t kUrgentAllowance = 8'000;
 /*! Weight of the newest answer; about the last 20. */
 constexpr double kWeight = 0.05;
 
--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -20,6 +20,10 @@
 constexpr Millis kForgetAfter{60'000};
 /*! Time at a server in ms that is assumed before any told its own. */
 constexpr double kUnknownService = 100.0;
+/*! Wait in ms at a cold server that has had all it bears this second. */
+constexpr double kColdMillis = 1000.0;
+/*! Part of the usual time at a server that a call needs at least, as gates have it. */
+constexpr double kQuickShare = 0.5;
 /*! Candidates of the own zone, and of all others, that are compared for a call. */
 constexpr std::size_t kDraws = 2;
 /*! Keeps a mean of nothing from being one. */
@@ -84,26 +88,37 @@
     return entry.bad <= field.leastBad + internal::kSoundShare;
 }
 
-double ServerPicker::expectedMillis(const Entry &entry, const Field &field, TimePoint now)
+Millis ServerPicker::Estimate::soonest() const
+{
+    return Millis{std::lround(wait + internal::kQuickShare * service)};
+}
+
+ServerPicker::Estimate ServerPicker::estimate(const Entry &entry, const Field &field, TimePoint now)
 {
     const double slots = std::max(1, entry.candidate->server->slots);
-    double service = field.serviceMillis;
+    Estimate estimate;
+    estimate.service = field.serviceMillis;
     double occupied
             = slots * (entry.candidate->isOwnZone ? field.utilizationNear : field.utilizationFar);
-    double blocked = 0.0;
     if (entry.known != nullptr) {
         const auto &known = *entry.known;
         const double fresh = internal::freshness(known.heardAt, now);
-        service = known.load.serviceMillis > 0 ? known.load.serviceMillis : service;
+        if (known.load.serviceMillis > 0) {
+            estimate.service = known.load.serviceMillis;
+        }
         occupied = fresh * (known.load.running + known.load.waiting) + (1.0 - fresh) * occupied;
         occupied = std::max<double>(known.inFlight, occupied);
-        blocked = known.load.rateLeft == 0 ? fresh * 1000.0 : 0.0;
+        estimate.wait = known.load.rateLeft == 0 ? fresh * internal::kColdMillis : 0.0;
     }
     const double use = std::min(1.0, occupied / slots);
     const double over = std::max(0.0, occupied + 1.0 - slots);
+    estimate.wait += over * estimate.service / slots;
+    if (!isSound(entry, field)) {
+        estimate.wait += entry.bad * internal::kBadMillis;
+    }
     // The nearer a server is to its slots, the likelier others fill them before the call arrives.
-    const double millis = service * (1.0 + use * use) + over * service / slots + blocked;
-    return isSound(entry, field) ? millis : millis + entry.bad * internal::kBadMillis;
+    estimate.cost = estimate.wait + estimate.service * (1.0 + use * use);
+    return estimate;
 }
 
 Choice ServerPicker::pick(gsl::span<const Candidate> candidates, const Wanted &wanted,
@@ -111,36 +126,41 @@
 {
     const auto entries = look(candidates, now);
     const auto field = summarize(entries, now);
-    const auto near = best(entries, field, true, now);
-    const auto far = best(entries, field, false, now);
-    const bool isFarBetter = near.server == nullptr
-            || (wanted.maySpill && near.expected > wanted.left && far.expected < near.expected
-                && far.expected <= wanted.left);
-    return far.server != nullptr && isFarBetter ? far : near;
+    const auto near = eligible(entries, field, true);
+    const bool isNearInTime = std::any_of(near.begin(), near.end(), [&](const Entry *entry) {
+        return estimate(*entry, field, now).soonest() <= wanted.left;
+    });
+    if (!near.empty() && (isNearInTime || !wanted.maySpill)) {
+        return best(near, field, now);
+    }
+    const auto far = best(eligible(entries, field, false), field, now);
+    const bool isFarInTime = far.server != nullptr && far.soonest <= wanted.left;
+    return near.empty() || isFarInTime ? far : best(near, field, now);
 }
 
-Choice ServerPicker::best(const std::vector<Entry> &entries, const Field &field, bool isOwnZone,
-                          TimePoint now)
+std::vector<const ServerPicker::Entry *>
+ServerPicker::eligible(const std::vector<Entry> &entries, const Field &field, bool isOwnZone)
 {
-    std::vector<const Entry *> pool;
-    for (const bool wantsSound : {true, false}) {
-        for (const auto &entry : entries) {
-            const auto &candidate = *entry.candidate;
-            if (!candidate.isAsked && candidate.isOwnZone == isOwnZone
-                && isSound(entry, field) == wantsSound) {
-                pool.push_back(&entry);
-            }
-        }
-        if (!pool.empty()) {
-            break;
+    std::vector<const Entry *> sound;
+    std::vector<const Entry *> others;
+    for (const auto &entry : entries) {
+        if (!entry.candidate->isAsked && entry.candidate->isOwnZone == isOwnZone) {
+            (isSound(entry, field) ? sound : others).push_back(&entry);
         }
     }
+    return sound.empty() ? others : sound;
+}
+
+Choice ServerPicker::best(std::vector<const Entry *> pool, const Field &field, TimePoint now)
+{
     Choice choice;
+    double least = 0.0;
     for (std::size_t i = 0; i < internal::kDraws && i < pool.size(); ++i) {
         std::swap(pool[i], pool[i + m_random.below(pool.size() - i)]);
-        const Millis expected{std::lround(expectedMillis(*pool[i], field, now))};
-        if (choice.server == nullptr || expected < choice.expected) {
-            choice = {pool[i]->candidate->server, expected};
+        const auto expected = estimate(*pool[i], field, now);
+        if (choice.server == nullptr || expected.cost < least) {
+            least = expected.cost;
+            choice = {pool[i]->candidate->server, expected.soonest()};
         }
     }
     return choice;
--- a/src/celeryramp/proxy/server_picker.h
+++ b/src/celeryramp/proxy/server_picker.h
@@ -33,7 +33,7 @@
 struct Choice
 {
     const directory::BackendServer *server = nullptr; /*!< Null when there is no candidate. */
-    Millis expected{0}; /*!< Until the answer, from news that may be a little old. */
+    Millis soonest{0}; /*!< Until an answer is likely, from news that may be a little old. */
 };
 
 /*!
@@ -84,6 +84,16 @@
         double leastBad = 1.0;
     };
 
+    /*! What a call may expect of a server, in milliseconds. */
+    struct Estimate
+    {
+        double wait = 0.0;
+        double service = 0.0;
+        double cost = 0.0; /*!< By which servers are compared. */
+
+        [[nodiscard]] Millis soonest() const;
+    };
+
     /*! A candidate with what is known of it. */
     struct Entry
     {
@@ -95,12 +105,14 @@
     [[nodiscard]] std::vector<Entry> look(gsl::span<const Candidate> candidates,
                                           TimePoint now) const;
     [[nodiscard]] static Field summarize(const std::vector<Entry> &entries, TimePoint now);
-    /*! @return The better of two drawn from those of the own zone, or of all others. */
-    [[nodiscard]] Choice best(const std::vector<Entry> &entries, const Field &field, bool isOwnZone,
-                              TimePoint now);
+    /*! @return Those of the own zone, or of all others, that may be chosen: the sound ones, if
+     * there are any. */
+    [[nodiscard]] static std::vector<const Entry *> eligible(const std::vector<Entry> &entries,
+                                                             const Field &field, bool isOwnZone);
+    /*! @return The better of two drawn from a pool. */
+    [[nodiscard]] Choice best(std::vector<const Entry *> pool, const Field &field, TimePoint now);
     [[nodiscard]] static bool isSound(const Entry &entry, const Field &field);
-    [[nodiscard]] static double expectedMillis(const Entry &entry, const Field &field,
-                                               TimePoint now);
+    [[nodiscard]] static Estimate estimate(const Entry &entry, const Field &field, TimePoint now);
 
     RandomEngine m_random;
     std::map<std::string, Known> m_known;
