Nodes whose servers are published no more stay in the talk on limits, news and readers

Change: a node whose server was published within 30 s counts as one; tries at nodes that failed draw one of a zone, so that one that is gone for good does not keep the others from being tried. Test: engine.cpp, 'the servers of a zone are gone'; without the change it refuses.

--- a/src/celeryramp/ctl/request_trace.cpp
+++ b/src/celeryramp/ctl/request_trace.cpp
@@ -105,7 +105,8 @@
 CtlOutput RequestTrace::output() const
 {
     if (m_lines.empty()) {
-        return {CtlExit::Bad, {},
+        return {CtlExit::Bad,
+                {},
                 "celeryrampctl: no line of these logs names request " + m_requestId
                         + "; one in 32 requests that succeed is logged\n"};
     }
--- a/src/celeryramp/directory/reader_rota.cpp
+++ b/src/celeryramp/directory/reader_rota.cpp
@@ -20,8 +20,7 @@
 {
     const auto steps = static_cast<Millis::rep>(position.place) - 1;
     const bool isNext = position.age > internal::kTakeOver + steps * internal::kTakeOverStep;
-    if (position.place == 0 || position.isBehind || isNext
-        || position.age > internal::kReadAfter) {
+    if (position.place == 0 || position.isBehind || isNext || position.age > internal::kReadAfter) {
         return internal::kReadPause;
     }
     return std::nullopt;
--- a/src/celeryramp/engine/fleet_talk.cpp
+++ b/src/celeryramp/engine/fleet_talk.cpp
@@ -23,7 +23,8 @@
 /*! News beyond this are only announced: a reader's link of 10 Mbit/s carries it to 20 nodes in a
  *  second, while the platform's link is a hundred times faster. */
 constexpr std::size_t kLargeNews = 64 * 1024;
-/*! Time for which a node that is published no more may still admit requests on its own. */
+/*! Time for which a node whose server is published no more still counts: the server may be down
+ *  or its entry lapsed while the node goes on serving callers. */
 constexpr Millis kNodeMemory{30'000};
 /*! Time between tries at nodes that could not be reached. */
 constexpr Millis kProbeInterval{1000};
@@ -52,6 +53,11 @@
             hosts.insert(server.address.host);
         }
     }
+    for (const auto &[host, seen] : m_seen) {
+        if (seen.zone == zone) {
+            hosts.insert(host);
+        }
+    }
     std::vector<Address> nodes;
     nodes.reserve(hosts.size());
     for (const auto &host : hosts) {
@@ -66,6 +72,9 @@
     for (const auto &[id, server] : m_replica.view()->servers) {
         hosts.insert(server.address.host);
     }
+    for (const auto &[host, seen] : m_seen) {
+        hosts.insert(host);
+    }
     return hosts.size();
 }
 
@@ -75,6 +84,9 @@
     for (const auto &[id, server] : m_replica.view()->servers) {
         zones.insert(server.zone);
     }
+    for (const auto &[host, seen] : m_seen) {
+        zones.insert(seen.zone);
+    }
     return {zones.begin(), zones.end()};
 }
 
@@ -140,7 +152,8 @@
         frame = proxy::encodeFrame(proxy::NewsFrame{news.after, news.revision, {}, {}});
     }
     for (const auto &node : nodesOf(m_settings.zone)) {
-        if (!m_peers.send(node, frame, now)) {
+        // One that failed is tried by `probeFailed`, and catches up when it is back.
+        if (!m_peers.hasFailed(node) && !m_peers.send(node, frame, now)) {
             logEvent(LogLevel::Debug, "fleet", "news-not-sent", {{"peer", node.text()}});
         }
     }
@@ -176,12 +189,15 @@
     }
     m_probedAt = now;
     for (const auto &zone : zones()) {
-        for (const auto &node : nodesOf(zone)) {
-            if (m_peers.hasFailed(node)) {
-                send(node, proxy::ReaderFrame{!isUnable(m_settings.links.host, now)}, now);
-                // One a zone and round: in a large zone that is gone the tries would add up.
-                break;
-            }
+        auto nodes = nodesOf(zone);
+        nodes.erase(
+                std::remove_if(nodes.begin(), nodes.end(),
+                               [this](const Address &node) { return !m_peers.hasFailed(node); }),
+                nodes.end());
+        // One a zone and round: in a large zone that is gone the tries would add up.
+        if (!nodes.empty()) {
+            send(nodes[m_random.below(nodes.size())],
+                 proxy::ReaderFrame{!isUnable(m_settings.links.host, now)}, now);
         }
     }
 }
@@ -228,7 +244,6 @@
         return;
     }
     m_ledger.addNodeReport(m_settings.links.host, report, now);
-    rememberNodes(now);
     std::vector<std::string> nodes;
     for (const auto &[host, seen] : m_seen) {
         if (seen.zone == m_settings.zone) {
@@ -280,6 +295,7 @@
 
 void FleetTalk::tick(TimePoint now)
 {
+    rememberNodes(now);
     talkAboutUsage(now);
     probeFailed(now);
     askWhenStale(now);
--- a/src/celeryramp/engine/fleet_talk.h
+++ b/src/celeryramp/engine/fleet_talk.h
@@ -56,7 +56,8 @@
     /*! @brief Asks a peer for all that it holds beyond the own revision. */
     void askPeer(const Address &peer, TimePoint now);
 
-    /*! @return Addresses of all nodes of a zone but the own one, in order. */
+    /*! @return Addresses of all nodes of a zone but the own one, in order; also of those whose
+     * server was published lately. */
     [[nodiscard]] std::vector<Address> nodesOf(const std::string &zone) const;
     /*! @return Number of nodes that the directory names, at least 1. */
     [[nodiscard]] std::size_t nodeCount() const;
@@ -74,7 +75,7 @@
     void probeFailed(TimePoint now);
     void send(const Address &peer, const proxy::Frame &frame, TimePoint now);
     void talkAboutUsage(TimePoint now);
-    /*! @brief Remembers who is published; a node that is cut off is soon published no more. */
+    /*! @brief Remembers whose server is published. */
     void rememberNodes(TimePoint now);
     void askWhenStale(TimePoint now);
 
--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -22,8 +22,8 @@
 constexpr double kUnknownService = 100.0;
 /*! Wait in ms at a cold server that has had all it bears this second. */
 constexpr double kColdMillis = 1000.0;
-/*! Part of the usual time at a server that a call needs at least, as gates have it. */
-constexpr double kQuickShare = 0.5;
+/*! Part of the mean time at a server within which half of the calls of a usual spread end. */
+constexpr double kMedianShare = 0.8;
 /*! Candidates of the own zone, and of all others, that are compared for a call. */
 constexpr std::size_t kDraws = 2;
 /*! Keeps a mean of nothing from being one. */
@@ -90,7 +90,7 @@
 
 Millis ServerPicker::Estimate::soonest() const
 {
-    return Millis{std::lround(wait + internal::kQuickShare * service)};
+    return Millis{std::lround(wait + internal::kMedianShare * service)};
 }
 
 ServerPicker::Estimate ServerPicker::estimate(const Entry &entry, const Field &field, TimePoint now)
@@ -138,8 +138,8 @@
     return near.empty() || isFarInTime ? far : best(near, field, now);
 }
 
-std::vector<const ServerPicker::Entry *>
-ServerPicker::eligible(const std::vector<Entry> &entries, const Field &field, bool isOwnZone)
+std::vector<const ServerPicker::Entry *> ServerPicker::eligible(const std::vector<Entry> &entries,
+                                                                const Field &field, bool isOwnZone)
 {
     std::vector<const Entry *> sound;
     std::vector<const Entry *> others;
--- a/test/ctl/request_trace.cpp
+++ b/test/ctl/request_trace.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-const char *const kNodeA = R"(1784.250 info desk request-end request=ab12 status=502 reason=lost server=i-7 account=""
+const char *const kNodeA
+        = R"(1784.250 info desk request-end request=ab12 status=502 reason=lost server=i-7 account=""
 1784.100 info desk request-end request=ab123 status=200 reason=none
 lines that are no event
 1784.260 info log lines-dropped total=3 event=gate-end
@@ -50,7 +51,8 @@
     trace.read(b);
     const auto output = trace.output();
     CHECK(output.exit == CtlExit::Good);
-    CHECK(output.out == R"(ended by 1784.250 desk request-end request=ab12 status=502 reason=lost server=i-7 account=""
+    CHECK(output.out
+          == R"(ended by 1784.250 desk request-end request=ab12 status=502 reason=lost server=i-7 account=""
 in order:
   node-b 1784.150 desk request-refused request=ab12.9 status=429 detail="rate=3 level=-1"
   node-b 1784.200 gate gate-end request=ab12 server=i-7 reason=lost
--- a/test/engine/engine.cpp
+++ b/test/engine/engine.cpp
@@ -231,3 +231,20 @@
         REQUIRE(outcome->answer.status == 200);
     }
 }
+
+TEST_CASE("Pattern: the servers of a zone are gone, its callers keep their part of the limits")
+{
+    Mesh mesh{4, 2};
+    mesh.run(Millis{1200}); // all zones have told their sums
+    mesh.publish({}, {2, 3});
+    int refused = 0;
+    const auto end = bootNow() + Millis{4000};
+    while (bootNow() < end) {
+        for (const int node : {2, 3}) {
+            const auto outcome = mesh.callAndWait(node, "GET", "/keyed/", {{"T-Key", "k3"}});
+            refused += outcome.answer.status == 429 ? 1 : 0;
+        }
+        mesh.run(Millis{120}); // 16 a second of 20
+    }
+    REQUIRE(refused == 0);
+}
--- a/test/proxy/fleet_limiter.cpp
+++ b/test/proxy/fleet_limiter.cpp
@@ -240,7 +240,8 @@
     REQUIRE(mostInWindow(fleet, hot, evenly()) <= bound(rate, rate));
 }
 
-TEST_CASE("Pattern: six of twelve nodes are cut off one by one while an account is hot all the time")
+TEST_CASE(
+        "Pattern: six of twelve nodes are cut off one by one while an account is hot all the time")
 {
     const double rate = 80.0;
     Fleet fleet{rate, rate};
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -23,13 +23,13 @@
 
 } // namespace
 
-Mesh::Mesh(int count)
+Mesh::Mesh(int count, int south)
 {
     m_decoder.base.services = {{"stock", "/health", 0, Millis{3000}, 15.0}};
     m_decoder.base.routes
             = {route("safe", "/safe/", true, true), route("once", "/once/", false, true),
                route("keyed", "/keyed/", true, false)};
-    m_decoder.base.accounts = {{"mill", {"k1"}, 0, 0.0, 0.0}};
+    m_decoder.base.accounts = {{"mill", {"k1"}, 0, 0.0, 0.0}, {"press", {"k3"}, 0, 20.0, 20.0}};
     for (int i = 0; i < count; ++i) {
         auto node = std::make_unique<Node>();
         node->host = "127.0.0." + std::to_string(11 + i);
@@ -37,7 +37,8 @@
                                                         "s" + std::to_string(i));
         engine::EngineSettings settings;
         settings.name = "node-" + std::to_string(i);
-        settings.zone = "north";
+        node->zone = i < count - south ? "north" : "south";
+        settings.zone = node->zone;
         settings.service = "stock";
         settings.callers = {node->host, kCallerPort};
         settings.links = {node->host, kLinkPort};
@@ -56,17 +57,21 @@
     run(Millis{50});
 }
 
-void Mesh::publish(const std::set<int> &draining)
+void Mesh::publish(const std::set<int> &draining, const std::set<int> &missing)
 {
     const auto now = bootNow();
     ++m_revision;
     std::vector<directory::ItemChange> items{{"configuration", "1", 1, false}};
     for (std::size_t i = 0; i < nodes.size(); ++i) {
         const auto id = "s" + std::to_string(i);
+        if (missing.count(static_cast<int>(i)) > 0) {
+            continue;
+        }
         const bool isDraining = draining.count(static_cast<int>(i)) > 0;
         items.push_back({"server/" + id,
-                         id + " stock north " + nodes[i]->host + ":" + std::to_string(kServerPort)
-                                 + " 4 " + (isDraining ? "draining" : "ready") + " 0 1",
+                         id + " stock " + nodes[i]->zone + " " + nodes[i]->host + ":"
+                                 + std::to_string(kServerPort) + " 4 "
+                                 + (isDraining ? "draining" : "ready") + " 0 1",
                          m_revision, false});
     }
     for (const auto &node : nodes) {
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -35,16 +35,19 @@
 
 /*!
  * @brief Nodes with their servers in one process and thread, on loopback addresses 127.0.0.11 and
- * on. All nodes are in zone `north` and all servers of service `stock`, with the routes `/safe/`
- * (may be repeated), `/once/` (may not), `/keyed/` (needs key `k1`).
+ * on. All nodes are in zone `north` unless said otherwise, and all servers of service `stock`, with
+ * the routes `/safe/` (may be repeated), `/once/` (may not), `/keyed/` (needs a key: `k1` of an
+ * account without limit, `k3` of one with 20 requests a second and as many at once).
  */
 class Mesh
 {
 public:
-    explicit Mesh(int nodes);
+    /*! @param south The last so many nodes are in zone `south`. */
+    explicit Mesh(int nodes, int south = 0);
 
-    /*! @brief Lists all again to all nodes. @param draining Servers that leave. */
-    void publish(const std::set<int> &draining = {});
+    /*! @brief Lists all again to all nodes. @param draining Servers that leave. @param missing
+     * Servers that are not listed. */
+    void publish(const std::set<int> &draining = {}, const std::set<int> &missing = {});
 
     /*! @brief Sends a request to a node as a caller. */
     http::ClientConnectionPtr call(int node, const std::string &method, const std::string &target,
@@ -64,6 +67,7 @@
         ScriptedSource source;
         std::unique_ptr<engine::Engine> engine;
         std::unique_ptr<ScriptedServer> server;
+        std::string zone;
         std::string host;
     };
 
