Entries of servers that lost power give way to what started at their address; cold servers are handed work evenly

Ruled out: the time to read the configuration (in force within 0.5 s of the start). Change: of entries with one address only the newest start is chosen; ColdWindow spreads what a cold server bears over the second, gates tell how long a cold server makes wait.

--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -1,5 +1,7 @@
 #include "directory/replica.h"
 
+#include <algorithm>
+#include <map>
 #include <set>
 
 #include "directory/value_delta.h"
@@ -236,8 +238,17 @@
     for (const auto &[key, server] : m_servers) {
         view->servers.emplace(server.id, server);
     }
+    std::map<std::pair<std::string, std::uint16_t>, std::uint64_t> newestAt;
     for (const auto &[id, server] : view->servers) {
-        view->byService[server.service].push_back(&server);
+        auto &newest = newestAt[{server.address.host, server.address.port}];
+        newest = std::max(newest, server.startedMillis);
+    }
+    for (const auto &[id, server] : view->servers) {
+        // An entry outlives a server that lost power by some heartbeats; what has started at its
+        // address since is the one that answers there.
+        if (server.startedMillis >= newestAt[{server.address.host, server.address.port}]) {
+            view->byService[server.service].push_back(&server);
+        }
     }
     for (const auto &[key, zone] : m_zones) {
         view->evacuatedZones.insert(zone);
--- a/src/celeryramp/proxy/cold_window.cpp
+++ b/src/celeryramp/proxy/cold_window.cpp
@@ -15,11 +15,19 @@
     while (!m_handedOver.empty() && now - m_handedOver.front() >= kWindow) {
         m_handedOver.pop_front();
     }
-    return std::max(0, static_cast<int>(perSecond) - static_cast<int>(m_handedOver.size()));
+    const int ofSecond = static_cast<int>(perSecond) - static_cast<int>(m_handedOver.size());
+    return std::max(0, std::min(ofSecond, static_cast<int>(paced(perSecond, now))));
 }
 
-void ColdWindow::onHandedOver(TimePoint now)
+double ColdWindow::paced(double perSecond, TimePoint now) const
 {
+    return std::min(kBurst, m_paced + secondsBetween(m_pacedAt, now) * perSecond);
+}
+
+void ColdWindow::onHandedOver(double perSecond, TimePoint now)
+{
+    m_paced = std::max(0.0, paced(perSecond, now) - 1.0);
+    m_pacedAt = now;
     m_handedOver.push_back(now);
     if (m_handedOver.size() > kRemembered) {
         m_handedOver.pop_front();
--- a/src/celeryramp/proxy/cold_window.h
+++ b/src/celeryramp/proxy/cold_window.h
@@ -6,7 +6,12 @@
 
 namespace celeryramp::proxy {
 
-/*! @brief Counts what a server was handed in any one second, while it may be cold. */
+/*!
+ * @brief Counts what a server was handed in any one second, while it may be cold.
+ *
+ * What it bears is spread over the second: calls that come later in it, such as those of servers
+ * that were handed work at its start, find room too.
+ */
 class ColdWindow
 {
 public:
@@ -25,14 +30,21 @@
     [[nodiscard]] int left(double perSecond, TimePoint now);
 
     /*! @brief A request is handed over. */
-    void onHandedOver(TimePoint now);
+    void onHandedOver(double perSecond, TimePoint now);
 
 private:
     static constexpr Millis kWindow{1000};
+    /*! Requests that may be handed over at once; more would be missing at the end of a second. */
+    static constexpr double kBurst = 1.0;
     /*! Hand-overs remembered; more within a second only occur at warm servers. */
     static constexpr std::size_t kRemembered = 256;
 
+    /*! @return Of the burst, what may be handed over now. */
+    [[nodiscard]] double paced(double perSecond, TimePoint now) const;
+
     std::deque<TimePoint> m_handedOver;
+    double m_paced = kBurst; /*!< When it was last changed. */
+    TimePoint m_pacedAt;
     TimePoint m_coldUntil;
     TimePoint m_blockedUntil;
 };
--- a/src/celeryramp/proxy/gate_load.h
+++ b/src/celeryramp/proxy/gate_load.h
@@ -9,7 +9,7 @@
     int waiting = 0;
     int slots = 1;
     int serviceMillis = 0; /*!< Smoothed time at the server. */
-    int rateLeft = -1; /*!< Requests a cold server still bears this second; -1 when warm. */
+    int coldWaitMillis = -1; /*!< Until a cold server bears another request; -1 when warm. */
     int badPercent = 0; /*!< Smoothed share of what the server was handed that it failed. */
 };
 
--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -119,7 +119,7 @@
     }
     m_waiting.erase(it);
     ++m_running;
-    m_cold.onHandedOver(now);
+    m_cold.onHandedOver(m_coldPerSecond, now);
     return ticket;
 }
 
@@ -186,14 +186,21 @@
     return true;
 }
 
+int ServerGate::coldWait(TimePoint now)
+{
+    const int left = m_cold.left(m_coldPerSecond, now);
+    if (left < 0) {
+        return -1;
+    }
+    const int beyond = static_cast<int>(m_waiting.size()) + 1 - left;
+    return beyond <= 0 ? 0 : static_cast<int>(std::lround(beyond * 1000.0 / m_coldPerSecond));
+}
+
 GateLoad ServerGate::load(TimePoint now)
 {
-    return {m_running,
-            static_cast<int>(m_waiting.size()),
-            m_slots,
-            static_cast<int>(std::lround(m_serviceMillis)),
-            m_cold.left(m_coldPerSecond, now),
-            static_cast<int>(std::lround(badShare(now) * 100.0))};
+    return {m_running,     static_cast<int>(m_waiting.size()),
+            m_slots,       static_cast<int>(std::lround(m_serviceMillis)),
+            coldWait(now), static_cast<int>(std::lround(badShare(now) * 100.0))};
 }
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/server_gate.h
+++ b/src/celeryramp/proxy/server_gate.h
@@ -86,6 +86,8 @@
     /*! @return Part of the server's time that calls in time took lately. */
     [[nodiscard]] double useInTime(TimePoint now) const;
     [[nodiscard]] double badShare(TimePoint now) const;
+    /*! @return Milliseconds until a new call is handed over to a cold server; -1 when warm. */
+    [[nodiscard]] int coldWait(TimePoint now);
 
     std::vector<GateCall> m_waiting;
     ColdWindow m_cold;
--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -20,8 +20,6 @@
 constexpr Millis kForgetAfter{60'000};
 /*! Time at a server in ms that is assumed before any told its own. */
 constexpr double kUnknownService = 100.0;
-/*! Wait in ms at a cold server that has had all it bears this second. */
-constexpr double kColdMillis = 1000.0;
 /*! Part of the mean time at a server within which half of the calls of a usual spread end. */
 constexpr double kMedianShare = 0.8;
 /*! Candidates of the own zone, and of all others, that are compared for a call. */
@@ -108,7 +106,7 @@
         }
         occupied = fresh * (known.load.running + known.load.waiting) + (1.0 - fresh) * occupied;
         occupied = std::max<double>(known.inFlight, occupied);
-        estimate.wait = known.load.rateLeft == 0 ? fresh * internal::kColdMillis : 0.0;
+        estimate.wait = fresh * std::max(0, known.load.coldWaitMillis);
     }
     const double use = std::min(1.0, occupied / slots);
     const double over = std::max(0.0, occupied + 1.0 - slots);
--- a/test/directory/replica.cpp
+++ b/test/directory/replica.cpp
@@ -167,3 +167,19 @@
     auto unknown = reader.asDelta(item(9)).first;
     REQUIRE_FALSE(node.fromDelta(unknown, 77));
 }
+
+TEST_CASE("Pattern: everything lost power, entries of before stand beside those of the new servers")
+{
+    const test::TextDecoder decoder;
+    Replica replica{decoder, kGrace};
+    const ItemChange before{"server/old", "old stock north 10.0.0.1:80 4 ready 0 1000", 3, false};
+    const ItemChange after{"server/new", "new stock north 10.0.0.1:80 4 ready 0 5000", 4, false};
+    const ItemChange other{"server/other", "other stock north 10.0.0.2:80 4 ready 0 1000", 5,
+                           false};
+    static_cast<void>(
+            replica.applyList({version(1, 2), before, after, other}, 5, kStart, false, kStart));
+    const auto &servers = replica.view()->byService.at("stock");
+    REQUIRE(servers.size() == 2);
+    REQUIRE(servers.front()->id == "new");
+    REQUIRE(servers.back()->id == "other");
+}
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -44,7 +44,7 @@
     const auto &backReply = std::get<ReplyFrame>(decodedReply.value());
     REQUIRE(backReply.answer.status == 418);
     REQUIRE(backReply.load.waiting == 4);
-    REQUIRE(backReply.load.rateLeft == -1);
+    REQUIRE(backReply.load.coldWaitMillis == -1);
 }
 
 TEST_CASE("News tell removed items from empty ones")
--- a/test/proxy/server_gate.cpp
+++ b/test/proxy/server_gate.cpp
@@ -256,3 +256,30 @@
     REQUIRE(told < 70);
     REQUIRE(gate.load(now + Millis{9000}).badPercent < 5);
 }
+
+TEST_CASE("Pattern: all servers are cold, calls of those that were handed work find room as well")
+{
+    auto gate = openGate(16, 15.0);
+    gate.cold().markCold(kStart + Millis{5000});
+    std::uint64_t ticket = 1;
+    int nestedServed = 0;
+    int nestedSent = 0;
+    for (int ms = 0; ms < 4000; ms += 5) {
+        const auto now = kStart + Millis{ms};
+        // Far more direct work than the server bears, and five nested calls a second.
+        static_cast<void>(gate.offer(
+                {ticket++, 0, false, true, now, now + Millis{500}, now + Millis{1000}}, now));
+        if (ms % 200 == 100) {
+            ++nestedSent;
+            static_cast<void>(gate.offer({1'000'000 + ticket++, 0, true, false, now,
+                                          now + Millis{200}, now + Millis{500}},
+                                         now));
+        }
+        while (const auto next = gate.next(now)) {
+            nestedServed += *next > 1'000'000 ? 1 : 0;
+            gate.finished(HandoverEnd::Served, Micros{100'000}, now);
+        }
+        static_cast<void>(gate.expire(now));
+    }
+    REQUIRE(nestedServed >= nestedSent * 9 / 10);
+}
