--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -20,8 +20,8 @@
 constexpr Millis kForgetAfter{60'000};
 /*! Time at a server in ms that is assumed before any told its own. */
 constexpr double kUnknownService = 100.0;
-/*! Part of the mean time at a server within which half of the calls of a usual spread end. */
-constexpr double kMedianShare = 0.8;
+/*! Part of the mean time at a server within which three of four calls of a usual spread end. */
+constexpr double kUsualShare = 1.2;
 /*! Candidates of the own zone, and of all others, that are compared for a call. */
 constexpr std::size_t kDraws = 2;
 /*! Keeps a mean of nothing from being one. */
@@ -88,7 +88,7 @@
 
 Millis ServerPicker::Estimate::soonest() const
 {
-    return Millis{std::lround(wait + internal::kMedianShare * service)};
+    return Millis{std::lround(wait + internal::kUsualShare * service)};
 }
 
 ServerPicker::Estimate ServerPicker::estimate(const Entry &entry, const Field &field, TimePoint now)
