--- a/test/proxy/call_course.cpp
+++ b/test/proxy/call_course.cpp
@@ -27,8 +27,8 @@
         }
     }
 
-    std::vector<Candidate> candidates(const std::string &, const std::set<std::string> &asked,
-                                      TimePoint) const override
+    [[nodiscard]] std::vector<Candidate>
+    candidates(const std::string &, const std::set<std::string> &asked, TimePoint) const override
     {
         std::vector<Candidate> pool;
         for (const auto &server : m_servers) {
