--- a/src/celeryramp/proxy/call_course.cpp
+++ b/src/celeryramp/proxy/call_course.cpp
@@ -49,7 +49,7 @@
     Choice choice;
     if (!m_takesLate && m_asks < internal::kMaxAsks) {
         choice = choose(tools, now);
-        const bool isHopeless = now + choice.soonest > m_terms.target;
+        const bool isHopeless = now + choice.likely > m_terms.target;
         if (m_metBusy && m_asks >= internal::kTrustingAsks && isHopeless) {
             choice = {};
         }
@@ -73,7 +73,7 @@
     ++m_asks;
     m_asked.insert(choice.server->id);
     m_serverId = choice.server->id;
-    m_expected = choice.soonest;
+    m_expected = choice.likely;
     tools.picker.onSent(m_serverId);
     return AskStep{choice.server, m_takesLate};
 }
--- a/src/celeryramp/proxy/call_course.h
+++ b/src/celeryramp/proxy/call_course.h
@@ -92,7 +92,7 @@
     [[nodiscard]] int asks() const noexcept { return m_asks; }
     [[nodiscard]] int arrivals() const noexcept { return m_arrivals; }
     [[nodiscard]] Millis retryAfter() const noexcept { return m_retryAfter; }
-    /*! @return Least time to the answer that the last choice of a server rested on. */
+    /*! @return Time within which the last choice of a server made an answer likely. */
     [[nodiscard]] Millis expected() const noexcept { return m_expected; }
     /*! @return True once gates were asked to serve it late. */
     [[nodiscard]] bool takesLate() const noexcept { return m_takesLate; }
--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -44,10 +44,7 @@
 
 TimePoint ServerGate::latestStart(const GateCall &call) const
 {
-    if (!call.mayBeLate) {
-        return call.target - quickMillis();
-    }
-    return call.deadline - quickMillis();
+    return (call.mayBeLate ? call.deadline : call.target) - quickMillis();
 }
 
 bool ServerGate::goesBefore(const GateCall &a, const GateCall &b, TimePoint now) const
--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -86,7 +86,7 @@
     return entry.bad <= field.leastBad + internal::kSoundShare;
 }
 
-Millis ServerPicker::Estimate::soonest() const
+Millis ServerPicker::Estimate::likely() const
 {
     return Millis{std::lround(wait + internal::kUsualShare * service)};
 }
@@ -126,13 +126,13 @@
     const auto field = summarize(entries, now);
     const auto near = eligible(entries, field, true);
     const bool isNearInTime = std::any_of(near.begin(), near.end(), [&](const Entry *entry) {
-        return estimate(*entry, field, now).soonest() <= wanted.left;
+        return estimate(*entry, field, now).likely() <= wanted.left;
     });
     if (!near.empty() && (isNearInTime || !wanted.maySpill)) {
         return best(near, field, now);
     }
     const auto far = best(eligible(entries, field, false), field, now);
-    const bool isFarInTime = far.server != nullptr && far.soonest <= wanted.left;
+    const bool isFarInTime = far.server != nullptr && far.likely <= wanted.left;
     return near.empty() || isFarInTime ? far : best(near, field, now);
 }
 
@@ -158,7 +158,7 @@
         const auto expected = estimate(*pool[i], field, now);
         if (choice.server == nullptr || expected.cost < least) {
             least = expected.cost;
-            choice = {pool[i]->candidate->server, expected.soonest()};
+            choice = {pool[i]->candidate->server, expected.likely()};
         }
     }
     return choice;
--- a/src/celeryramp/proxy/server_picker.h
+++ b/src/celeryramp/proxy/server_picker.h
@@ -33,7 +33,7 @@
 struct Choice
 {
     const directory::BackendServer *server = nullptr; /*!< Null when there is no candidate. */
-    Millis soonest{0}; /*!< Until an answer is likely, from news that may be a little old. */
+    Millis likely{0}; /*!< Within which an answer is likely, from news that may be a little old. */
 };
 
 /*!
@@ -91,7 +91,8 @@
         double service = 0.0;
         double cost = 0.0; /*!< By which servers are compared. */
 
-        [[nodiscard]] Millis soonest() const;
+        /*! @return Time within which an answer is likely. */
+        [[nodiscard]] Millis likely() const;
     };
 
     /*! A candidate with what is known of it. */
