--- a/src/celeryramp/directory/configuration.h
+++ b/src/celeryramp/directory/configuration.h
@@ -6,6 +6,7 @@
 
 #include "core/time.h"
 #include "directory/client_account.h"
+#include "directory/directory_error.h"
 #include "directory/route.h"
 #include "directory/service.h"
 
@@ -28,6 +29,8 @@
     std::vector<Service> services;
     std::vector<ClientAccount> accounts; /*!< If empty, no route requires an API key. */
     InputLimits limits;
+    bool hasUnknownKeys = false; /*!< An account whose keys cannot be read was left out. */
+    std::vector<DirectoryError> problems; /*!< Entries that cannot be read, and why. */
 };
 
 } // namespace celeryramp::directory
--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -8,6 +8,13 @@
 
 namespace celeryramp::directory {
 
+namespace internal {
+
+/*! Unreadable entries of one version that are reported; a version can have thousands of routes. */
+constexpr std::size_t kMaxLoggedProblems = 8;
+
+} // namespace internal
+
 std::vector<ReplicaEvent> Replica::applyList(const std::vector<ItemChange> &items,
                                              std::int64_t revision, TimePoint requestedAt,
                                              bool wasSourceUnavailable, TimePoint now)
@@ -222,6 +229,12 @@
         return;
     }
     m_routing = std::make_shared<const RoutingTable>(std::move(table.value()));
+    const auto &problems = m_routing->problems();
+    for (std::size_t i = 0; i < problems.size() && i < internal::kMaxLoggedProblems; ++i) {
+        events.push_back({"configuration-entry-unreadable", problems[i].place,
+                          problems[i].reason + " (" + std::to_string(problems.size())
+                                  + " in version " + version + ")"});
+    }
     m_isViewOutdated = true;
     events.push_back({"configuration-accepted", version, ""});
 }
--- a/src/celeryramp/directory/routing_table.cpp
+++ b/src/celeryramp/directory/routing_table.cpp
@@ -12,6 +12,9 @@
     if (route.prefix.empty() || route.prefix.front() != '/' || route.prefix.back() != '/') {
         return DirectoryError{route.name, "prefix must begin and end with a slash"};
     }
+    if (!route.isReadable) {
+        return std::nullopt;
+    }
     if (route.timeout.count() <= 0) {
         return DirectoryError{route.name, "timeout must be greater than zero"};
     }
--- a/src/celeryramp/directory/routing_table.h
+++ b/src/celeryramp/directory/routing_table.h
@@ -40,7 +40,17 @@
     [[nodiscard]] const Service *findService(std::string_view name) const;
 
     /*! @return True if the configuration has accounts, so that requests need an API key. */
-    [[nodiscard]] bool needsKeys() const noexcept { return !m_configuration.accounts.empty(); }
+    [[nodiscard]] bool needsKeys() const noexcept
+    {
+        return !m_configuration.accounts.empty() || m_configuration.hasUnknownKeys;
+    }
+    /*! @return True if a key that no account has may belong to an account that is not readable. */
+    [[nodiscard]] bool hasUnknownKeys() const noexcept { return m_configuration.hasUnknownKeys; }
+    /*! @return The entries of the configuration that cannot be read, and why. */
+    [[nodiscard]] const std::vector<DirectoryError> &problems() const noexcept
+    {
+        return m_configuration.problems;
+    }
 
 private:
     RoutingTable() = default;
--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -3,9 +3,12 @@
 #include <algorithm>
 #include <vector>
 
+#include <boost/asio/post.hpp>
+
 #include "core/boot_clock.h"
 #include "engine/call_log.h"
 #include "observe/log.h"
+#include "proxy/answer_check.h"
 
 namespace celeryramp::engine {
 
@@ -30,7 +33,7 @@
 BackendGate::BackendGate(boost::asio::io_context &context, const EngineSettings &settings,
                          const proxy::HeaderAdapter &headerAdapter, proxy::CrashRegistry &crashes,
                          MetricsRegistry &metrics)
-    : m_startedAt{bootNow()}, m_expiryTimer{context}, m_settings{settings},
+    : m_context{context}, m_startedAt{bootNow()}, m_expiryTimer{context}, m_settings{settings},
       m_headerAdapter{headerAdapter}, m_crashes{crashes}, m_metrics{metrics},
       m_pool{context, settings.backend, http::PoolSettings{internal::kConnectTimeout}}
 { }
@@ -105,13 +108,13 @@
     }
 }
 
-void BackendGate::submit(const std::string &origin, proxy::CallFrame call, Reply reply,
+void BackendGate::submit(const std::string &origin, proxy::CallFrame call, Replies replies,
                          TimePoint now)
 {
     const auto ticket = m_nextTicket++;
     auto &held = m_calls[ticket];
     held.origin = origin;
-    held.reply = std::move(reply);
+    held.replies = std::move(replies);
     held.arrivedAt = now;
     held.deadline = now + call.deadline;
     held.frame = std::move(call);
@@ -131,7 +134,18 @@
         refuse(ticket, reason, now);
         return;
     }
-    dispatchWaiting(now);
+    scheduleDispatch();
+}
+
+void BackendGate::scheduleDispatch()
+{
+    if (std::exchange(m_isDispatchScheduled, true)) {
+        return;
+    }
+    boost::asio::post(m_context, [this] {
+        m_isDispatchScheduled = false;
+        dispatchWaiting(bootNow());
+    });
 }
 
 void BackendGate::dispatchWaiting(TimePoint now)
@@ -178,10 +192,15 @@
     http::Exchange exchange;
     exchange.wire = http::serialize(m_headerAdapter.toServer(call.frame, left));
     exchange.isHead = call.frame.request.method == "HEAD";
-    exchange.isOurs = [this, id = call.frame.requestId](const http::Answer &answer) {
-        const auto metadata = m_headerAdapter.readAnswer(answer);
-        return metadata.requestId.empty() ? !metadata.isSigned : metadata.requestId == id;
+    exchange.match = [this, id = call.frame.requestId](const http::Answer &head, bool isReused) {
+        return proxy::checkAnswer(head.status, m_headerAdapter.readAnswer(head), id, isReused);
+    };
+    exchange.wholeBytes = proxy::kWholeBodyBytes;
+    exchange.onHead = [this, ticket](http::Answer head, std::optional<std::uint64_t> length) {
+        onAnswerHead(ticket, std::move(head), length);
     };
+    exchange.onBytes
+            = [this, ticket](std::string bytes) { onAnswerBytes(ticket, std::move(bytes)); };
     exchange.done = [this, ticket](http::ExchangeEnd end, http::Answer answer) {
         onExchangeEnd(ticket, end, std::move(answer));
     };
@@ -193,6 +212,59 @@
     }
 }
 
+void BackendGate::onAnswerHead(std::uint64_t ticket, http::Answer head,
+                               std::optional<std::uint64_t> length)
+{
+    const auto it = m_calls.find(ticket);
+    if (it == m_calls.end()) {
+        return;
+    }
+    auto &call = it->second;
+    call.isStreaming = true;
+    proxy::ReplyFrame reply;
+    reply.id = call.frame.id;
+    reply.kind = proxy::ReplyKind::Answer;
+    reply.load = m_admission.load(bootNow());
+    http::eraseHopByHop(head.headers);
+    reply.answer = std::move(head);
+    reply.hasMore = true;
+    reply.length = length;
+    call.replies.onReply(std::move(reply));
+}
+
+void BackendGate::onAnswerBytes(std::uint64_t ticket, std::string bytes)
+{
+    const auto it = m_calls.find(ticket);
+    if (it == m_calls.end()) {
+        return;
+    }
+    auto &call = it->second;
+    const auto offset = std::exchange(call.bodySent, call.bodySent + bytes.size());
+    if (call.bodySent >= call.bodyAllowed && call.connection) {
+        call.connection->setReadingPaused(true);
+    }
+    const auto origin = call.origin;
+    const auto id = call.frame.id;
+    const auto onBody = call.replies.onBody;
+    if (!onBody({id, offset, proxy::BodyEnd::More, std::move(bytes)})) {
+        // The body now has a gap, so nothing of it may follow.
+        cancel(origin, id, bootNow());
+    }
+}
+
+void BackendGate::addCredit(const std::string &origin, const proxy::CreditFrame &credit)
+{
+    const auto entry = m_ticketsByCallId.find({origin, credit.id});
+    if (entry == m_ticketsByCallId.end()) {
+        return;
+    }
+    auto &call = m_calls.at(entry->second);
+    call.bodyAllowed += credit.bytes;
+    if (call.isStreaming && call.connection && call.bodySent < call.bodyAllowed) {
+        call.connection->setReadingPaused(false);
+    }
+}
+
 void BackendGate::onExchangeEnd(std::uint64_t ticket, http::ExchangeEnd end, http::Answer answer)
 {
     const auto it = m_calls.find(ticket);
@@ -214,9 +286,6 @@
             reply.kind = proxy::ReplyKind::NotRun;
             reply.reason = proxy::Reason::Shed;
             reply.reachedServer = true;
-        } else if (answer.status < 300 && !metadata.isSigned) {
-            reply.kind = proxy::ReplyKind::Failed;
-            reply.reason = proxy::Reason::Malformed;
         } else {
             reply.kind = proxy::ReplyKind::Answer;
             if (answer.status < internal::kServerError) {
@@ -283,7 +352,16 @@
             .counter("gate_calls_total{outcome=\"" + std::string{proxy::reasonName(reply.reason)}
                      + "\"}")
             .add();
-    call.reply(std::move(reply));
+    if (call.isStreaming) {
+        const bool isWhole = reply.kind == proxy::ReplyKind::Answer;
+        if (!call.replies.onBody({call.frame.id, call.bodySent,
+                                  isWhole ? proxy::BodyEnd::Complete : proxy::BodyEnd::Broken,
+                                  {}})) {
+            logEvent(LogLevel::Warn, "gate", "body-not-sent", {{"request", call.frame.requestId}});
+        }
+        return;
+    }
+    call.replies.onReply(std::move(reply));
 }
 
 void BackendGate::cancel(const std::string &origin, std::uint64_t id, TimePoint now)
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -29,7 +29,14 @@
 class BackendGate
 {
 public:
-    using Reply = std::function<void(proxy::ReplyFrame)>;
+    /*! Receives what a gate sends back to the node of a call. */
+    struct Replies
+    {
+        std::function<void(proxy::ReplyFrame)> onReply;
+        /*! Gets the parts of a long body after the reply. Returns false if a part cannot be sent.
+         */
+        std::function<bool(proxy::BodyFrame)> onBody;
+    };
 
     BackendGate(boost::asio::io_context &context, const EngineSettings &settings,
                 const proxy::HeaderAdapter &headerAdapter, proxy::CrashRegistry &crashes,
@@ -38,9 +45,12 @@
     /*!
      * @brief Submits a call for admission.
      * @param origin Identifies the sending node.
-     * @param reply Called exactly once, unless the call is cancelled.
+     * @param replies `onReply` is called exactly once, unless the call is cancelled.
      */
-    void submit(const std::string &origin, proxy::CallFrame call, Reply reply, TimePoint now);
+    void submit(const std::string &origin, proxy::CallFrame call, Replies replies, TimePoint now);
+
+    /*! @brief Allows a call to send further bytes of its body. */
+    void addCredit(const std::string &origin, const proxy::CreditFrame &credit);
 
     /*! @brief Cancels a call because its caller disconnected or the sending node is lost. No reply
      * is sent. */
@@ -77,16 +87,24 @@
     {
         std::string origin;
         proxy::CallFrame frame;
-        Reply reply;
+        Replies replies;
         TimePoint arrivedAt;
         TimePoint deadline;
         TimePoint handedOverAt;
         http::ClientConnectionPtr connection;
         bool isRunning = false;
+        bool isStreaming = false; /*!< The head of the answer was sent. */
+        std::uint64_t bodySent = 0; /*!< Bytes of the body that were sent. */
+        std::uint64_t bodyAllowed = proxy::kBodyWindowBytes; /*!< Bytes that may be sent. */
     };
 
     void dispatchWaiting(TimePoint now);
+    /*! @brief Dispatches after the events that have arrived by now. A cancel among them then comes
+     * before its call is handed over. */
+    void scheduleDispatch();
     void sendToServer(std::uint64_t ticket, TimePoint now);
+    void onAnswerHead(std::uint64_t ticket, http::Answer head, std::optional<std::uint64_t> length);
+    void onAnswerBytes(std::uint64_t ticket, std::string bytes);
     void onExchangeEnd(std::uint64_t ticket, http::ExchangeEnd end, http::Answer answer);
     void refuse(std::uint64_t ticket, proxy::Reason reason, TimePoint now);
     void finish(std::uint64_t ticket, proxy::ReplyFrame reply, proxy::HandoverOutcome outcome,
@@ -100,6 +118,7 @@
     [[nodiscard]] proxy::Reason reasonToClose() const;
     void updateClosed(TimePoint now);
 
+    boost::asio::io_context &m_context;
     TimePoint m_startedAt; /*!< An earlier process on this host may have run until then. */
     boost::asio::steady_timer m_expiryTimer;
     const EngineSettings &m_settings;
@@ -122,6 +141,7 @@
     bool m_isProbing = false;
     bool m_isShuttingDown = false;
     bool m_isExpiryTimerArmed = false;
+    bool m_isDispatchScheduled = false;
 };
 
 } // namespace celeryramp::engine
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -124,16 +124,15 @@
     logEvent(LogLevel::Info, "engine", "leaving",
              {{"connections", std::to_string(m_dispatcher.connectionCount())}});
     m_dispatcher.beginShutdown();
-    std::set<std::string> zones;
-    for (const auto &[id, server] : m_replica.view()->servers) {
-        zones.insert(server.zone);
-    }
-    const auto frame = proxy::encodeFrame(proxy::LeavingFrame{});
-    for (const auto &zone : zones) {
-        for (const auto &node : m_coordinator.nodesInZone(zone)) {
-            if (m_peers.isOpen(node) && !m_peers.send(node, frame, now)) {
-                logEvent(LogLevel::Warn, "engine", "leaving-not-told", {{"peer", node.text()}});
-            }
+    notifyPeers(proxy::LeavingFrame{}, now);
+}
+
+void Engine::notifyPeers(const proxy::Frame &frame, TimePoint now)
+{
+    const auto bytes = proxy::encodeFrame(frame);
+    for (const auto &node : m_peers.openPeers()) {
+        if (!m_peers.send(node, bytes, now)) {
+            logEvent(LogLevel::Warn, "engine", "leaving-not-told", {{"peer", node.text()}});
         }
     }
 }
@@ -143,15 +142,24 @@
     const auto elapsed = millisBetween(m_shutdownStartedAt, now);
     if (elapsed >= internal::kListenDuringShutdown && !m_hasStoppedListening) {
         m_hasStoppedListening = true;
-        m_callerListener.close();
+        m_callerListener.acceptWaitingAndClose();
         m_gate.stopAdmitting(now);
     }
     if (m_hasStoppedListening) {
         m_dispatcher.closeIdleConnections();
     }
-    const bool isDone = m_hasStoppedListening && m_dispatcher.isIdle() && m_gate.isIdle()
+    const bool isIdle = m_hasStoppedListening && m_dispatcher.isIdle() && m_gate.isIdle()
             && m_dispatcher.connectionCount() == 0;
-    if (isDone || elapsed >= m_settings.grace - internal::kShutdownMargin) {
+    const bool isOverdue = elapsed >= m_settings.grace - internal::kShutdownMargin;
+    if (isIdle && !m_hasClosed && !isOverdue) {
+        // All replies precede this frame on the links. It lets peers send the calls elsewhere that
+        // are under way to this node. The links stay open until the next tick at least.
+        m_hasClosed = true;
+        notifyPeers(proxy::ClosedFrame{}, now);
+        return;
+    }
+    const bool isDone = isIdle && m_hasClosed && m_peers.unsentBytes() == 0;
+    if (isDone || isOverdue) {
         logEvent(LogLevel::Info, "engine", "stopped",
                  {{"spent_ms", std::to_string(elapsed.count())}, {"cut", isDone ? "0" : "1"}});
         m_bindings.source.stop();
@@ -207,19 +215,18 @@
     const auto now = bootNow();
     auto &frame = decoded.value();
     if (auto *call = std::get_if<proxy::CallFrame>(&frame)) {
-        m_gate.submit(
-                peer.text(), std::move(*call),
-                [this, peer](const proxy::ReplyFrame &reply) {
-                    if (!m_peers.send(peer, proxy::encodeFrame(reply), bootNow())) {
-                        logEvent(LogLevel::Warn, "engine", "reply-not-sent",
-                                 {{"peer", peer.text()}, {"call", std::to_string(reply.id)}});
-                    }
-                },
-                now);
+        onCallFrame(peer, std::move(*call), now);
     } else if (const auto *reply = std::get_if<proxy::ReplyFrame>(&frame)) {
         m_dispatcher.onReply(peer, *reply, now);
     } else if (const auto *cancel = std::get_if<proxy::CancelFrame>(&frame)) {
         m_gate.cancel(peer.text(), cancel->id, now);
+    } else if (auto *body = std::get_if<proxy::BodyFrame>(&frame)) {
+        m_dispatcher.onBody(peer, std::move(*body), now);
+    } else if (const auto *credit = std::get_if<proxy::CreditFrame>(&frame)) {
+        m_gate.addCredit(peer.text(), *credit);
+    } else if (std::holds_alternative<proxy::ClosedFrame>(frame)) {
+        logEvent(LogLevel::Info, "engine", "peer-closed", {{"peer", peer.text()}});
+        m_dispatcher.onPeerClosed(peer, now);
     } else if (std::holds_alternative<proxy::LeavingFrame>(frame)) {
         logEvent(LogLevel::Info, "engine", "peer-leaving", {{"peer", peer.text()}});
         m_dispatcher.onPeerLeaving(peer, now);
@@ -247,18 +254,55 @@
     }
 }
 
+void Engine::onCallFrame(const Address &peer, proxy::CallFrame call, TimePoint now)
+{
+    const auto delay = m_transitDelay.onCall(peer.text(), call.sentAt, now);
+    m_metrics.latency("call_transit_delay_seconds").record(delay);
+    call.deadline -= delay;
+    call.target -= delay;
+    const auto send = [this, peer](const proxy::Frame &frame) {
+        return m_peers.sendFollowUp(peer, proxy::encodeFrame(frame), bootNow());
+    };
+    m_gate.submit(peer.text(), std::move(call),
+                  {[send, peer](const proxy::ReplyFrame &reply) {
+                       if (!send(reply)) {
+                           logEvent(LogLevel::Warn, "engine", "reply-not-sent",
+                                    {{"peer", peer.text()}, {"call", std::to_string(reply.id)}});
+                       }
+                   },
+                   [send](const proxy::BodyFrame &part) { return send(part); }},
+                  now);
+}
+
 void Engine::onLinkOpen(const Address &peer)
 {
     logEvent(LogLevel::Info, "engine", "peer-regained", {{"peer", peer.text()}});
+    m_dispatcher.onLinkOpen(peer);
+    if (m_isShuttingDown) {
+        const auto frame = m_hasClosed ? proxy::encodeFrame(proxy::ClosedFrame{})
+                                       : proxy::encodeFrame(proxy::LeavingFrame{});
+        if (!m_peers.send(peer, frame, bootNow())) {
+            logEvent(LogLevel::Warn, "engine", "leaving-not-told", {{"peer", peer.text()}});
+        }
+    }
 }
 
-void Engine::onLinkLost(const Address &peer, bool wasOpen)
+void Engine::onLinkLost(const Address &peer, links::LinkLoss loss)
 {
     const auto now = bootNow();
+    const bool wasOpen = loss != links::LinkLoss::NotOpened;
     logEvent(LogLevel::Info, "engine", "peer-lost",
              {{"peer", peer.text()}, {"was_open", wasOpen ? "1" : "0"}});
-    m_gate.cancelAll(peer.text(), now);
-    m_dispatcher.onLinkLost(peer, wasOpen, now);
+    if (wasOpen) {
+        m_transitDelay.forget(peer.text());
+        m_gate.cancelAll(peer.text(), now);
+    }
+    m_dispatcher.onLinkLost(peer, loss, now);
+}
+
+void Engine::onLinkSilent(const Address &peer)
+{
+    m_dispatcher.onLinkSilent(peer, bootNow());
 }
 
 bool Engine::isAwaiting(const Address &peer) const
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -17,6 +17,7 @@
 #include "http/listener.h"
 #include "links/peer_links.h"
 #include "observe/metrics_registry.h"
+#include "proxy/transit_delay.h"
 
 namespace celeryramp::engine {
 
@@ -59,7 +60,8 @@
 
     void onFrame(const Address &peer, std::string_view bytes) override;
     void onLinkOpen(const Address &peer) override;
-    void onLinkLost(const Address &peer, bool wasOpen) override;
+    void onLinkLost(const Address &peer, links::LinkLoss loss) override;
+    void onLinkSilent(const Address &peer) override;
     [[nodiscard]] bool isAwaiting(const Address &peer) const override;
 
     void onList(const std::vector<directory::ItemChange> &items, std::int64_t revision,
@@ -80,6 +82,9 @@
                             TimePoint now);
     void onSourceAnswered(TimePoint now);
     void continueShutdown(TimePoint now);
+    /*! @brief Sends a frame to all nodes with an open link. */
+    void notifyPeers(const proxy::Frame &frame, TimePoint now);
+    void onCallFrame(const Address &peer, proxy::CallFrame call, TimePoint now);
     [[nodiscard]] bool wasSourceUnavailable(TimePoint now) const;
     [[nodiscard]] http::Answer respondReadiness(std::string_view path) const;
     [[nodiscard]] http::Answer respondMetrics(std::string_view path) const;
@@ -92,6 +97,7 @@
     links::PeerLinks m_peers;
     proxy::FleetLimiter m_limiter;
     proxy::CrashRegistry m_crashes;
+    proxy::TransitDelay m_transitDelay;
     BackendGate m_gate;
     PeerCoordinator m_coordinator;
     RequestDispatcher m_dispatcher;
@@ -106,6 +112,7 @@
     TimePoint m_shutdownStartedAt;
     bool m_isShuttingDown = false;
     bool m_hasStoppedListening = false;
+    bool m_hasClosed = false; /*!< Peers were told that no call will be executed any more. */
 };
 
 } // namespace celeryramp::engine
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cctype>
 
+#include <boost/asio/post.hpp>
+
 #include "core/boot_clock.h"
 #include "engine/call_log.h"
 #include "observe/log.h"
@@ -27,6 +29,8 @@
 constexpr double kRetryReserve = 1.0;
 /*! Scales the priority of the account, so that it outweighs the priority of the route. */
 constexpr int kRanksPerAccountPriority = 16;
+/*! Bytes sent to a caller after which the gate is allowed as many more. */
+constexpr std::uint64_t kCreditStep = 32 * 1024;
 constexpr std::string_view kLocalOrigin = "own";
 
 [[nodiscard]] std::string normalizeHost(std::string_view hostHeader)
@@ -65,7 +69,7 @@
     connection->start();
 }
 
-void RequestDispatcher::refuseRequest(const http::CallerConnectionPtr &connection,
+void RequestDispatcher::refuseRequest(const http::ResponseWriter &response,
                                       const std::string &requestId, int status,
                                       proxy::Reason reason, std::optional<Millis> retryAfter,
                                       const std::string &account, const std::string &detail)
@@ -83,19 +87,17 @@
               {"version", std::to_string(view->routing ? view->routing->version() : 0)},
               {"revision", std::to_string(m_dependencies.replica.revision())},
               {"age_ms", std::to_string(m_dependencies.replica.age(bootNow()).count())}});
-    connection->answer(
-            m_dependencies.headerAdapter.localAnswer({status, reason, requestId, retryAfter}),
-            false);
+    response.answer(
+            m_dependencies.headerAdapter.localAnswer({status, reason, requestId, retryAfter}));
 }
 
-void RequestDispatcher::onRequest(const http::CallerConnectionPtr &connection,
-                                  http::Request request)
+void RequestDispatcher::onRequest(http::ResponseWriter response, http::Request request)
 {
     const auto now = bootNow();
     const auto metadata = m_dependencies.headerAdapter.readCaller(request.headers);
     const auto &view = m_dependencies.replica.view();
     if (!view->routing) {
-        refuseRequest(connection, metadata.requestId, 503, proxy::Reason::NoConfiguration,
+        refuseRequest(response, metadata.requestId, 503, proxy::Reason::NoConfiguration,
                       internal::kRetryAfter);
         return;
     }
@@ -105,11 +107,16 @@
             = routing.findRoute(internal::normalizeHost(http::findHeader(request.headers, "Host")),
                                 target.substr(0, target.find('?')));
     if (route == nullptr) {
-        refuseRequest(connection, metadata.requestId, 404, proxy::Reason::NoRoute, std::nullopt);
+        refuseRequest(response, metadata.requestId, 404, proxy::Reason::NoRoute, std::nullopt);
+        return;
+    }
+    if (!route->isReadable) {
+        refuseRequest(response, metadata.requestId, 503, proxy::Reason::Unreadable,
+                      internal::kRetryAfter, {}, route->name);
         return;
     }
     if (metadata.requestId.empty()) {
-        refuseRequest(connection, metadata.requestId, 400, proxy::Reason::BadRequest, std::nullopt);
+        refuseRequest(response, metadata.requestId, 400, proxy::Reason::BadRequest, std::nullopt);
         return;
     }
     const directory::ClientAccount *account = nullptr;
@@ -118,12 +125,19 @@
     }
     if (routing.needsKeys() && !route->isOpen) {
         if (m_dependencies.replica.age(now) > m_dependencies.settings.keyFreshness) {
-            refuseRequest(connection, metadata.requestId, 503, proxy::Reason::StaleKeys,
+            refuseRequest(response, metadata.requestId, 503, proxy::Reason::StaleKeys,
                           internal::kRetryAfter);
             return;
         }
+        const bool isUndecided = account == nullptr ? routing.hasUnknownKeys() && metadata.key
+                                                    : !account->isReadable;
+        if (isUndecided) {
+            refuseRequest(response, metadata.requestId, 503, proxy::Reason::Unreadable,
+                          internal::kRetryAfter, account != nullptr ? account->name : "");
+            return;
+        }
         if (account == nullptr) {
-            refuseRequest(connection, metadata.requestId, 401, proxy::Reason::UnknownKey,
+            refuseRequest(response, metadata.requestId, 401, proxy::Reason::UnknownKey,
                           std::nullopt);
             return;
         }
@@ -131,7 +145,7 @@
     if (account != nullptr
         && !m_dependencies.limiter.admit(*account, m_dependencies.coordinator.nodeCount(),
                                          m_random.unit(), now)) {
-        refuseRequest(connection, metadata.requestId, 429, proxy::Reason::OverLimit,
+        refuseRequest(response, metadata.requestId, 429, proxy::Reason::OverLimit,
                       internal::kRetryAfter, account->name,
                       m_dependencies.limiter.describe(*account, now));
         return;
@@ -139,7 +153,7 @@
     if (!m_dependencies.crashes.isEmpty()
         && m_dependencies.crashes.isQuarantined(
                 proxy::requestDigest(account != nullptr ? account->name : "", request), now)) {
-        refuseRequest(connection, metadata.requestId, 503, proxy::Reason::Quarantined,
+        refuseRequest(response, metadata.requestId, 503, proxy::Reason::Quarantined,
                       std::nullopt);
         return;
     }
@@ -155,17 +169,14 @@
     policy.maySpill = request.body.size() + m_answerSizes.expected(route->name)
             <= proxy::spillAllowance(route->priority);
     m_retryBudget.onFirstAttempt(policy.service);
-    auto &call = m_calls.emplace(id,
-                                 Call{id,
-                                      connection,
-                                      view,
-                                      route,
-                                      {},
-                                      proxy::CallDispatcher{std::move(policy)},
-                                      now,
-                                      {},
-                                      nullptr})
-                         .first->second;
+    auto &call = m_calls.emplace(id, Call{}).first->second;
+    call.id = id;
+    call.response = std::move(response);
+    call.view = view;
+    call.route = route;
+    call.dispatcher = proxy::CallDispatcher{std::move(policy)};
+    call.arrivedAt = now;
+    call.callerDeadline = now + metadata.deadline.value_or(internal::kDefaultDeadline);
     call.frame.id = id;
     call.frame.requestId = metadata.requestId;
     call.frame.service = call.dispatcher.policy().service;
@@ -183,15 +194,33 @@
     call.frame.request = std::move(request);
     http::eraseHopByHop(call.frame.request.headers);
     m_dependencies.headerAdapter.stripCaller(call.frame.request.headers);
-    m_callIdsByConnection[connection.get()] = id;
+    m_callIdsByResponse[{call.response.connection(), call.response.id()}] = id;
+    armTimer(call, call.dispatcher.policy().deadline, now);
+    executeStep(call, call.dispatcher.begin(dispatchContext(), now), nullptr, now);
+}
+
+void RequestDispatcher::armTimer(Call &call, TimePoint until, TimePoint now)
+{
     call.timer = std::make_unique<boost::asio::steady_timer>(m_context);
-    call.timer->expires_after(call.dispatcher.policy().deadline - now);
-    call.timer->async_wait([this, id](const boost::system::error_code &ec) {
+    call.timer->expires_after(until - now);
+    call.timer->async_wait([this, id = call.id](const boost::system::error_code &ec) {
         if (!ec) {
             onTimeout(id);
         }
     });
-    executeStep(call, call.dispatcher.begin(dispatchContext(), now), nullptr, now);
+}
+
+bool RequestDispatcher::mayOverlap(const http::Request &request) const
+{
+    const auto &routing = m_dependencies.replica.view()->routing;
+    if (!routing) {
+        return true; // it is refused at once
+    }
+    const std::string_view target = request.target;
+    const auto *route = routing->findRoute(
+            internal::normalizeHost(http::findHeader(request.headers, "Host")),
+            target.substr(0, target.find('?')));
+    return route == nullptr || route->isIdempotent;
 }
 
 void RequestDispatcher::onBadRequest(int status)
@@ -216,14 +245,16 @@
             continue;
         }
         const bool isLocal = server->address.host == m_dependencies.settings.links.host;
+        const auto &host = server->address.host;
         if (!isLocal
-            && !m_dependencies.peers.isReachable(
-                    {server->address.host, m_dependencies.settings.links.port}, now)) {
+            && (m_closedNodes.count(host) > 0
+                || !m_dependencies.peers.isReachable(
+                        {host, m_dependencies.settings.links.port}, now))) {
             continue;
         }
         const proxy::Candidate candidate{server, server->zone == m_dependencies.settings.zone,
                                          excluded.count(server->id) > 0};
-        const auto leaving = m_leavingNodes.find(server->address.host);
+        const auto leaving = m_leavingNodes.find(host);
         const bool isLeaving = leaving != m_leavingNodes.end();
         (isLeaving ? leavingCandidates : preferred).push_back(candidate);
     }
@@ -244,8 +275,15 @@
     } else if (const auto *end = std::get_if<proxy::GiveUpStep>(&step)) {
         giveUp(call, *end, now);
     } else {
-        m_answerSizes.onAnswer(call.route->name, reply->answer.body.size());
-        answer(call, reply->answer, proxy::Reason::None, now);
+        const auto bodySize = reply->hasMore
+                ? std::max<std::uint64_t>(reply->length.value_or(0), proxy::kWholeBodyBytes)
+                : reply->answer.body.size();
+        m_answerSizes.onAnswer(call.route->name, bodySize);
+        if (reply->hasMore) {
+            beginStream(call, *reply, now);
+        } else {
+            answer(call, reply->answer, proxy::Reason::None, now);
+        }
     }
 }
 
@@ -261,16 +299,25 @@
         call.peer = {};
         m_dependencies.gate.submit(
                 std::string{internal::kLocalOrigin}, call.frame,
-                [this, id](proxy::ReplyFrame reply) {
-                    // Posted, since a refusal that is handled inside submit() would recurse.
-                    boost::asio::post(m_context, [this, id, held = std::move(reply)] {
-                        onGateReply(id, held, bootNow());
-                    });
-                },
+                {[this, id](proxy::ReplyFrame reply) {
+                     // Posted, since a refusal that is handled inside submit() would recurse.
+                     boost::asio::post(m_context, [this, id, held = std::move(reply)] {
+                         onGateReply(id, held, bootNow());
+                     });
+                 },
+                 [this](proxy::BodyFrame part) {
+                     boost::asio::post(m_context, [this, held = std::move(part)]() mutable {
+                         onBody({}, std::move(held), bootNow());
+                     });
+                     return true;
+                 }},
                 now);
         return;
     }
     call.peer = {server.address.host, m_dependencies.settings.links.port};
+    call.isOnSilentLink = false;
+    call.frame.sentAt = std::chrono::duration_cast<std::chrono::nanoseconds>(now.time_since_epoch())
+                                .count();
     if (!m_dependencies.peers.send(call.peer, proxy::encodeFrame(call.frame), now)) {
         boost::asio::post(m_context, [this, id] {
             onGateReply(id, proxy::notRunReply(id, proxy::Reason::Unreachable), bootNow());
@@ -293,7 +340,81 @@
         return;
     }
     auto &call = it->second;
-    executeStep(call, call.dispatcher.onReply(reply, dispatchContext(), now), &reply, now);
+    const auto step = call.dispatcher.onReply(reply, dispatchContext(), now);
+    if (reply.hasMore && !std::holds_alternative<proxy::AnswerStep>(step)) {
+        cancelOffer(call, now); // the rest of the body is of no use
+    }
+    executeStep(call, step, &reply, now);
+}
+
+void RequestDispatcher::beginStream(Call &call, const proxy::ReplyFrame &reply, TimePoint now)
+{
+    call.isStreaming = true;
+    // An answer that has begun is delivered, also when it takes longer than the route's timeout.
+    armTimer(call, call.callerDeadline, now);
+    call.response.begin(reply.answer, reply.length);
+}
+
+void RequestDispatcher::onBody(const Address &peer, proxy::BodyFrame part, TimePoint now)
+{
+    const auto it = m_calls.find(part.id);
+    if (it == m_calls.end() || !it->second.isStreaming || !(it->second.peer == peer)) {
+        return;
+    }
+    auto &call = it->second;
+    if (part.end == proxy::BodyEnd::Broken || part.offset != call.bodyReceived) {
+        cancelAtGate(call, now);
+        abortStream(call, proxy::Reason::Lost, now);
+        return;
+    }
+    call.bodyReceived += part.bytes.size();
+    const bool isLast = part.end == proxy::BodyEnd::Complete;
+    const auto response = call.response;
+    if (isLast) {
+        recordEnd(call, 200, proxy::Reason::None, now);
+        removeCall(call);
+    }
+    response.append(std::move(part.bytes), isLast);
+}
+
+void RequestDispatcher::onBodyWritten(const http::CallerConnection &connection, std::uint64_t id,
+                                      std::size_t bytes)
+{
+    const auto entry = m_callIdsByResponse.find({&connection, id});
+    const auto it = entry == m_callIdsByResponse.end() ? m_calls.end() : m_calls.find(entry->second);
+    if (it == m_calls.end() || !it->second.isStreaming) {
+        return;
+    }
+    auto &call = it->second;
+    call.bodyUnacknowledged += bytes;
+    if (call.bodyUnacknowledged < internal::kCreditStep) {
+        return;
+    }
+    const proxy::CreditFrame credit{call.id, std::exchange(call.bodyUnacknowledged, 0)};
+    if (call.peer.host.empty()) {
+        m_dependencies.gate.addCredit(std::string{internal::kLocalOrigin}, credit);
+    } else if (!m_dependencies.peers.sendFollowUp(call.peer, proxy::encodeFrame(credit),
+                                                  bootNow())) {
+        logEvent(LogLevel::Warn, "desk", "credit-not-sent",
+                 {{"request", call.frame.requestId}, {"peer", call.peer.text()}});
+    }
+}
+
+void RequestDispatcher::abortStream(Call &call, proxy::Reason reason, TimePoint now)
+{
+    constexpr int kBadGateway = 502;
+    const auto response = call.response;
+    const auto replacement = m_dependencies.headerAdapter.localAnswer(
+            {kBadGateway, reason, call.frame.requestId, std::nullopt});
+    recordEnd(call, kBadGateway, reason, now);
+    removeCall(call);
+    response.abort(replacement);
+}
+
+void RequestDispatcher::removeCall(const Call &call)
+{
+    m_callIdsByResponse.erase({call.response.connection(), call.response.id()});
+    m_calls.erase(call.id);
 }
 
 void RequestDispatcher::giveUp(Call &call, const proxy::GiveUpStep &step, TimePoint now)
@@ -306,9 +427,17 @@
 
 void RequestDispatcher::answer(Call &call, const http::Answer &answer, proxy::Reason reason,
                                TimePoint now)
+{
+    recordEnd(call, answer.status, reason, now);
+    const auto response = call.response;
+    removeCall(call);
+    response.answer(answer);
+}
+
+void RequestDispatcher::recordEnd(const Call &call, int status, proxy::Reason reason, TimePoint now)
 {
     const auto elapsed = now - call.arrivedAt;
-    const bool isGood = reason == proxy::Reason::None && answer.status < 500;
+    const bool isGood = reason == proxy::Reason::None && status < 500;
     if (isGood && !m_dependencies.crashes.isEmpty()) {
         m_dependencies.crashes.onServed(
                 proxy::requestDigest(call.frame.account, call.frame.request));
@@ -327,7 +456,7 @@
     if (!isGood || isSampled(call.frame.requestId)) {
         logEvent(LogLevel::Info, "desk", "request-end",
                  {{"request", call.frame.requestId},
-                  {"status", std::to_string(answer.status)},
+                  {"status", std::to_string(status)},
                   {"reason", std::string{proxy::reasonName(reason)}},
                   {"route", call.route->name},
                   {"service", call.frame.service},
@@ -342,21 +471,21 @@
                   {"spent_ms", std::to_string(millisBetween(call.arrivedAt, now).count())},
                   {"retry_ms", std::to_string(call.dispatcher.retryAfter().count())}});
     }
-    const auto connection = call.connection;
-    m_callIdsByConnection.erase(connection.get());
-    m_calls.erase(call.id);
-    connection->answer(answer, false);
 }
 
 void RequestDispatcher::cancelAtGate(Call &call, TimePoint now)
 {
-    if (call.dispatcher.pendingServer().empty()) {
-        return;
+    if (call.isStreaming || !call.dispatcher.pendingServer().empty()) {
+        cancelOffer(call, now);
     }
+}
+
+void RequestDispatcher::cancelOffer(const Call &call, TimePoint now)
+{
     if (call.peer.host.empty()) {
         m_dependencies.gate.cancel(std::string{internal::kLocalOrigin}, call.id, now);
-    } else if (!m_dependencies.peers.send(call.peer,
-                                          proxy::encodeFrame(proxy::CancelFrame{call.id}), now)) {
+    } else if (!m_dependencies.peers.sendFollowUp(
+                       call.peer, proxy::encodeFrame(proxy::CancelFrame{call.id}), now)) {
         logEvent(LogLevel::Warn, "desk", "cancel-not-sent",
                  {{"request", call.frame.requestId}, {"peer", call.peer.text()}});
     }
@@ -371,47 +500,97 @@
     const auto now = bootNow();
     auto &call = it->second;
     cancelAtGate(call, now);
+    if (call.isStreaming) {
+        abortStream(call, proxy::Reason::TimedOut, now);
+        return;
+    }
     giveUp(call, call.dispatcher.onTimeout(dispatchContext(), now), now);
 }
 
 void RequestDispatcher::onClosed(const http::CallerConnectionPtr &connection)
 {
     m_connections.erase(connection);
-    const auto found = m_callIdsByConnection.find(connection.get());
-    if (found == m_callIdsByConnection.end()) {
-        return;
-    }
-    const auto it = m_calls.find(found->second);
-    m_callIdsByConnection.erase(found);
-    if (it == m_calls.end()) {
-        return;
-    }
     const auto now = bootNow();
-    auto &call = it->second;
-    m_dependencies.metrics.counter("requests_total{outcome=\"cancelled\"}").add();
-    logEvent(LogLevel::Info, "desk", "request-cancelled",
-             {{"request", call.frame.requestId},
-              {"server", call.dispatcher.pendingServer()},
-              {"spent_ms", std::to_string(millisBetween(call.arrivedAt, now).count())}});
-    cancelAtGate(call, now);
-    call.dispatcher.onCallerLeft(dispatchContext());
-    m_calls.erase(it);
+    auto entry = m_callIdsByResponse.lower_bound({connection.get(), 0});
+    while (entry != m_callIdsByResponse.end() && entry->first.first == connection.get()) {
+        const auto it = m_calls.find(entry->second);
+        entry = m_callIdsByResponse.erase(entry);
+        if (it == m_calls.end()) {
+            continue;
+        }
+        auto &call = it->second;
+        m_dependencies.metrics.counter("requests_total{outcome=\"cancelled\"}").add();
+        logEvent(LogLevel::Info, "desk", "request-cancelled",
+                 {{"request", call.frame.requestId},
+                  {"server", call.dispatcher.pendingServer()},
+                  {"spent_ms", std::to_string(millisBetween(call.arrivedAt, now).count())}});
+        cancelAtGate(call, now);
+        call.dispatcher.onCallerLeft(dispatchContext());
+        m_calls.erase(it);
+    }
 }
 
-void RequestDispatcher::onLinkLost(const Address &peer, bool wasOpen, TimePoint now)
+bool RequestDispatcher::isExpecting(const Call &call, const Address &peer)
+{
+    return (call.isStreaming || !call.dispatcher.pendingServer().empty()) && call.peer == peer;
+}
+
+std::vector<std::uint64_t> RequestDispatcher::callsExpecting(const Address &peer) const
 {
-    m_leavingNodes.erase(peer.host);
     std::vector<std::uint64_t> ids;
     for (const auto &[id, call] : m_calls) {
-        if (!call.dispatcher.pendingServer().empty() && call.peer == peer) {
+        if (isExpecting(call, peer)) {
             ids.push_back(id);
         }
     }
-    for (const auto id : ids) {
+    return ids;
+}
+
+void RequestDispatcher::onLinkOpen(const Address &peer)
+{
+    m_leavingNodes.erase(peer.host);
+    m_closedNodes.erase(peer.host);
+}
+
+void RequestDispatcher::onLinkLost(const Address &peer, links::LinkLoss loss, TimePoint now)
+{
+    m_leavingNodes.erase(peer.host);
+    m_closedNodes.erase(peer.host);
+    for (const auto id : callsExpecting(peer)) {
+        const auto it = m_calls.find(id);
+        if (it == m_calls.end()
+            || (it->second.isOnSilentLink && loss != links::LinkLoss::PeerGone)) {
+            continue;
+        }
+        if (it->second.isStreaming) {
+            abortStream(it->second, proxy::Reason::Lost, now);
+            continue;
+        }
+        const bool wasSent = loss != links::LinkLoss::NotOpened;
         proxy::ReplyFrame reply;
         reply.id = id;
-        reply.kind = wasOpen ? proxy::ReplyKind::Failed : proxy::ReplyKind::NotRun;
-        reply.reason = wasOpen ? proxy::Reason::Lost : proxy::Reason::Unreachable;
+        reply.kind = wasSent ? proxy::ReplyKind::Failed : proxy::ReplyKind::NotRun;
+        reply.reason = wasSent ? proxy::Reason::Lost : proxy::Reason::Unreachable;
+        onGateReply(id, reply, now);
+    }
+}
+
+void RequestDispatcher::onLinkSilent(const Address &peer, TimePoint now)
+{
+    for (const auto id : callsExpecting(peer)) {
+        const auto it = m_calls.find(id);
+        if (it == m_calls.end()) {
+            continue;
+        }
+        if (it->second.isStreaming || !it->second.frame.isIdempotent) {
+            it->second.isOnSilentLink = true;
+            continue;
+        }
+        cancelAtGate(it->second, now);
+        proxy::ReplyFrame reply;
+        reply.id = id;
+        reply.kind = proxy::ReplyKind::Failed;
+        reply.reason = proxy::Reason::Lost;
         onGateReply(id, reply, now);
     }
 }
@@ -421,11 +600,20 @@
     m_leavingNodes[peer.host] = now;
 }
 
+void RequestDispatcher::onPeerClosed(const Address &peer, TimePoint now)
+{
+    m_closedNodes.insert(peer.host);
+    for (const auto id : callsExpecting(peer)) {
+        if (const auto it = m_calls.find(id); it != m_calls.end() && !it->second.isStreaming) {
+            onGateReply(id, proxy::notRunReply(id, proxy::Reason::Draining), now);
+        }
+    }
+}
+
 bool RequestDispatcher::isAwaiting(const Address &peer) const
 {
-    return std::any_of(m_calls.begin(), m_calls.end(), [&peer](const auto &entry) {
-        return !entry.second.dispatcher.pendingServer().empty() && entry.second.peer == peer;
-    });
+    return std::any_of(m_calls.begin(), m_calls.end(),
+                       [&peer](const auto &entry) { return isExpecting(entry.second, peer); });
 }
 
 void RequestDispatcher::sweep(TimePoint now)
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -50,23 +50,35 @@
     RequestDispatcher(boost::asio::io_context &context, DispatcherDependencies dependencies,
                       std::uint64_t seed);
 
-    void onRequest(const http::CallerConnectionPtr &connection, http::Request request) override;
+    void onRequest(http::ResponseWriter response, http::Request request) override;
     void onBadRequest(int status) override;
     void onClosed(const http::CallerConnectionPtr &connection) override;
     [[nodiscard]] http::RequestLimits requestLimits() const override;
+    [[nodiscard]] bool mayOverlap(const http::Request &request) const override;
+    void onBodyWritten(const http::CallerConnection &connection, std::uint64_t id,
+                       std::size_t bytes) override;
 
     /*! @brief Serves a newly accepted connection of a caller. */
     void accept(boost::asio::ip::tcp::socket socket, TimePoint now);
     /*! @brief Handles the reply of a peer's gate. A reply that the call does not expect from this
      * peer is ignored. */
     void onReply(const Address &peer, const proxy::ReplyFrame &reply, TimePoint now);
+    /*! @brief Passes a part of a long body on to the caller. */
+    void onBody(const Address &peer, proxy::BodyFrame part, TimePoint now);
+    /*! @brief Takes a peer with a newly opened link for available. */
+    void onLinkOpen(const Address &peer);
+    /*! @brief Fails the attempts that wait for a reply over a lost link. */
+    void onLinkLost(const Address &peer, links::LinkLoss loss, TimePoint now);
     /*!
-     * @brief Fails the attempts that wait for a reply over a lost link.
-     * @param wasOpen False if the link never opened, so that nothing was sent on it.
+     * @brief Retries the calls that may be repeated and wait for a reply of a peer that is silent.
+     * The other calls keep waiting: the peer may only be slow, and may be executing them.
      */
-    void onLinkLost(const Address &peer, bool wasOpen, TimePoint now);
+    void onLinkSilent(const Address &peer, TimePoint now);
     /*! @brief Avoids the servers of a peer that announced its shutdown. */
     void onPeerLeaving(const Address &peer, TimePoint now);
+    /*! @brief Retries the calls that a peer did not reply to before it shut down; it executed none
+     * of them. */
+    void onPeerClosed(const Address &peer, TimePoint now);
     /*! @return True while any call awaits a reply from this peer. */
     [[nodiscard]] bool isAwaiting(const Address &peer) const;
 
@@ -83,7 +95,7 @@
     struct Call
     {
         std::uint64_t id = 0;
-        http::CallerConnectionPtr connection;
+        http::ResponseWriter response;
         directory::DirectoryPtr view;
         const directory::Route *route = nullptr;
         proxy::CallFrame frame;
@@ -91,11 +103,16 @@
         TimePoint arrivedAt;
         Address peer; /*!< Node of the gate that was offered the call last; the host is empty for
                          the local gate. */
+        TimePoint callerDeadline;
+        bool isOnSilentLink = false; /*!< Sent on a link that has become silent since. */
+        bool isStreaming = false; /*!< The body of the answer arrives in parts. */
+        std::uint64_t bodyReceived = 0; /*!< Bytes of the body received so far. */
+        std::uint64_t bodyUnacknowledged = 0; /*!< Bytes sent to the caller, without credit yet. */
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
 
     /*! @brief Answers a request that was offered to no gate. */
-    void refuseRequest(const http::CallerConnectionPtr &connection, const std::string &requestId,
+    void refuseRequest(const http::ResponseWriter &response, const std::string &requestId,
                        int status, proxy::Reason reason, std::optional<Millis> retryAfter,
                        const std::string &account = {}, const std::string &detail = {});
     void sendToGate(Call &call, const proxy::OfferStep &step, TimePoint now);
@@ -114,9 +131,22 @@
         return {m_serverPicker, m_retryBudget, *this};
     }
     void answer(Call &call, const http::Answer &answer, proxy::Reason reason, TimePoint now);
+    /*! @brief Begins the answer to the caller with the first part of a long body. */
+    void beginStream(Call &call, const proxy::ReplyFrame &reply, TimePoint now);
+    /*! @brief Fails an answer of which the body cannot be completed. */
+    void abortStream(Call &call, proxy::Reason reason, TimePoint now);
+    /*! @brief Counts and logs the end of a call. */
+    void recordEnd(const Call &call, int status, proxy::Reason reason, TimePoint now);
+    void removeCall(const Call &call);
+    void armTimer(Call &call, TimePoint until, TimePoint now);
+    /*! @return True if a reply or a part of a body is due from the gate of this peer. */
+    [[nodiscard]] static bool isExpecting(const Call &call, const Address &peer);
+    [[nodiscard]] std::vector<std::uint64_t> callsExpecting(const Address &peer) const;
     void giveUp(Call &call, const proxy::GiveUpStep &step, TimePoint now);
     void onTimeout(std::uint64_t id);
+    /*! @brief Cancels the call at its gate if that still owes a reply or a part of the body. */
     void cancelAtGate(Call &call, TimePoint now);
+    void cancelOffer(const Call &call, TimePoint now);
 
     boost::asio::io_context &m_context;
     DispatcherDependencies m_dependencies;
@@ -126,10 +156,13 @@
     RetryBudget m_retryBudget;
     RandomEngine m_random;
     std::map<std::uint64_t, Call> m_calls;
-    std::map<const http::CallerConnection *, std::uint64_t> m_callIdsByConnection;
+    /*! Calls by connection and number of the request on it. */
+    std::map<std::pair<const http::CallerConnection *, std::uint64_t>, std::uint64_t>
+            m_callIdsByResponse;
     std::set<http::CallerConnectionPtr> m_connections;
     std::map<std::string, TimePoint>
             m_leavingNodes; /*!< When nodes announced their shutdown, by host. */
+    std::set<std::string> m_closedNodes; /*!< Nodes that have shut down, by host. */
     std::uint64_t m_nextId = 1;
     bool m_isShuttingDown = false;
 };
--- a/src/celeryramp/engine/status_endpoint.cpp
+++ b/src/celeryramp/engine/status_endpoint.cpp
@@ -45,9 +45,9 @@
     }
 }
 
-void StatusEndpoint::onRequest(const http::CallerConnectionPtr &connection, http::Request request)
+void StatusEndpoint::onRequest(http::ResponseWriter response, http::Request request)
 {
-    connection->answer(m_handler(request.target), false);
+    response.answer(m_handler(request.target));
 }
 
 void StatusEndpoint::onBadRequest(int status)
--- a/src/celeryramp/engine/status_endpoint.h
+++ b/src/celeryramp/engine/status_endpoint.h
@@ -26,7 +26,7 @@
     void close();
     void sweep(TimePoint now);
 
-    void onRequest(const http::CallerConnectionPtr &connection, http::Request request) override;
+    void onRequest(http::ResponseWriter response, http::Request request) override;
     void onBadRequest(int status) override;
     void onClosed(const http::CallerConnectionPtr &connection) override;
     [[nodiscard]] http::RequestLimits requestLimits() const override { return {}; }
--- a/src/celeryramp/http/answer_reader.cpp
+++ b/src/celeryramp/http/answer_reader.cpp
@@ -1,8 +1,8 @@
 #include "http/answer_reader.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 namespace celeryramp::http {
 
@@ -12,12 +12,56 @@
 
 /*! Largest accepted response header, in bytes. Backend servers send well under 1 KB. */
 constexpr std::uint32_t kAnswerHeaderBytes = 32 * 1024;
+/*! Largest unparsed rest after the head, in bytes: the size line of a chunk with its extensions, or
+ *  the trailer. The parser itself waits for the end of these without a limit. */
+constexpr std::size_t kMaxFramingBytes = 16 * 1024;
+/*! Interim responses that are skipped before a response. */
+constexpr int kMaxInterimResponses = 8;
+
+/*! Body type that grows as bytes arrive. Other than `string_body` it reserves nothing for the
+ *  announced length, which the server chooses. */
+struct GrowingBody
+{
+    using value_type = std::string; // NOLINT(readability-identifier-naming): required by Beast
+
+    // NOLINTNEXTLINE(readability-identifier-naming): required by Beast
+    class reader
+    {
+    public:
+        template <bool isRequest, typename Fields>
+        reader(beast::header<isRequest, Fields> & /*head*/, std::string &body) : m_body{body}
+        { }
+
+        static void init(const boost::optional<std::uint64_t> & /*length*/,
+                         boost::system::error_code &ec)
+        {
+            ec = {};
+        }
+
+        template <typename Buffers>
+        std::size_t put(const Buffers &buffers, boost::system::error_code &ec)
+        {
+            ec = {};
+            std::size_t n = 0;
+            for (const auto &it : boost::beast::buffers_range_ref(buffers)) {
+                m_body.append(static_cast<const char *>(it.data()), it.size());
+                n += it.size();
+            }
+            return n;
+        }
+
+        static void finish(boost::system::error_code &ec) { ec = {}; }
+
+    private:
+        std::string &m_body;
+    };
+};
 
 } // namespace internal
 
 struct AnswerReader::Parser
 {
-    beast::response_parser<beast::string_body> inner;
+    beast::response_parser<internal::GrowingBody> inner;
 };
 
 AnswerReader::AnswerReader(std::size_t bodyLimit) : m_bodyLimit{bodyLimit} { }
@@ -28,6 +72,7 @@
     m_parser.reset();
     m_state = State::Idle;
     m_isHead = isHead;
+    m_interimResponses = 0;
 }
 
 AnswerReader::State AnswerReader::feed(std::string_view bytes)
@@ -39,28 +84,35 @@
             m_parser->inner.eager(true);
             m_parser->inner.skip(m_isHead);
             m_parser->inner.header_limit(internal::kAnswerHeaderBytes);
-            m_parser->inner.body_limit(m_bodyLimit);
+            m_parser->inner.body_limit(boost::none);
             m_state = State::Partial;
         }
         boost::system::error_code ec;
         auto &inner = m_parser->inner;
         const auto n = inner.put(boost::asio::buffer(m_buffer), ec);
         m_buffer.erase(0, n);
+        const bool isTooLong = (inner.is_header_done()
+                                && (inner.get().body().size() > m_bodyLimit
+                                    || m_buffer.size() > internal::kMaxFramingBytes))
+                || m_buffer.size() > internal::kAnswerHeaderBytes;
         if (ec == beast::error::need_more) {
+            m_state = isTooLong ? State::Bad : m_state;
             return m_state;
         }
-        if (ec) {
+        if (ec || (inner.is_header_done() && inner.get().body().size() > m_bodyLimit)) {
             m_state = State::Bad;
             return m_state;
         }
         if (inner.is_done()) {
             if (inner.get().result_int() / 100 == 1) {
                 m_parser.reset();
-                m_state = State::Idle;
+                m_state = ++m_interimResponses > internal::kMaxInterimResponses ? State::Bad
+                                                                                : State::Idle;
                 continue;
             }
             m_state = State::Done;
         } else if (n == 0) {
+            m_state = isTooLong ? State::Bad : m_state;
             return m_state;
         }
     }
@@ -82,17 +134,45 @@
     return m_state;
 }
 
-Answer AnswerReader::take()
+bool AnswerReader::hasHead() const noexcept
+{
+    return m_parser != nullptr && m_state != State::Bad && m_parser->inner.is_header_done()
+            && m_parser->inner.get().result_int() / 100 != 1;
+}
+
+Answer AnswerReader::head() const
 {
-    auto message = m_parser->inner.release();
+    const auto &message = m_parser->inner.get();
     Answer answer;
     answer.status = static_cast<int>(message.result_int());
     answer.reason.assign(message.reason().data(), message.reason().size());
-    answer.keepsAlive = message.keep_alive();
+    answer.keepsAlive = m_parser->inner.keep_alive();
     for (const auto &field : message) {
         answer.headers.push_back({std::string{field.name_string()}, std::string{field.value()}});
     }
-    answer.body = std::move(message.body());
+    return answer;
+}
+
+std::optional<std::uint64_t> AnswerReader::announcedLength() const
+{
+    const auto length = m_parser->inner.content_length();
+    return length ? std::optional<std::uint64_t>{*length} : std::nullopt;
+}
+
+std::size_t AnswerReader::bodySize() const
+{
+    return m_parser->inner.get().body().size();
+}
+
+std::string AnswerReader::takeBody()
+{
+    return std::exchange(m_parser->inner.get().body(), {});
+}
+
+Answer AnswerReader::take()
+{
+    auto answer = head();
+    answer.body = takeBody();
     return answer;
 }
 
--- a/src/celeryramp/http/answer_reader.h
+++ b/src/celeryramp/http/answer_reader.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -8,7 +10,12 @@
 
 namespace celeryramp::http {
 
-/*! @brief Parses HTTP/1.1 responses incrementally from a byte stream. */
+/*!
+ * @brief Parses HTTP/1.1 responses incrementally from a byte stream.
+ *
+ * Its memory is bounded for any input: by the limits of the head and of the framing of chunks, and
+ * by the body limit unless the body is taken in pieces.
+ */
 class AnswerReader
 {
 public:
@@ -19,7 +26,7 @@
         Bad /*!< The bytes are not a valid response. */
     };
 
-    /*! @param bodyLimit Largest accepted body, in bytes. */
+    /*! @param bodyLimit Largest body that is kept, in bytes; what was taken does not count. */
     explicit AnswerReader(std::size_t bodyLimit);
     ~AnswerReader();
     AnswerReader(const AnswerReader &) = delete;
@@ -40,6 +47,17 @@
     /*! @brief Handles an orderly end of the stream, which completes a response without a length. */
     State finish();
 
+    /*! @return True if the head of the current response is complete. */
+    [[nodiscard]] bool hasHead() const noexcept;
+    /*! @return The current response without its body; requires `hasHead`. */
+    [[nodiscard]] Answer head() const;
+    /*! @return The announced length of the body, in bytes; requires `hasHead`. */
+    [[nodiscard]] std::optional<std::uint64_t> announcedLength() const;
+    /*! @return Size of the body parsed so far and not taken, in bytes; requires `hasHead`. */
+    [[nodiscard]] std::size_t bodySize() const;
+    /*! @return The body parsed so far, which is removed; requires `hasHead`. */
+    [[nodiscard]] std::string takeBody();
+
     /*!
      * @return The complete response; requires `State::Done`. Call `expect` before parsing the next
      * one.
@@ -51,9 +69,6 @@
     /*! @return Number of bytes received but not parsed yet. */
     [[nodiscard]] std::size_t buffered() const noexcept { return m_buffer.size(); }
 
-    /*! @return True if any byte of the current response was parsed. */
-    [[nodiscard]] bool hasBegun() const noexcept { return m_state != State::Idle; }
-
 private:
     struct Parser;
 
@@ -62,6 +77,7 @@
     std::string m_buffer;
     State m_state = State::Idle;
     bool m_isHead = false;
+    int m_interimResponses = 0; /*!< Skipped since `expect`. */
 };
 
 } // namespace celeryramp::http
--- a/src/celeryramp/http/caller_connection.cpp
+++ b/src/celeryramp/http/caller_connection.cpp
@@ -1,5 +1,8 @@
 #include "http/caller_connection.h"
 
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include "core/boot_clock.h"
@@ -11,6 +14,9 @@
 
 constexpr int kRequestTimeout = 408;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+/*! Time in which the caller closes its side after the last response. */
+constexpr Millis kLingerTime{500};
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 } // namespace internal
 
@@ -28,7 +34,7 @@
 
 void CallerConnection::read()
 {
-    if (m_closed || m_reading || m_reader.buffered() > kPipelineBytes) {
+    if (m_closed || m_reading || (m_reader.buffered() > kPipelineBytes && !m_isLingering)) {
         return;
     }
     m_reading = true;
@@ -46,97 +52,262 @@
 
 void CallerConnection::onBytes(std::string_view bytes)
 {
+    if (m_isLingering) {
+        read();
+        return;
+    }
     const bool wasIdle = m_reader.state() == RequestReader::State::Idle;
     m_reader.feed(bytes, m_events.requestLimits());
     if (wasIdle) {
         m_lastChange = bootNow();
     }
     if (m_reader.takeExpectContinue()) {
-        m_output.emplace_back(internal::kContinue);
+        // Sent in its turn, as an interim response before that to the request itself.
+        Pending interim;
+        interim.output.emplace_back(internal::kContinue);
+        interim.bodyBytes.push_back(0);
+        interim.isComplete = true;
+        m_pending.push_back(std::move(interim));
         write();
     }
-    dispatch();
+    // Reading first lets a disconnect that has arrived meanwhile be handled before the request is
+    // passed on: a caller that has left needs no answer.
     read();
+    scheduleDispatch();
 }
 
-void CallerConnection::dispatch()
+void CallerConnection::scheduleDispatch()
 {
-    if (m_busy || m_closed) {
+    if (m_closed || std::exchange(m_isDispatchScheduled, true)) {
         return;
     }
-    if (m_reader.state() == RequestReader::State::Bad) {
-        m_busy = true;
-        m_events.onBadRequest(m_reader.errorStatus());
-        Answer refusal;
-        refusal.status = m_reader.errorStatus();
-        answer(refusal, true);
-        return;
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_isDispatchScheduled = false;
+        self->dispatch();
+        self->read();
+    });
+}
+
+bool CallerConnection::mayPassOn(bool mayOverlap) const
+{
+    return m_pending.empty()
+            || (mayOverlap && m_pending.size() < kMaxOverlapping
+                && std::all_of(m_pending.begin(), m_pending.end(), [](const Pending &pending) {
+                       return pending.mayOverlap || pending.isComplete;
+                   }));
+}
+
+void CallerConnection::dispatch()
+{
+    while (!m_closed && m_takesRequests) {
+        if (!m_next) {
+            if (m_reader.state() == RequestReader::State::Idle && m_reader.buffered() > 0) {
+                m_reader.feed({}, m_events.requestLimits());
+            }
+            if (m_reader.state() == RequestReader::State::Bad) {
+                rejectRequest(m_reader.errorStatus());
+                return;
+            }
+            if (m_reader.state() != RequestReader::State::Done) {
+                return;
+            }
+            m_next = m_reader.take();
+        }
+        const bool mayOverlap = m_events.mayOverlap(*m_next);
+        if (!mayPassOn(mayOverlap)) {
+            return;
+        }
+        auto request = std::move(*m_next);
+        m_next.reset();
+        const auto id = addPending(request, mayOverlap).id;
+        m_events.onRequest(ResponseWriter{shared_from_this(), id}, std::move(request));
+    }
+}
+
+CallerConnection::Pending &CallerConnection::addPending(const Request &request, bool mayOverlap)
+{
+    Pending pending;
+    pending.id = ++m_lastId;
+    pending.isHead = request.method == "HEAD";
+    pending.isHttp10 = request.isHttp10;
+    pending.keepsAlive = request.keepsAlive;
+    pending.mayOverlap = mayOverlap;
+    m_pending.push_back(std::move(pending));
+    return m_pending.back();
+}
+
+void CallerConnection::rejectRequest(int status)
+{
+    auto &pending = addPending({}, false);
+    pending.keepsAlive = false;
+    m_events.onBadRequest(status);
+    Answer refusal;
+    refusal.status = status;
+    answer(pending.id, refusal);
+}
+
+CallerConnection::Pending *CallerConnection::findPending(std::uint64_t id)
+{
+    const auto it = std::find_if(m_pending.begin(), m_pending.end(), [id](const Pending &pending) {
+        return pending.id == id && !pending.isComplete && !pending.isAborted;
+    });
+    return it == m_pending.end() || m_closed ? nullptr : &*it;
+}
+
+void CallerConnection::decideClose(Pending &pending)
+{
+    if (m_closesWhenIdle || !pending.keepsAlive) {
+        // Requests behind a closing response count as unread, so the last one that was passed on
+        // closes.
+        m_takesRequests = false;
     }
-    if (m_reader.state() != RequestReader::State::Done) {
+    pending.closes = !m_takesRequests && &pending == &m_pending.back();
+}
+
+void CallerConnection::answer(std::uint64_t id, const Answer &answer)
+{
+    auto *pending = findPending(id);
+    if (pending == nullptr || pending->isBegun) {
         return;
     }
-    m_busy = true;
-    auto request = m_reader.take();
-    m_keepsAlive = request.keepsAlive;
-    m_isHead = request.method == "HEAD";
-    m_events.onRequest(shared_from_this(), std::move(request));
+    decideClose(*pending);
+    pending->output.push_back(serialize(answer, pending->closes, pending->isHead));
+    pending->bodyBytes.push_back(0);
+    pending->isComplete = true;
+    m_lastChange = bootNow();
+    write();
 }
 
-void CallerConnection::answer(const Answer &answer, bool closes)
+void CallerConnection::begin(std::uint64_t id, const Answer &head,
+                             std::optional<std::uint64_t> length)
 {
-    if (m_closed || !m_busy) {
+    auto *pending = findPending(id);
+    if (pending == nullptr || pending->isBegun) {
         return;
     }
-    const bool isLast = closes || m_closesWhenIdle || !m_keepsAlive;
-    m_output.push_back(serialize(answer, isLast, m_isHead));
-    m_closesAfterWrite = m_closesAfterWrite || isLast;
-    m_busy = false;
+    pending->isBegun = true;
+    pending->isChunked = !length && !pending->isHttp10;
+    if (!length && pending->isHttp10) {
+        pending->keepsAlive = false; // the end of the connection ends the body
+    }
+    decideClose(*pending);
+    pending->output.push_back(
+            serializeHead(head, pending->closes, {length, pending->isChunked}));
+    pending->bodyBytes.push_back(0);
     m_lastChange = bootNow();
     write();
-    if (!m_closesAfterWrite && m_reader.buffered() > 0) {
-        m_reader.feed({}, m_events.requestLimits());
-        // Dispatching from the event loop avoids deep recursion over pipelined requests.
-        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-            self->dispatch();
-            self->read();
-        });
+}
+
+void CallerConnection::append(std::uint64_t id, std::string bytes, bool isLast)
+{
+    auto *pending = findPending(id);
+    if (pending == nullptr || !pending->isBegun) {
+        return;
+    }
+    const auto n = bytes.size();
+    if (pending->isChunked && n > 0) {
+        bytes = chunkHeader(n).append(bytes).append("\r\n");
+    }
+    if (pending->isChunked && isLast) {
+        bytes.append(internal::kLastChunk);
     }
+    if (!bytes.empty()) {
+        pending->output.push_back(std::move(bytes));
+        pending->bodyBytes.push_back(n);
+    }
+    pending->isComplete = isLast;
+    write();
+}
+
+void CallerConnection::abort(std::uint64_t id, const Answer &replacement)
+{
+    auto *pending = findPending(id);
+    if (pending == nullptr) {
+        return;
+    }
+    if (!pending->isSending) {
+        pending->output.clear();
+        pending->bodyBytes.clear();
+        pending->isBegun = false;
+        answer(id, replacement);
+        return;
+    }
+    pending->isAborted = true;
+    write();
 }
 
 void CallerConnection::write()
 {
-    if (m_writing || m_output.empty() || m_closed) {
+    if (m_writing || m_closed || m_pending.empty()) {
+        return;
+    }
+    auto &front = m_pending.front();
+    if (front.isAborted) {
+        // A reset also marks a body without announced length as incomplete.
+        boost::system::error_code ignored;
+        m_socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+        close();
+        return;
+    }
+    if (front.output.empty()) {
         return;
     }
     m_writing = true;
+    front.isSending = true;
     boost::asio::async_write(
-            m_socket, boost::asio::buffer(m_output.front()),
+            m_socket, boost::asio::buffer(front.output.front()),
             [self = shared_from_this()](const boost::system::error_code &ec, std::size_t) {
                 self->m_writing = false;
                 if (ec) {
                     self->close();
                     return;
                 }
-                self->m_output.pop_front();
-                self->m_lastChange = bootNow();
-                if (self->m_output.empty() && self->m_closesAfterWrite) {
-                    self->shutdownAndClose();
-                    return;
-                }
-                self->write();
+                self->onWritten();
             });
 }
 
+void CallerConnection::onWritten()
+{
+    if (m_closed) {
+        return;
+    }
+    m_lastChange = bootNow();
+    auto &front = m_pending.front();
+    const auto id = front.id;
+    const auto n = front.bodyBytes.front();
+    front.output.pop_front();
+    front.bodyBytes.pop_front();
+    if (front.isComplete && front.output.empty()) {
+        const bool closes = front.closes;
+        m_pending.pop_front();
+        if (closes) {
+            shutdownAndClose();
+            return;
+        }
+        // A request may have waited for the end of this response.
+        if (m_next || m_reader.buffered() > 0 || m_reader.state() == RequestReader::State::Done) {
+            scheduleDispatch();
+        }
+    }
+    write();
+    if (n > 0 && !m_closed) {
+        m_events.onBodyWritten(*this, id, n);
+    }
+}
+
 void CallerConnection::shutdownAndClose()
 {
     // Closing a socket with unread bytes sends a reset, which can reach the caller before the
     // response. Therefore only the sending side is shut down here; the connection is closed when
-    // reading fails or when `checkTimeouts` finds it idle for too long.
-    boost::system::error_code ignored;
-    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    if (ignored || m_reader.state() == RequestReader::State::Idle) {
+    // the caller closes its side or `checkTimeouts` finds that it does not.
+    boost::system::error_code ec;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    if (ec) {
         close();
+        return;
     }
+    m_isLingering = true;
+    read();
 }
 
 void CallerConnection::close()
@@ -158,18 +329,15 @@
 void CallerConnection::checkTimeouts(Millis headerTimeout, Millis idleTimeout, TimePoint now)
 {
     const auto elapsed = millisBetween(m_lastChange, now);
-    if (m_closed || m_busy) {
+    const bool awaitsAnswer = !m_pending.empty() && !m_writing;
+    if (m_closed || awaitsAnswer) {
         return;
     }
-    const bool isInHeader = m_reader.state() == RequestReader::State::Header && m_output.empty()
-            && !m_closesAfterWrite;
+    const bool isInHeader = m_reader.state() == RequestReader::State::Header && m_pending.empty()
+            && m_takesRequests;
     if (isInHeader && elapsed > headerTimeout) {
-        m_busy = true;
-        m_events.onBadRequest(internal::kRequestTimeout);
-        Answer refusal;
-        refusal.status = internal::kRequestTimeout;
-        answer(refusal, true);
-    } else if (elapsed > idleTimeout) {
+        rejectRequest(internal::kRequestTimeout);
+    } else if (elapsed > (m_isLingering ? internal::kLingerTime : idleTimeout)) {
         // The caller is idle, sends its body too slowly or does not read its response.
         close();
     }
--- a/src/celeryramp/http/caller_connection.h
+++ b/src/celeryramp/http/caller_connection.h
@@ -3,8 +3,8 @@
 #include <array>
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -12,6 +12,7 @@
 #include "core/time.h"
 #include "http/message.h"
 #include "http/request_reader.h"
+#include "http/response_writer.h"
 
 namespace celeryramp::http {
 
@@ -30,44 +31,63 @@
     CallerEvents &operator=(const CallerEvents &) = delete;
     virtual ~CallerEvents() = default;
 
-    /*!
-     * @brief Called for each complete request. The owner must call `CallerConnection::answer`
-     * unless the connection closes first.
-     */
-    virtual void onRequest(const CallerConnectionPtr &connection, Request request) = 0;
+    /*! @brief Called for each complete request. The owner must complete the response unless the
+     * connection closes first. */
+    virtual void onRequest(ResponseWriter response, Request request) = 0;
     /*!
      * @brief Called when the connection rejects a request: it is malformed, exceeds the limits or
      * its header arrives too slowly. @param status HTTP status of the response.
      */
     virtual void onBadRequest(int status) = 0;
-    /*! @brief Called once after the connection closed. The owner cancels the pending request. */
+    /*! @brief Called once after the connection closed. The owner cancels its pending requests. */
     virtual void onClosed(const CallerConnectionPtr &connection) = 0;
     /*! @return Size limits currently in force for requests. */
     [[nodiscard]] virtual RequestLimits requestLimits() const = 0;
+    /*!
+     * @return True if the request may be executed while earlier requests of its connection are. A
+     * request that must not be repeated may not: if the connection closes after an earlier
+     * response, the caller takes it for unread and sends it again.
+     */
+    [[nodiscard]] virtual bool mayOverlap(const Request & /*request*/) const { return false; }
+    /*! @brief Called when bytes of a response body begun with `ResponseWriter::begin` were handed
+     * to the operating system. @param id Number of the request on its connection. */
+    virtual void onBodyWritten(const CallerConnection & /*connection*/, std::uint64_t /*id*/,
+                               std::size_t /*bytes*/)
+    { }
 };
 
 /*!
- * @brief An HTTP/1.1 connection accepted from a caller. It serves one request at a time and keeps
- * reading meanwhile, so that it detects when the caller disconnects.
+ * @brief An HTTP/1.1 connection accepted from a caller.
+ *
+ * It keeps reading while requests are served, so that it detects when the caller disconnects.
+ * Pipelined requests are passed on while earlier ones are served, if `CallerEvents::mayOverlap`
+ * allows it; responses are sent in the order of the requests. Nothing is passed on behind a
+ * response that closes the connection.
  */
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
+    /*! Requests of one connection that are served at the same time. */
+    static constexpr std::size_t kMaxOverlapping = 16;
+
     CallerConnection(boost::asio::ip::tcp::socket socket, CallerEvents &events, TimePoint now);
 
     /*! @brief Starts reading requests. */
     void start();
 
-    /*!
-     * @brief Sends the response to the current request.
-     * @param closes Closes the connection once the response is sent.
-     */
-    void answer(const Answer &answer, bool closes);
+    /*! @name Responses, see `ResponseWriter` */
+    /*!@{*/
+    void answer(std::uint64_t id, const Answer &answer);
+    void begin(std::uint64_t id, const Answer &head, std::optional<std::uint64_t> length);
+    void append(std::uint64_t id, std::string bytes, bool isLast);
+    void abort(std::uint64_t id, const Answer &replacement);
+    /*!@}*/
 
     /*! @brief Closes the connection immediately. */
     void close();
 
-    /*! @brief Closes the connection after the next response. An idle connection stays open. */
+    /*! @brief Closes the connection after the pending responses, or after the next one if none is
+     * pending. An idle connection stays open. */
     void closeAfterResponse() noexcept;
 
     /*!
@@ -81,15 +101,43 @@
     /*! @return True if no request is being received or served and no response is being sent. */
     [[nodiscard]] bool isIdle() const noexcept
     {
-        return !m_busy && m_reader.state() == RequestReader::State::Idle && m_output.empty();
+        return m_pending.empty() && !m_isLingering
+                && m_reader.state() == RequestReader::State::Idle;
     }
     [[nodiscard]] bool isClosed() const noexcept { return m_closed; }
 
 private:
+    /*! A request that was passed on, with the part of its response that is not sent yet. */
+    struct Pending
+    {
+        std::uint64_t id = 0;
+        bool isHead = false;
+        bool isHttp10 = false;
+        bool keepsAlive = true;
+        bool mayOverlap = false;
+        bool isBegun = false; /*!< The body of its response arrives in pieces. */
+        bool isChunked = false;
+        bool isComplete = false; /*!< `output` ends the response. */
+        bool isAborted = false;
+        bool closes = false; /*!< The connection closes after the response. */
+        bool isSending = false; /*!< Some bytes of the response may have been sent. */
+        std::deque<std::string> output;
+        std::deque<std::size_t> bodyBytes; /*!< Bytes of the body in each piece of `output`. */
+    };
+
     void read();
     void onBytes(std::string_view bytes);
+    void scheduleDispatch();
+    /*! @brief Passes on as many of the received requests as may be served now. */
     void dispatch();
+    [[nodiscard]] bool mayPassOn(bool mayOverlap) const;
+    Pending &addPending(const Request &request, bool mayOverlap);
+    [[nodiscard]] Pending *findPending(std::uint64_t id);
+    /*! @brief Decides whether the connection closes after this response. */
+    void decideClose(Pending &pending);
+    void rejectRequest(int status);
     void write();
+    void onWritten();
     void shutdownAndClose();
 
     /*! Reading pauses when more than this many unparsed bytes of pipelined requests are buffered.
@@ -100,15 +148,16 @@
     CallerEvents &m_events;
     RequestReader m_reader;
     std::array<char, 4096> m_input{};
-    std::deque<std::string> m_output;
+    std::deque<Pending> m_pending; /*!< In the order of the requests. */
+    std::optional<Request> m_next; /*!< Received, but it may not be passed on yet. */
+    std::uint64_t m_lastId = 0;
     TimePoint m_lastChange; /*!< Start of the current request, or last progress of a response. */
-    bool m_isHead = false;
-    bool m_busy = false; /*!< A request was dispatched and has no response yet. */
     bool m_reading = false;
     bool m_writing = false;
-    bool m_closesAfterWrite = false;
+    bool m_isDispatchScheduled = false;
     bool m_closesWhenIdle = false;
-    bool m_keepsAlive = true;
+    bool m_takesRequests = true; /*!< False once a response closes the connection. */
+    bool m_isLingering = false; /*!< The last response is sent; what arrives is discarded. */
     bool m_closed = false;
 };
 
--- a/src/celeryramp/http/client_connection.cpp
+++ b/src/celeryramp/http/client_connection.cpp
@@ -1,5 +1,6 @@
 #include "http/client_connection.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <boost/asio/write.hpp>
@@ -11,6 +12,9 @@
 
 namespace internal {
 
+/*! Answers to earlier requests that are skipped while one request waits. */
+constexpr int kMaxForeignAnswers = 4;
+
 /*! @return The timeout of a `Keep-Alive: timeout=N` header, or zero without one. */
 [[nodiscard]] Millis announcedTimeout(const Answer &answer)
 {
@@ -38,6 +42,11 @@
 {
     m_exchange = std::move(exchange);
     m_sent = false;
+    ++m_requests;
+    m_foreignAnswers = 0;
+    m_match.reset();
+    m_isStreaming = false;
+    m_isReadingPaused = false;
     m_reader.expect(m_exchange->isHead);
     if (m_connected) {
         write();
@@ -92,7 +101,7 @@
 
 void ClientConnection::read()
 {
-    if (m_closed || m_reading) {
+    if (m_closed || m_reading || m_isReadingPaused) {
         return;
     }
     m_reading = true;
@@ -118,22 +127,64 @@
         close();
         return;
     }
-    auto state = m_reader.feed(bytes);
-    while (state == AnswerReader::State::Done) {
-        auto answer = m_reader.take();
-        if (m_exchange->isOurs && !m_exchange->isOurs(answer)) {
-            m_reader.expect(m_exchange->isHead);
-            state = m_reader.feed({});
-            continue;
+    m_reader.feed(bytes);
+    if (processAnswer()) {
+        read();
+    }
+}
+
+bool ClientConnection::processAnswer()
+{
+    while (true) {
+        if (m_reader.state() == AnswerReader::State::Bad) {
+            finish(ExchangeEnd::Malformed, {});
+            return false;
         }
-        finish(ExchangeEnd::Answered, std::move(answer));
-        return;
+        if (!m_reader.hasHead()) {
+            return true;
+        }
+        if (!m_match) {
+            m_match = m_exchange->match ? m_exchange->match(m_reader.head(), m_requests > 1)
+                                        : AnswerMatch::Ours;
+        }
+        if (*m_match == AnswerMatch::Ours) {
+            break;
+        }
+        static_cast<void>(m_reader.takeBody()); // not kept
+        const bool isForeign = *m_match == AnswerMatch::Foreign;
+        if (isForeign && m_reader.state() != AnswerReader::State::Done) {
+            return true;
+        }
+        if (!isForeign || ++m_foreignAnswers > internal::kMaxForeignAnswers) {
+            finish(ExchangeEnd::Malformed, {});
+            return false;
+        }
+        m_match.reset();
+        m_reader.expect(m_exchange->isHead);
+        m_reader.feed({});
     }
-    if (state == AnswerReader::State::Bad) {
-        finish(ExchangeEnd::Malformed, {});
-        return;
+    const auto length = m_reader.announcedLength();
+    const bool isLong = !m_exchange->isHead
+            && std::max<std::uint64_t>(length.value_or(0), m_reader.bodySize())
+                    > m_exchange->wholeBytes;
+    // The handlers may cancel and so destroy the exchange, therefore copies of them are called.
+    if (isLong && !m_isStreaming && m_exchange->onHead) {
+        m_isStreaming = true;
+        const auto onHead = m_exchange->onHead;
+        onHead(m_reader.head(), length);
+    }
+    if (m_isStreaming && m_exchange && m_reader.bodySize() > 0) {
+        const auto onBytes = m_exchange->onBytes;
+        onBytes(m_reader.takeBody());
+    }
+    if (!m_exchange || m_closed) {
+        return false;
+    }
+    if (m_reader.state() == AnswerReader::State::Done) {
+        finish(ExchangeEnd::Answered, m_reader.take());
+        return false;
     }
-    read();
+    return true;
 }
 
 void ClientConnection::onReadError(const boost::system::error_code &ec)
@@ -142,12 +193,11 @@
         close();
         return;
     }
+    // An answer without a length is complete at the orderly end of the connection only.
     const bool isOrderly = ec == boost::asio::error::eof;
     if (isOrderly && m_reader.finish() == AnswerReader::State::Done) {
-        auto answer = m_reader.take();
-        answer.keepsAlive = false;
-        if (!m_exchange->isOurs || m_exchange->isOurs(answer)) {
-            finish(ExchangeEnd::Answered, std::move(answer));
+        m_closesAfterAnswer = true;
+        if (!processAnswer()) {
             return;
         }
     }
@@ -160,9 +210,10 @@
     m_exchange.reset();
     m_freeSince = bootNow();
     const bool isReusable = end == ExchangeEnd::Answered && answer.keepsAlive
-            && m_reader.buffered() == 0 && !m_writing && !m_closed;
+            && m_reader.buffered() == 0 && !m_writing && !m_closed && !m_closesAfterAnswer;
     if (isReusable) {
         m_announcedIdle = internal::announcedTimeout(answer);
+        m_isReadingPaused = false;
         read();
         m_released(shared_from_this());
     } else {
@@ -173,6 +224,13 @@
     }
 }
 
+void ClientConnection::setReadingPaused(bool isPaused)
+{
+    if (std::exchange(m_isReadingPaused, isPaused) && !isPaused && m_connected) {
+        read();
+    }
+}
+
 void ClientConnection::cancel()
 {
     if (m_exchange) {
--- a/src/celeryramp/http/client_connection.h
+++ b/src/celeryramp/http/client_connection.h
@@ -36,6 +36,9 @@
      */
     void cancel();
 
+    /*! @brief Stops or resumes reading a response, so that the server waits for its receiver. */
+    void setReadingPaused(bool isPaused);
+
     /*! @return True if a request can be sent. */
     [[nodiscard]] bool isFree() const noexcept { return !m_exchange && !m_closed; }
     [[nodiscard]] bool isClosed() const noexcept { return m_closed; }
@@ -51,6 +54,9 @@
     void write();
     void read();
     void onBytes(std::string_view bytes);
+    /*! @brief Handles what the reader has parsed. @return False if the exchange or the connection
+     * ended, true to read on. */
+    bool processAnswer();
     void onReadError(const boost::system::error_code &ec);
     void finish(ExchangeEnd end, Answer answer);
     void close();
@@ -62,9 +68,15 @@
     AnswerReader m_reader;
     Released m_released;
     std::optional<Exchange> m_exchange;
-    std::array<char, 8192> m_input{};
+    std::array<char, 16384> m_input{};
     std::string m_output;
     TimePoint m_freeSince;
+    int m_requests = 0; /*!< Sent on this connection, with the current one. */
+    int m_foreignAnswers = 0; /*!< Skipped before the answer to the current request. */
+    std::optional<AnswerMatch> m_match; /*!< Of the answer that is being read. */
+    bool m_isStreaming = false; /*!< The head of the answer was passed to `Exchange::onHead`. */
+    bool m_isReadingPaused = false;
+    bool m_closesAfterAnswer = false; /*!< The server has closed its side. */
     Millis m_announcedIdle{0};
     bool m_connected = false;
     bool m_sent = false; /*!< Bytes of the current request may have been sent. */
--- a/src/celeryramp/http/exchange.h
+++ b/src/celeryramp/http/exchange.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <limits>
+#include <optional>
 #include <string>
 
 #include "core/time.h"
@@ -17,15 +21,31 @@
     Cancelled /*!< Cancelled after sending began; the server may have run the request. */
 };
 
+/*! @brief Relation of a response to the request that waits on its connection. */
+enum class AnswerMatch {
+    Ours, /*!< It answers the request. */
+    Foreign, /*!< It answers an earlier request and is skipped. */
+    Invalid /*!< It cannot be used; the exchange ends as `ExchangeEnd::Malformed`. */
+};
+
 /*! @brief A request to send, with the handlers for its response. */
 struct Exchange
 {
     using Done = std::function<void(ExchangeEnd, Answer)>;
+    using Match = std::function<AnswerMatch(const Answer &head, bool isReused)>;
+    using Head = std::function<void(Answer head, std::optional<std::uint64_t> length)>;
 
     std::string wire; /*!< The serialized request. */
     bool isHead = false; /*!< HEAD request: its response has no body. */
-    /*! Returns whether a response belongs to this request. Others are skipped. May be empty. */
-    std::function<bool(const Answer &)> isOurs;
+    /*! Judges a response by its head. `isReused` tells that the connection has carried requests
+     * before. Without it, each response is taken for the own one. */
+    Match match;
+    /*! Receives the head of a response whose body is longer than `wholeBytes`; `length` is empty if
+     * the server does not announce it. The body follows in pieces through `onBytes`, and `done`
+     * then gets an answer without body. Without it, responses are passed whole. */
+    Head onHead;
+    std::function<void(std::string)> onBytes; /*!< Set together with `onHead`. */
+    std::size_t wholeBytes = std::numeric_limits<std::size_t>::max();
     Done done; /*!< Called exactly once, when the exchange ends. */
 };
 
--- a/src/celeryramp/http/fwd.h
+++ b/src/celeryramp/http/fwd.h
@@ -12,9 +12,11 @@
 class CallerConnection;
 class ClientConnection;
 class ClientPool;
+struct Exchange;
 struct Header;
 class Listener;
 struct Request;
 class RequestReader;
+class ResponseWriter;
 
 } // namespace celeryramp::http
--- a/src/celeryramp/http/listener.cpp
+++ b/src/celeryramp/http/listener.cpp
@@ -41,6 +41,23 @@
     m_acceptor.close(ignored);
 }
 
+void Listener::acceptWaitingAndClose()
+{
+    boost::system::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        boost::asio::ip::tcp::socket socket{m_acceptor.get_executor()};
+        m_acceptor.accept(socket, ec);
+        if (!ec) {
+            m_accepted(std::move(socket));
+        }
+    }
+    if (ec != boost::asio::error::would_block && ec != boost::asio::error::try_again) {
+        logEvent(LogLevel::Warn, "listener", "accept-failed", {{"reason", ec.message()}});
+    }
+    close();
+}
+
 void Listener::accept()
 {
     m_acceptor.async_accept([this](const boost::system::error_code &ec,
--- a/src/celeryramp/http/listener.h
+++ b/src/celeryramp/http/listener.h
@@ -28,8 +28,10 @@
      */
     [[nodiscard]] Result<void, HttpError> open(const Address &address);
 
-    /*! @brief Stops accepting connections. */
+    /*! @brief Stops accepting connections. Those that wait to be accepted are reset. */
     void close();
+    /*! @brief Accepts the connections that wait now, then stops accepting. */
+    void acceptWaitingAndClose();
 
 private:
     void accept();
--- a/src/celeryramp/http/message.cpp
+++ b/src/celeryramp/http/message.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 
 #include <ostream> // missing in the next header of Boost 1.74
 
@@ -122,27 +123,46 @@
 }
 
 std::string serialize(const Answer &answer, bool closes, bool isBodyOmitted)
+{
+    const bool isBodiless = answer.status == 204 || answer.status == 304;
+    const auto length = isBodiless ? std::nullopt
+                                   : std::optional<std::uint64_t>{answer.body.size()};
+    auto out = serializeHead(answer, closes, {length, false});
+    if (!isBodiless && !isBodyOmitted) {
+        out.append(answer.body);
+    }
+    return out;
+}
+
+std::string serializeHead(const Answer &head, bool closes, const BodyFraming &framing)
 {
     std::string out;
-    out.reserve(512 + answer.body.size());
-    out.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ");
-    out.append(answer.reason.empty() ? reasonPhrase(answer.status) : answer.reason);
+    out.reserve(512 + head.body.size());
+    out.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ");
+    out.append(head.reason.empty() ? reasonPhrase(head.status) : head.reason);
     out.append("\r\n");
-    internal::append(out, answer.headers);
-    const bool isBodiless = answer.status == 204 || answer.status == 304;
-    if (!isBodiless) {
-        out.append("Content-Length: ").append(std::to_string(answer.body.size())).append("\r\n");
+    internal::append(out, head.headers);
+    if (framing.length) {
+        out.append("Content-Length: ").append(std::to_string(*framing.length)).append("\r\n");
+    }
+    if (framing.isChunked) {
+        out.append("Transfer-Encoding: chunked\r\n");
     }
     if (closes) {
         out.append("Connection: close\r\n");
     }
     out.append("\r\n");
-    if (!isBodiless && !isBodyOmitted) {
-        out.append(answer.body);
-    }
     return out;
 }
 
+std::string chunkHeader(std::size_t bytes)
+{
+    std::array<char, 16> text{};
+    const auto [end, ec] = std::to_chars(text.data(), text.data() + text.size(), bytes, 16);
+    static_cast<void>(ec); // 16 digits hold any size
+    return std::string{text.data(), end} + "\r\n";
+}
+
 std::string_view reasonPhrase(int status) noexcept
 {
     const auto text
--- a/src/celeryramp/http/message.h
+++ b/src/celeryramp/http/message.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +26,7 @@
     Headers headers;
     std::string body;
     bool keepsAlive = true;
+    bool isHttp10 = false; /*!< Sent by an HTTP/1.0 caller, which cannot read chunks. */
 };
 
 /*! @brief A complete HTTP response. */
@@ -66,6 +70,21 @@
  */
 [[nodiscard]] std::string serialize(const Answer &answer, bool closes, bool isBodyOmitted);
 
+/*! @brief How the length of a body that is sent in pieces is expressed. With neither, the end of
+ * the connection ends it. */
+struct BodyFraming
+{
+    std::optional<std::uint64_t> length; /*!< Announced with `Content-Length`. */
+    bool isChunked = false;
+};
+
+/*! @return The head of a response whose body follows. @param closes Adds `Connection: close`. */
+[[nodiscard]] std::string serializeHead(const Answer &head, bool closes,
+                                        const BodyFraming &framing);
+
+/*! @return The line that precedes a chunk of this many bytes. */
+[[nodiscard]] std::string chunkHeader(std::size_t bytes);
+
 /*! @return The standard reason phrase of a status. */
 [[nodiscard]] std::string_view reasonPhrase(int status) noexcept;
 
--- a/src/celeryramp/links/link_events.h
+++ b/src/celeryramp/links/link_events.h
@@ -6,6 +6,13 @@
 
 namespace celeryramp::links {
 
+/*! @brief What the end of a link says of the frames that were passed to it. */
+enum class LinkLoss {
+    NotOpened, /*!< The link could not be opened; none of its frames was sent. */
+    Closed, /*!< The link was closed; frames may have been lost. Other links are not affected. */
+    PeerGone /*!< No link is left or the peer runs another process, so no response will come. */
+};
+
 /*! @brief Callbacks of `PeerLinks`, called on the thread that runs its I/O context. */
 class LinkEvents
 {
@@ -19,11 +26,11 @@
     virtual void onFrame(const Address &peer, std::string_view frame) = 0;
     /*! @brief A link has been opened. */
     virtual void onLinkOpen(const Address &peer) = 0;
-    /*!
-     * @brief A link has been closed or could not be opened.
-     * @param wasOpen If false, none of the frames passed to the link was sent.
-     */
-    virtual void onLinkLost(const Address &peer, bool wasOpen) = 0;
+    /*! @brief A link has ended or could not be opened. */
+    virtual void onLinkLost(const Address &peer, LinkLoss loss) = 0;
+    /*! @brief A peer with a pending response is silent. Its link is still read, but new frames are
+     * sent on another one. */
+    virtual void onLinkSilent(const Address &peer) = 0;
     /*! @return True while a response from this peer is pending. */
     [[nodiscard]] virtual bool isAwaiting(const Address &peer) const = 0;
 };
--- a/src/celeryramp/links/peer_links.cpp
+++ b/src/celeryramp/links/peer_links.cpp
@@ -1,5 +1,6 @@
 #include "links/peer_links.h"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -9,6 +10,7 @@
 #include <websocketpp/server.hpp>
 
 #include "core/boot_clock.h"
+#include "core/hash.h"
 #include "http/socket_options.h"
 #include "observe/log.h"
 
@@ -18,9 +20,12 @@
 
 /*! Header of the upgrade request with the address on which the opening node listens. */
 constexpr const char *kNodeHeader = "Celeryramp-Node";
+/*! Header of the upgrade request and its response with the incarnation of the sending process. */
+constexpr const char *kIncarnationHeader = "Celeryramp-Incarnation";
+constexpr std::size_t kIncarnationBytes = 8;
 constexpr const char *kPath = "/links";
 /*! Maximum frame size; the input limits keep requests and responses well below it. */
-constexpr std::size_t kMaxFrameBytes = 80 * 1024 * 1024;
+constexpr std::size_t kMaxFrameBytes = 32 * 1024 * 1024;
 /*! Read buffer of websocketpp per link; a response of a few KB fits in one read. */
 constexpr std::size_t kReadBufferBytes = 8192;
 
@@ -61,6 +66,7 @@
                                  */
     TimePoint lastReceivedAt;
     TimePoint lastPingAt;
+    std::string incarnation; /*!< Of the peer's process; empty until the link is open. */
 };
 
 void setSocketOptions(boost::asio::ip::tcp::socket &socket)
@@ -73,10 +79,11 @@
 struct PeerLinks::Impl
 {
     using Handle = websocketpp::connection_hdl;
+    using SilentMap = std::multimap<Address, internal::Link, internal::AddressLess>;
     using LinkMap = std::map<Address, internal::Link, internal::AddressLess>;
 
     Impl(boost::asio::io_context &context, Address own, LinkEvents &sink)
-        : self{std::move(own)}, events{sink}
+        : self{std::move(own)}, incarnation{randomHex(internal::kIncarnationBytes)}, events{sink}
     {
         server.clear_access_channels(websocketpp::log::alevel::all);
         server.clear_error_channels(websocketpp::log::elevel::all);
@@ -85,6 +92,13 @@
         server.init_asio(&context);
         client.init_asio(&context);
         server.set_reuse_addr(true);
+        server.set_validate_handler([this](const Handle &handle) {
+            websocketpp::lib::error_code ec;
+            if (const auto connection = server.get_con_from_hdl(handle, ec); !ec) {
+                connection->append_header(internal::kIncarnationHeader, incarnation);
+            }
+            return true;
+        });
         server.set_open_handler([this](const Handle &handle) { onAccepted(handle); });
         setHandlers(server, incomingPeers);
         setHandlers(client, outgoingPeers);
@@ -106,23 +120,58 @@
                 [this, &peerByHandle](const Handle &handle, const auto &message) {
                     if (const auto it = peerByHandle.find(handle); it != peerByHandle.end()) {
                         frameByteCount += message->get_payload().size();
-                        updateLastReceived(it->second);
+                        updateLastReceived(it->second, handle);
                         events.onFrame(Address{it->second}, message->get_payload());
                     }
                 });
         endpoint.set_pong_handler([this, &peerByHandle](const Handle &handle, const std::string &) {
             if (const auto it = peerByHandle.find(handle); it != peerByHandle.end()) {
-                updateLastReceived(it->second);
+                updateLastReceived(it->second, handle);
             }
         });
         endpoint.set_close_handler(
                 [this, &peerByHandle](const Handle &handle) { onClosed(handle, peerByHandle); });
     }
 
-    void updateLastReceived(const Address &peer)
+    void updateLastReceived(const Address &peer, const Handle &handle)
     {
+        const auto now = bootNow();
         if (const auto it = links.find(peer); it != links.end()) {
-            it->second.lastReceivedAt = bootNow();
+            it->second.lastReceivedAt = now;
+        } else if (const auto silent = findSilent(peer, handle); silent != silentLinks.end()) {
+            // The peer goes on, so its link is used again.
+            auto link = std::move(silent->second);
+            silentLinks.erase(silent);
+            link.lastReceivedAt = now;
+            links[peer] = std::move(link);
+            failedAt.erase(peer);
+            events.onLinkOpen(peer);
+        }
+    }
+
+    SilentMap::iterator findSilent(const Address &peer, const Handle &handle)
+    {
+        const auto [first, last] = silentLinks.equal_range(peer);
+        for (auto it = first; it != last; ++it) {
+            if (it->second.handle.lock() == handle.lock()) {
+                return it;
+            }
+        }
+        return silentLinks.end();
+    }
+
+    /*! Ends the calls with an earlier process of a peer. */
+    void dropOtherIncarnations(const Address &peer, const std::string &current)
+    {
+        bool isAnyDropped = false;
+        const auto [first, last] = silentLinks.equal_range(peer);
+        for (auto it = first; it != last;) {
+            const bool isOther = it->second.incarnation != current;
+            isAnyDropped = isAnyDropped || isOther;
+            it = isOther ? silentLinks.erase(it) : std::next(it);
+        }
+        if (isAnyDropped) {
+            events.onLinkLost(peer, LinkLoss::PeerGone);
         }
     }
 
@@ -138,25 +187,31 @@
             server.close(handle, websocketpp::close::status::policy_violation, "", ec);
             return;
         }
+        const auto peerIncarnation = connection->get_request_header(internal::kIncarnationHeader);
         incomingPeers[handle] = *peer;
+        dropOtherIncarnations(*peer, peerIncarnation);
         auto &link = links[*peer];
-        // If both nodes open a link at the same time, frames are read from both links. A peer that
-        // opens another link later has restarted or lost the old one, so responses pending on the
-        // old link will not arrive.
-        const bool isSimultaneousOpen = link.isOpen && link.isOutgoing
+        // If both nodes open a link at the same time, frames are read from both links.
+        const bool isSameProcess = link.isOpen && link.incarnation == peerIncarnation;
+        const bool isSimultaneousOpen = isSameProcess && link.isOutgoing
                 && millisBetween(link.openingStartedAt, bootNow()) < kOpenTimeout;
-        if (!isSimultaneousOpen) {
-            if (link.isOpen) {
-                events.onLinkLost(*peer, true);
-            }
-            auto pendingFrames = std::move(link.pendingFrames);
-            link = {handle, false, true, {}, bootNow(), bootNow(), {}};
-            for (auto &frame : pendingFrames) {
-                writeFrame(link, frame);
-            }
-            failedAt.erase(*peer);
-            events.onLinkOpen(*peer);
+        if (isSimultaneousOpen) {
+            return;
+        }
+        if (isSameProcess) {
+            // The peer finds the old link silent. What it sent on it may still arrive.
+            silentLinks.emplace(*peer, std::move(link));
+        } else if (link.isOpen) {
+            events.onLinkLost(*peer, LinkLoss::PeerGone);
+        }
+        auto pendingFrames = std::move(link.pendingFrames);
+        const auto now = bootNow();
+        links[*peer] = {handle, false, true, {}, now, now, {}, peerIncarnation};
+        for (auto &frame : pendingFrames) {
+            writeFrame(links[*peer], frame);
         }
+        failedAt.erase(*peer);
+        events.onLinkOpen(*peer);
     }
 
     void onOpen(const Handle &handle,
@@ -168,11 +223,17 @@
         }
         const Address peer = it->second;
         failedAt.erase(peer);
+        websocketpp::lib::error_code ec;
+        const auto connection = client.get_con_from_hdl(handle, ec);
+        const auto peerIncarnation
+                = ec ? "" : connection->get_response_header(internal::kIncarnationHeader);
+        dropOtherIncarnations(peer, peerIncarnation);
         auto &link = links[peer];
         if (link.handle.lock() != handle.lock()) {
             return;
         }
         link.isOpen = true;
+        link.incarnation = peerIncarnation;
         link.lastReceivedAt = bootNow();
         const auto pendingFrames = std::move(link.pendingFrames);
         link.pendingFrames.clear();
@@ -196,6 +257,13 @@
 
     void removeLink(const Address &peer, const Handle &handle)
     {
+        if (const auto silent = findSilent(peer, handle); silent != silentLinks.end()) {
+            silentLinks.erase(silent);
+            if (links.count(peer) == 0 && silentLinks.count(peer) == 0) {
+                events.onLinkLost(peer, LinkLoss::PeerGone);
+            }
+            return;
+        }
         const auto it = links.find(peer);
         if (it == links.end() || it->second.handle.lock() != handle.lock()) {
             return;
@@ -205,7 +273,36 @@
         if (!wasOpen) {
             failedAt[peer] = bootNow();
         }
-        events.onLinkLost(peer, wasOpen);
+        const bool isLast = silentLinks.count(peer) == 0;
+        events.onLinkLost(peer, !wasOpen ? LinkLoss::NotOpened
+                                  : isLast ? LinkLoss::PeerGone
+                                           : LinkLoss::Closed);
+    }
+
+    /*! Stops using a link on which the peer is silent, but keeps reading from it. */
+    void detach(const Address &peer, TimePoint now)
+    {
+        const auto it = links.find(peer);
+        auto link = std::move(it->second);
+        links.erase(it);
+        silentLinks.emplace(peer, std::move(link));
+        failedAt[peer] = now;
+        events.onLinkSilent(peer);
+    }
+
+    void closeSocket(const internal::Link &link)
+    {
+        websocketpp::lib::error_code ec;
+        boost::system::error_code ignored;
+        if (link.isOutgoing) {
+            if (const auto connection = client.get_con_from_hdl(link.handle, ec); !ec) {
+                outgoingPeers.erase(link.handle);
+                connection->get_raw_socket().close(ignored);
+            }
+        } else if (const auto connection = server.get_con_from_hdl(link.handle, ec); !ec) {
+            incomingPeers.erase(link.handle);
+            connection->get_raw_socket().close(ignored);
+        }
     }
 
     /*! Closes the socket of a link without a closing handshake. */
@@ -216,23 +313,25 @@
             return;
         }
         const auto handle = it->second.handle;
-        const bool isOutgoing = it->second.isOutgoing;
-        websocketpp::lib::error_code ec;
-        if (isOutgoing) {
-            if (const auto connection = client.get_con_from_hdl(handle, ec); !ec) {
-                outgoingPeers.erase(handle);
-                boost::system::error_code ignored;
-                connection->get_raw_socket().close(ignored);
-            }
-        } else if (const auto connection = server.get_con_from_hdl(handle, ec); !ec) {
-            incomingPeers.erase(handle);
-            boost::system::error_code ignored;
-            connection->get_raw_socket().close(ignored);
-        }
+        closeSocket(it->second);
         failedAt[peer] = bootNow();
         removeLink(peer, handle);
     }
 
+    void closeSilent(TimePoint now)
+    {
+        std::vector<std::pair<Address, Handle>> expired;
+        for (const auto &[peer, link] : silentLinks) {
+            if (millisBetween(link.lastReceivedAt, now) > kSilenceBeforeClose) {
+                closeSocket(link);
+                expired.emplace_back(peer, link.handle);
+            }
+        }
+        for (const auto &[peer, handle] : expired) {
+            removeLink(peer, handle);
+        }
+    }
+
     bool open(const Address &peer, TimePoint now)
     {
         websocketpp::lib::error_code ec;
@@ -243,9 +342,10 @@
             return false;
         }
         connection->append_header(internal::kNodeHeader, self.text());
+        connection->append_header(internal::kIncarnationHeader, incarnation);
         connection->set_open_handshake_timeout(static_cast<long>(kOpenTimeout.count()));
         outgoingPeers[connection->get_handle()] = peer;
-        links[peer] = {connection->get_handle(), true, false, {}, now, now, {}};
+        links[peer] = {connection->get_handle(), true, false, {}, now, now, {}, {}};
         client.connect(connection);
         return true;
     }
@@ -287,10 +387,12 @@
     }
 
     Address self;
+    std::string incarnation; /*!< Differs for each process of a node. */
     LinkEvents &events;
     internal::Server server;
     internal::Client client;
     LinkMap links;
+    SilentMap silentLinks;
     std::map<Address, TimePoint, internal::AddressLess> failedAt;
     std::map<Handle, Address, std::owner_less<Handle>> incomingPeers;
     std::map<Handle, Address, std::owner_less<Handle>> outgoingPeers;
@@ -345,12 +447,45 @@
     return true;
 }
 
+bool PeerLinks::sendFollowUp(const Address &peer, std::string frame, TimePoint now)
+{
+    const auto silent = m_impl->silentLinks.find(peer);
+    if (silent == m_impl->silentLinks.end() || isOpen(peer)) {
+        return send(peer, std::move(frame), now);
+    }
+    if (m_impl->bufferedBytes(silent->second) > kMaxBufferedBytes) {
+        return false;
+    }
+    m_impl->writeFrame(silent->second, frame);
+    return true;
+}
+
+std::size_t PeerLinks::unsentBytes() const
+{
+    std::size_t sum = 0;
+    for (const auto &[peer, link] : m_impl->links) {
+        sum += link.isOpen ? m_impl->bufferedBytes(link) : 0;
+    }
+    return sum;
+}
+
 bool PeerLinks::isOpen(const Address &peer) const
 {
     const auto it = m_impl->links.find(peer);
     return it != m_impl->links.end() && it->second.isOpen;
 }
 
+std::vector<Address> PeerLinks::openPeers() const
+{
+    std::vector<Address> peers;
+    for (const auto &[peer, link] : m_impl->links) {
+        if (link.isOpen) {
+            peers.push_back(peer);
+        }
+    }
+    return peers;
+}
+
 bool PeerLinks::isReachable(const Address &peer, TimePoint now) const
 {
     if (const auto it = m_impl->links.find(peer); it != m_impl->links.end()) {
@@ -370,11 +505,12 @@
 
 void PeerLinks::sweep(TimePoint now)
 {
-    std::vector<Address> unresponsive;
+    std::vector<Address> unopened;
+    std::vector<Address> silent;
     for (auto &[peer, link] : m_impl->links) {
         if (!link.isOpen) {
             if (millisBetween(link.openingStartedAt, now) > kOpenTimeout) {
-                unresponsive.push_back(peer);
+                unopened.push_back(peer);
             }
             continue;
         }
@@ -385,14 +521,18 @@
         const auto silence = millisBetween(isPinged ? link.lastPingAt : link.lastReceivedAt, now);
         if (!isPinged && silence > kSilenceBeforePing) {
             m_impl->ping(link, now);
-        } else if (isPinged && silence > kSilenceBeforeLoss - kSilenceBeforePing) {
-            unresponsive.push_back(peer);
+        } else if (isPinged && silence > kSilenceBeforeDetach - kSilenceBeforePing) {
+            silent.push_back(peer);
         }
     }
-    for (const auto &peer : unresponsive) {
-        logEvent(LogLevel::Info, "links", "peer-silent", {{"peer", peer.text()}});
+    for (const auto &peer : unopened) {
         m_impl->closeAbruptly(peer);
     }
+    for (const auto &peer : silent) {
+        logEvent(LogLevel::Info, "links", "peer-silent", {{"peer", peer.text()}});
+        m_impl->detach(peer, now);
+    }
+    m_impl->closeSilent(now);
 }
 
 std::uint64_t PeerLinks::frameBytes() const noexcept
--- a/src/celeryramp/links/peer_links.h
+++ b/src/celeryramp/links/peer_links.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -18,14 +19,23 @@
 inline constexpr Millis kOpenTimeout{400};
 /*! Time without data from a peer with a pending response after which the peer is pinged. */
 inline constexpr Millis kSilenceBeforePing{400};
-/*! Time without data from a peer with a pending response after which its link is closed. */
-inline constexpr Millis kSilenceBeforeLoss{1500};
+/*! Time without data from a peer with a pending response after which its link counts as silent. */
+inline constexpr Millis kSilenceBeforeDetach{1500};
+/*! Time after which a silent link is closed; longer than any caller waits for an answer. */
+inline constexpr Millis kSilenceBeforeClose{10'000};
 /*! Delay after a link could not be opened or was unresponsive before the peer is tried again. */
 inline constexpr Millis kReopenPause{500};
 /*! Limit of unsent bytes for one peer; further frames are refused. */
 inline constexpr std::size_t kMaxBufferedBytes = 4 * 1024 * 1024;
 
-/*! @brief WebSocket links to other nodes, at most one in use per pair of nodes. */
+/*!
+ * @brief WebSocket links to other nodes, at most one in use per pair of nodes.
+ *
+ * A link on which a peer stays silent is detached: another one is opened for new calls, while the
+ * silent one is still read, since the peer may only be slow or stopped for a while. A peer that
+ * opens another link is recognized by the incarnation of its process: the same one goes on with
+ * the calls it has, a new one knows nothing of them.
+ */
 class PeerLinks
 {
 public:
@@ -48,9 +58,19 @@
      */
     [[nodiscard]] bool send(const Address &peer, std::string frame, TimePoint now);
 
+    /*!
+     * @brief Sends a frame that belongs to a call that was sent or received before. Unlike `send`
+     * it also uses a silent link if there is no other, so that the frame arrives when the peer
+     * goes on.
+     */
+    [[nodiscard]] bool sendFollowUp(const Address &peer, std::string frame, TimePoint now);
+
     /*! @return True if a link to the peer is open. */
     [[nodiscard]] bool isOpen(const Address &peer) const;
 
+    /*! @return Peers with an open link. */
+    [[nodiscard]] std::vector<Address> openPeers() const;
+
     /*! @return False for `kReopenPause` after a failure, and while a ping is overdue. */
     [[nodiscard]] bool isReachable(const Address &peer, TimePoint now) const;
 
@@ -60,7 +80,10 @@
      */
     [[nodiscard]] bool hasFailed(const Address &peer) const;
 
-    /*! @brief Pings silent peers and closes unresponsive links; to be called periodically. */
+    /*! @return Bytes of frames that are not handed to the operating system yet, over all links. */
+    [[nodiscard]] std::size_t unsentBytes() const;
+
+    /*! @brief Pings silent peers and detaches silent links; to be called periodically. */
     void sweep(TimePoint now);
 
     /*! @return Total payload bytes of frames sent and received. */
--- /dev/null
+++ b/src/celeryramp/proxy/answer_check.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string_view>
+
+#include "http/exchange.h"
+#include "proxy/header_adapter.h"
+
+namespace celeryramp::proxy {
+
+/*!
+ * @brief Judges a server's answer by its head, before its body has arrived.
+ *
+ * An answer without request id on a connection that has carried other requests may be a late copy
+ * of an earlier answer, so it is not attributed to this request. A success must be signed and
+ * unencoded, since a body that was changed on the way is not the server's. A status that promises
+ * that the request has not run is believed only from the server itself.
+ *
+ * @param requestId Id of the request that waits on the connection.
+ * @param isReused The connection has carried requests before.
+ */
+[[nodiscard]] http::AnswerMatch checkAnswer(int status, const AnswerMetadata &metadata,
+                                            std::string_view requestId, bool isReused) noexcept;
+
+} // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/call_dispatcher.h
+++ b/src/celeryramp/proxy/call_dispatcher.h
@@ -76,6 +76,7 @@
 class CallDispatcher
 {
 public:
+    CallDispatcher() = default;
     explicit CallDispatcher(CallPolicy policy) : m_policy{std::move(policy)} { }
 
     /*! @return The first step of the call. */
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -57,6 +57,7 @@
     out.push_back(binary(frame.request.target));
     out.push_back(headersToJson(frame.request.headers));
     out.push_back(binary(frame.request.body));
+    out.push_back(frame.sentAt);
 }
 
 [[nodiscard]] Frame readCall(const Json &json)
@@ -79,6 +80,7 @@
     frame.request.target = bytesOf(json.at(12));
     frame.request.headers = headersFromJson(json.at(13));
     frame.request.body = bytesOf(json.at(14));
+    frame.sentAt = json.at(15).get<std::int64_t>();
     return frame;
 }
 
@@ -96,6 +98,9 @@
         out.push_back(binary(frame.answer.reason));
         out.push_back(headersToJson(frame.answer.headers));
         out.push_back(binary(frame.answer.body));
+        if (frame.hasMore) {
+            out.push_back(frame.length ? Json(*frame.length) : Json());
+        }
     }
 }
 
@@ -109,7 +114,7 @@
     }
     frame.kind = static_cast<ReplyKind>(kind);
     const int reason = json.at(3).get<int>();
-    if (reason < 0 || reason > static_cast<int>(Reason::Cancelled)) {
+    if (reason < 0 || reason > static_cast<int>(Reason::Unreadable)) {
         throw std::out_of_range{"unknown reason"};
     }
     frame.reason = static_cast<Reason>(reason);
@@ -122,6 +127,10 @@
         frame.answer.reason = bytesOf(json.at(7));
         frame.answer.headers = headersFromJson(json.at(8));
         frame.answer.body = bytesOf(json.at(9));
+        frame.hasMore = json.size() > 10;
+        if (frame.hasMore && !json.at(10).is_null()) {
+            frame.length = json.at(10).get<std::uint64_t>();
+        }
     }
     return frame;
 }
@@ -283,12 +292,53 @@
     return ReaderStatusFrame{json.at(1).get<bool>()};
 }
 
+void append(Json &out, const BodyFrame &frame)
+{
+    out.push_back(frame.id);
+    out.push_back(frame.offset);
+    out.push_back(static_cast<int>(frame.end));
+    out.push_back(binary(frame.bytes));
+}
+
+[[nodiscard]] Frame readBody(const Json &json)
+{
+    BodyFrame frame;
+    frame.id = json.at(1).get<std::uint64_t>();
+    frame.offset = json.at(2).get<std::uint64_t>();
+    const int end = json.at(3).get<int>();
+    if (end < 0 || end > static_cast<int>(BodyEnd::Broken)) {
+        throw std::out_of_range{"unknown end of a body"};
+    }
+    frame.end = static_cast<BodyEnd>(end);
+    frame.bytes = bytesOf(json.at(4));
+    return frame;
+}
+
+void append(Json &out, const CreditFrame &frame)
+{
+    out.push_back(frame.id);
+    out.push_back(frame.bytes);
+}
+
+[[nodiscard]] Frame readCredit(const Json &json)
+{
+    return CreditFrame{json.at(1).get<std::uint64_t>(), json.at(2).get<std::uint64_t>()};
+}
+
+void append(Json & /*out*/, const ClosedFrame & /*frame*/) { }
+
+[[nodiscard]] Frame readClosed(const Json & /*json*/)
+{
+    return ClosedFrame{};
+}
+
 using ReadFrame = Frame (*)(const Json &);
 
 /*! Decoders by the index of the type in `Frame`. */
 constexpr std::array<ReadFrame, std::variant_size_v<Frame>> kReaders{
         readCall,        readReply,     readCancel,  readLeaving, readUsage, readLevels,
-        readSyncRequest, readSyncReply, readSuspect, readNews,    readReader};
+        readSyncRequest, readSyncReply, readSuspect, readNews,    readReader, readBody,
+        readCredit,      readClosed};
 
 } // namespace internal
 
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -32,6 +33,7 @@
     bool mayQueue
             = true; /*!< False: refuse it if the target cannot be met, as others can be asked. */
     http::Request request; /*!< Without hop-by-hop headers and credentials. */
+    std::int64_t sentAt = 0; /*!< Nanoseconds on the sender's clock; shows how long it was under way. */
 };
 
 /*! @brief Outcome of a call at a gate. */
@@ -49,7 +51,45 @@
     Reason reason = Reason::None;
     bool reachedServer = false; /*!< The server itself refused; counts as an attempt. */
     GateLoad load;
-    http::Answer answer;
+    http::Answer answer; /*!< With the first part of its body if `hasMore`. */
+    bool hasMore = false; /*!< The rest of the body follows in `BodyFrame`s. */
+    std::optional<std::uint64_t> length; /*!< Announced length of a body that follows in parts. */
+};
+
+/*! Unacknowledged bytes of a body that a gate may send. It bounds what the gate and the receiving
+ * node hold of one answer. */
+inline constexpr std::uint64_t kBodyWindowBytes = 192 * 1024;
+/*! Longest body that a gate sends whole. Until it is complete, a broken answer can be replaced by
+ * that of another server. */
+inline constexpr std::size_t kWholeBodyBytes = 128 * 1024;
+
+/*! @brief State of a body after one of its parts. */
+enum class BodyEnd : std::uint8_t {
+    More, /*!< Further parts follow. */
+    Complete,
+    Broken /*!< The server's answer ended early; what was sent of it is not whole. */
+};
+
+/*! @brief A further part of the body of an answer. */
+struct BodyFrame
+{
+    std::uint64_t id = 0; /*!< Of the call. */
+    std::uint64_t offset = 0; /*!< Of the first byte in the body. */
+    BodyEnd end = BodyEnd::More;
+    std::string bytes;
+};
+
+/*! @brief Acknowledges bytes of a body that the caller was sent, so that as many more may follow. */
+struct CreditFrame
+{
+    std::uint64_t id = 0; /*!< Of the call. */
+    std::uint64_t bytes = 0;
+};
+
+/*! @brief Last frame of a node that shuts down: it has executed no call that it did not reply to,
+ * and will execute none. */
+struct ClosedFrame
+{
 };
 
 /*! @return A reply for a call of which nothing reached a server. */
@@ -150,6 +190,6 @@
 
 using Frame = std::variant<CallFrame, ReplyFrame, CancelFrame, LeavingFrame, UsageFrame,
                            LevelsFrame, SyncRequestFrame, SyncReplyFrame, SuspectFrame,
-                           ChangesFrame, ReaderStatusFrame>;
+                           ChangesFrame, ReaderStatusFrame, BodyFrame, CreditFrame, ClosedFrame>;
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/header_adapter.h
+++ b/src/celeryramp/proxy/header_adapter.h
@@ -26,6 +26,7 @@
     std::string serverId; /*!< Server that answered; empty if not given. */
     bool isNotRun = false; /*!< The server did not run the request. */
     bool isSigned = false; /*!< Has the header that only servers of the mesh set. */
+    bool isEncoded = false; /*!< The body is in an encoding that nobody asked for. */
     bool isOtherServer = false; /*!< The server at the address is not the intended one. */
     std::optional<Millis> coldFor; /*!< Remaining time for which the server is cold. */
 };
--- a/src/celeryramp/proxy/reason.h
+++ b/src/celeryramp/proxy/reason.h
@@ -27,18 +27,20 @@
     Malformed, /*!< The server sent an invalid answer. */
     DeadlinePassed,
     TimedOut, /*!< The route's timeout was reached. */
-    Cancelled /*!< The caller no longer waits. */
+    Cancelled, /*!< The caller no longer waits. */
+    Unreadable /*!< The entry of the configuration that decides on it cannot be read. */
 };
 
 /*! @return Name of the reason in logs and metrics. */
 [[nodiscard]] constexpr std::string_view reasonName(Reason reason) noexcept
 {
-    constexpr std::array<std::string_view, 20> kNames{
+    constexpr std::array<std::string_view, 21> kNames{
             "none",      "no-configuration", "stale-keys",  "unknown-key",
             "no-route",  "bad-request",      "over-limit",  "no-server",
             "busy",      "draining",         "evacuated",   "wrong-server",
             "shed",      "unreachable",      "quarantined", "lost",
-            "malformed", "deadline-passed",  "timed-out",   "cancelled"};
+            "malformed", "deadline-passed",  "timed-out",   "cancelled",
+            "unreadable"};
     return kNames.at(static_cast<std::size_t>(reason));
 }
 
--- a/test/support/test_header_adapter.cpp
+++ b/test/support/test_header_adapter.cpp
@@ -36,6 +36,7 @@
     metadata.requestId = http::findHeader(answer.headers, "T-Request");
     metadata.serverId = http::findHeader(answer.headers, "T-Server");
     metadata.isSigned = http::countHeaders(answer.headers, "T-Signed") > 0;
+    metadata.isEncoded = http::countHeaders(answer.headers, "Content-Encoding") > 0;
     metadata.isNotRun = http::countHeaders(answer.headers, "T-Not-Run") > 0;
     return metadata;
 }
