Tests of the operators' faults; stop, restart and silent links as they ask

Cause: of the faults that operators told of, these could happen here: calls under way to a closing node were taken for lost (502), accepted or waiting connections were closed unread when a node stopped listening, a request read together with its caller's disconnect was sent on, work on a silent link was given up after 1.5 s, an answer without id on a used connection was attributed to the request that waited, a body without end filled a node.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -399,6 +399,17 @@
     }
 }
 
+void BackendGate::abandon(TimePoint now)
+{
+    stopAdmitting(now);
+    while (!m_calls.empty()) {
+        const auto &call = m_calls.begin()->second;
+        cancel(std::string{call.origin}, call.frame.id, now);
+    }
+    m_expiryTimer.cancel();
+    m_pool.closeIdle();
+}
+
 std::optional<int> BackendGate::medianRunningRank() const
 {
     std::vector<int> ranks;
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -70,6 +70,9 @@
      * calls continue. */
     void stopAdmitting(TimePoint now);
 
+    /*! @brief Closes all connections to the server and forgets the calls on them. */
+    void abandon(TimePoint now);
+
     /*! @brief Performs periodic work: closes idle connections and, while calls wait, probes a
      * server whose state is unknown. */
     void sweep(TimePoint now);
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -103,8 +103,8 @@
     m_crashes.sweep(now);
     m_readinessEndpoint.sweep(now);
     m_metricsEndpoint.sweep(now);
-    if (m_isShuttingDown) {
-        continueShutdown(now);
+    if (m_isShuttingDown && continueShutdown(now)) {
+        return;
     }
     m_tickTimer.expires_after(PeerCoordinator::kTickInterval);
     m_tickTimer.async_wait([this](const boost::system::error_code &ec) {
@@ -137,7 +137,7 @@
     }
 }
 
-void Engine::continueShutdown(TimePoint now)
+bool Engine::continueShutdown(TimePoint now)
 {
     const auto elapsed = millisBetween(m_shutdownStartedAt, now);
     if (elapsed >= internal::kListenDuringShutdown && !m_hasStoppedListening) {
@@ -146,7 +146,7 @@
         m_gate.stopAdmitting(now);
     }
     if (m_hasStoppedListening) {
-        m_dispatcher.closeIdleConnections();
+        m_dispatcher.closeIdleConnections(now);
     }
     const bool isIdle = m_hasStoppedListening && m_dispatcher.isIdle() && m_gate.isIdle()
             && m_dispatcher.connectionCount() == 0;
@@ -156,18 +156,29 @@
         // are under way to this node. The links stay open until the next tick at least.
         m_hasClosed = true;
         notifyPeers(proxy::ClosedFrame{}, now);
-        return;
+        return false;
     }
     const bool isDone = isIdle && m_hasClosed && m_peers.unsentBytes() == 0;
-    if (isDone || isOverdue) {
+    const bool ends = isDone || isOverdue;
+    if (ends) {
         logEvent(LogLevel::Info, "engine", "stopped",
                  {{"spent_ms", std::to_string(elapsed.count())}, {"cut", isDone ? "0" : "1"}});
-        m_bindings.source.stop();
-        m_peers.close();
-        m_readinessEndpoint.close();
-        m_metricsEndpoint.close();
-        m_context.stop();
+        stop(now);
     }
+    return ends;
+}
+
+void Engine::stop(TimePoint now)
+{
+    m_tickTimer.cancel();
+    m_bindings.source.stop();
+    m_callerListener.close();
+    m_readinessEndpoint.close();
+    m_metricsEndpoint.close();
+    m_dispatcher.abandon();
+    m_gate.abandon(now);
+    m_peers.close();
+    m_context.stop();
 }
 
 http::Answer Engine::respondReadiness(std::string_view path) const
@@ -278,6 +289,10 @@
 {
     logEvent(LogLevel::Info, "engine", "peer-regained", {{"peer", peer.text()}});
     m_dispatcher.onLinkOpen(peer);
+    if (!m_replica.isComplete()) {
+        // After a restart while the platform cannot be read, peers are the only source.
+        m_coordinator.requestSync(peer, bootNow());
+    }
     if (m_isShuttingDown) {
         const auto frame = m_hasClosed ? proxy::encodeFrame(proxy::ClosedFrame{})
                                        : proxy::encodeFrame(proxy::LeavingFrame{});
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -58,6 +58,10 @@
      */
     void beginShutdown(TimePoint now);
 
+    /*! @brief Ends the node at once: closes all connections and stops the context. Calls that run
+     * are cut off. */
+    void stop(TimePoint now);
+
     void onFrame(const Address &peer, std::string_view bytes) override;
     void onLinkOpen(const Address &peer) override;
     void onLinkLost(const Address &peer, links::LinkLoss loss) override;
@@ -81,7 +85,8 @@
     void onDirectoryChanged(const std::vector<directory::ReplicaEvent> &beliefs, const char *source,
                             TimePoint now);
     void onSourceAnswered(TimePoint now);
-    void continueShutdown(TimePoint now);
+    /*! @return True once the node has stopped. */
+    [[nodiscard]] bool continueShutdown(TimePoint now);
     /*! @brief Sends a frame to all nodes with an open link. */
     void notifyPeers(const proxy::Frame &frame, TimePoint now);
     void onCallFrame(const Address &peer, proxy::CallFrame call, TimePoint now);
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -29,6 +29,9 @@
 constexpr double kRetryReserve = 1.0;
 /*! Scales the priority of the account, so that it outweighs the priority of the route. */
 constexpr int kRanksPerAccountPriority = 16;
+/*! Time without a request after which a leaving node closes a connection. The first request of a
+ *  new connection arrives within it. */
+constexpr Millis kIdleBeforeClose{150};
 /*! Bytes sent to a caller after which the gate is allowed as many more. */
 constexpr std::uint64_t kCreditStep = 32 * 1024;
 constexpr std::string_view kLocalOrigin = "own";
@@ -639,14 +642,22 @@
     }
 }
 
-void RequestDispatcher::closeIdleConnections()
+void RequestDispatcher::closeIdleConnections(TimePoint now)
 {
     const auto connections = m_connections;
     for (const auto &connection : connections) {
-        if (connection->isIdle()) {
+        if (connection->idleFor(now) >= internal::kIdleBeforeClose) {
             connection->close();
         }
     }
 }
 
+void RequestDispatcher::abandon()
+{
+    const auto connections = m_connections;
+    for (const auto &connection : connections) {
+        connection->close();
+    }
+}
+
 } // namespace celeryramp::engine
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -86,8 +86,10 @@
     void sweep(TimePoint now);
     /*! @brief Closes each connection, present or new, after its pending answer. */
     void beginShutdown();
-    /*! @brief Closes connections that carry no request now. */
-    void closeIdleConnections();
+    /*! @brief Closes connections that have carried no request for a moment. */
+    void closeIdleConnections(TimePoint now);
+    /*! @brief Closes all connections and forgets their calls. */
+    void abandon();
     [[nodiscard]] bool isIdle() const noexcept { return m_calls.empty(); }
     [[nodiscard]] std::size_t connectionCount() const noexcept { return m_connections.size(); }
 
--- a/src/celeryramp/http/caller_connection.h
+++ b/src/celeryramp/http/caller_connection.h
@@ -98,11 +98,13 @@
      */
     void checkTimeouts(Millis headerTimeout, Millis idleTimeout, TimePoint now);
 
-    /*! @return True if no request is being received or served and no response is being sent. */
-    [[nodiscard]] bool isIdle() const noexcept
+    /*! @return Time for which no request was received or served and no response was sent; zero
+     * while one is. */
+    [[nodiscard]] Millis idleFor(TimePoint now) const noexcept
     {
-        return m_pending.empty() && !m_isLingering
+        const bool isIdle = m_pending.empty() && !m_isLingering
                 && m_reader.state() == RequestReader::State::Idle;
+        return isIdle ? millisBetween(m_lastChange, now) : Millis{0};
     }
     [[nodiscard]] bool isClosed() const noexcept { return m_closed; }
 
--- a/src/celeryramp/http/listener.cpp
+++ b/src/celeryramp/http/listener.cpp
@@ -62,15 +62,18 @@
 {
     m_acceptor.async_accept([this](const boost::system::error_code &ec,
                                    boost::asio::ip::tcp::socket socket) {
-        if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open()) {
+        if (ec == boost::asio::error::operation_aborted) {
             return;
         }
         if (ec) {
             logEvent(LogLevel::Warn, "listener", "accept-failed", {{"reason", ec.message()}});
         } else {
+            // Also served if the listener has been closed since it was accepted.
             m_accepted(std::move(socket));
         }
-        accept();
+        if (m_acceptor.is_open()) {
+            accept();
+        }
     });
 }
 
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -6,7 +6,11 @@
 
 namespace {
 
-directory::Route route(const char *name, const char *prefix, bool isIdempotent, bool isOpen)
+constexpr Millis kTimeout{2000};
+constexpr Millis kLongTimeout{6000};
+
+directory::Route route(const char *name, const char *prefix, bool isIdempotent, bool isOpen,
+                       Millis timeout = kTimeout)
 {
     directory::Route it;
     it.name = name;
@@ -14,7 +18,7 @@
     it.prefix = prefix;
     it.isIdempotent = isIdempotent;
     it.isOpen = isOpen;
-    it.timeout = Millis{2000};
+    it.timeout = timeout;
     it.targetLatency = Millis{500};
     it.maxAttempts = 2;
     it.split = {{"stock", 1}};
@@ -23,18 +27,31 @@
 
 } // namespace
 
-Mesh::Mesh(int count, int south)
+std::unique_ptr<Mesh> Mesh::withProxy()
+{
+    return std::unique_ptr<Mesh>{new Mesh{2, 0, true}};
+}
+
+Mesh::Mesh(int count, int south, bool isProxied)
 {
     m_decoder.base.services = {{"stock", "/health", 0, Millis{3000}, 15.0}};
     m_decoder.base.routes
             = {route("safe", "/safe/", true, true), route("once", "/once/", false, true),
-               route("keyed", "/keyed/", true, false)};
+               route("keyed", "/keyed/", true, false),
+               route("slow", "/slow/", false, true, kLongTimeout)};
     m_decoder.base.accounts = {{"mill", {"k1"}, 0, 0.0, 0.0}, {"press", {"k3"}, 0, 20.0, 20.0}};
     for (int i = 0; i < count; ++i) {
         auto node = std::make_unique<Node>();
         node->host = "127.0.0." + std::to_string(11 + i);
-        node->server = std::make_unique<ScriptedServer>(context, Address{node->host, kServerPort},
-                                                        "s" + std::to_string(i));
+        node->backendHost = node->host;
+        if (isProxied && i == count - 1) {
+            // Peers take the host of the server for that of its node.
+            node->backendHost = "127.0.0.51";
+            proxy = std::make_unique<TcpProxy>(context, Address{node->backendHost, kLinkPort},
+                                               Address{node->host, kLinkPort});
+        }
+        node->server = std::make_unique<ScriptedServer>(
+                context, Address{node->backendHost, kServerPort}, "s" + std::to_string(i));
         engine::EngineSettings settings;
         settings.name = "node-" + std::to_string(i);
         node->zone = i < count - south ? "north" : "south";
@@ -43,7 +60,8 @@
         settings.callers = {node->host, kCallerPort};
         settings.links = {node->host, kLinkPort};
         settings.readiness = {node->host, kReadinessPort};
-        settings.backend = {node->host, kServerPort};
+        settings.backend = {node->backendHost, kServerPort};
+        m_settings.push_back(settings);
         node->engine = std::make_unique<engine::Engine>(
                 context, settings,
                 engine::DeploymentBindings{m_headerAdapter, m_decoder, node->source, "/ready",
@@ -70,7 +88,7 @@
         }
         const bool isDraining = draining.count(static_cast<int>(i)) > 0;
         items.push_back({"server/" + id,
-                         id + " stock " + nodes[i]->zone + " " + nodes[i]->host + ":"
+                         id + " stock " + nodes[i]->zone + " " + nodes[i]->backendHost + ":"
                                  + std::to_string(kServerPort) + " 4 "
                                  + (isDraining ? "draining" : "ready") + " 0 1",
                          m_revision, false});
@@ -80,6 +98,26 @@
     }
 }
 
+std::shared_ptr<RawCaller> Mesh::connect(int node)
+{
+    auto caller = std::make_shared<RawCaller>(context);
+    caller->connect({nodes[static_cast<std::size_t>(node)]->host, kCallerPort});
+    return caller;
+}
+
+std::string Mesh::request(const std::string &method, const std::string &target,
+                          const std::string &body, Millis deadline)
+{
+    http::Request request;
+    request.method = method;
+    request.target = target;
+    request.headers = {{"Host", "Shop.Example"},
+                       {"T-Request", "r" + std::to_string(m_nextRequest++)},
+                       {"T-Deadline", std::to_string(deadline.count())}};
+    request.body = body;
+    return http::serialize(request);
+}
+
 http::ClientConnectionPtr Mesh::call(int node, const std::string &method, const std::string &target,
                                      const std::shared_ptr<Outcome> &outcome,
                                      const http::Headers &headers, const std::string &body)
@@ -113,6 +151,23 @@
     return *outcome;
 }
 
+void Mesh::restartNode(int index)
+{
+    auto &node = *nodes[static_cast<std::size_t>(index)];
+    const auto settings = m_settings[static_cast<std::size_t>(index)];
+    // Kept until the end, since handlers that are queued in the context refer to it.
+    node.engine->stop(bootNow());
+    m_stoppedEngines.push_back(std::move(node.engine));
+    run(Millis{20});
+    node.engine = std::make_unique<engine::Engine>(
+            context, settings,
+            engine::DeploymentBindings{m_headerAdapter, m_decoder, node.source, "/ready",
+                                       "/metrics"});
+    if (const auto started = node.engine->start(); !started) {
+        throw std::runtime_error{started.error().place + ": " + started.error().reason};
+    }
+}
+
 void Mesh::run(Millis time)
 {
     context.restart();
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -8,7 +8,9 @@
 
 #include "directory/item_sink.h"
 #include "engine/engine.h"
+#include "support/raw_caller.h"
 #include "support/scripted_server.h"
+#include "support/tcp_proxy.h"
 #include "support/test_header_adapter.h"
 #include "support/text_decoder.h"
 
@@ -37,16 +39,20 @@
  * @brief Nodes with their servers in one process and thread, on loopback addresses from 127.0.0.11.
  *
  * All nodes are in zone `north` by default. All servers belong to service `stock`. The routes are
- * `/safe/` (idempotent), `/once/` (not idempotent) and `/keyed/` (idempotent, requires a key). Key
+ * `/safe/` (idempotent), `/once/` and, with a timeout of 6 s, `/slow/` (not idempotent) and
+ * `/keyed/` (idempotent, requires a key). Key
  * `k1` belongs to an account without limit, `k3` to one with a rate of 20 requests per second and a
  * burst of 20.
  */
 class Mesh
 {
 public:
-    /*! @param nodes Number of nodes. @param south Number of nodes in zone `south`, the last ones.
+    /*! @param count Number of nodes. @param south Number of nodes in zone `south`, the last ones.
      */
-    explicit Mesh(int nodes, int south = 0);
+    explicit Mesh(int count, int south = 0) : Mesh{count, south, false} { }
+
+    /*! @return A mesh of two nodes. The links that node 0 opens to node 1 lead through `proxy`. */
+    [[nodiscard]] static std::unique_ptr<Mesh> withProxy();
 
     /*!
      * @brief Sends a complete list of items to all nodes.
@@ -55,6 +61,15 @@
      */
     void publish(const std::set<int> &draining = {}, const std::set<int> &missing = {});
 
+    /*! @brief Opens a connection of a caller that sends and receives raw bytes. */
+    [[nodiscard]] std::shared_ptr<RawCaller> connect(int node);
+    /*! @return The bytes of a request, with a new id. */
+    [[nodiscard]] std::string request(const std::string &method, const std::string &target,
+                                      const std::string &body = {},
+                                      Millis deadline = Millis{1500});
+    /*! @brief Replaces the engine of a node by a new one that has received nothing yet. */
+    void restartNode(int index);
+
     /*! @brief Sends a request to a node as a caller. */
     http::ClientConnectionPtr call(int node, const std::string &method, const std::string &target,
                                    const std::shared_ptr<Outcome> &outcome,
@@ -75,6 +90,7 @@
         std::unique_ptr<ScriptedServer> server;
         std::string zone;
         std::string host;
+        std::string backendHost; /*!< Differs from `host` if links lead through a proxy. */
     };
 
     boost::asio::io_context context;
@@ -85,9 +101,15 @@
     static constexpr std::uint16_t kReadinessPort = 17803;
     static constexpr std::uint16_t kServerPort = 17804;
 
+    std::unique_ptr<TcpProxy> proxy;
+
 private:
+    Mesh(int count, int south, bool isProxied);
+
     TestHeaderAdapter m_headerAdapter;
     TextDecoder m_decoder;
+    std::vector<engine::EngineSettings> m_settings; /*!< Of each node. */
+    std::vector<std::unique_ptr<engine::Engine>> m_stoppedEngines;
     std::int64_t m_revision = 1;
     int m_nextRequest = 1;
 };
--- a/test/support/scripted_server.cpp
+++ b/test/support/scripted_server.cpp
@@ -1,5 +1,6 @@
 #include "support/scripted_server.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace celeryramp::test {
@@ -11,11 +12,12 @@
     boost::asio::ip::tcp::socket socket;
     http::RequestReader reader;
     std::array<char, 4096> input{};
+    Script script; /*!< Being sent. */
 };
 
 ScriptedServer::ScriptedServer(boost::asio::io_context &context, const Address &address,
                                std::string id)
-    : m_id{std::move(id)}, m_respond{[](const http::Request &request) {
+    : m_context{context}, m_id{std::move(id)}, m_respond{[](const http::Request &request) {
           return Script{good(request, "ok"), false};
       }},
       m_listener{context,
@@ -28,10 +30,14 @@
 }
 
 std::string ScriptedServer::good(const http::Request &request, const std::string &body)
+{
+    return head(request) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string ScriptedServer::head(const http::Request &request)
 {
     return "HTTP/1.1 200 OK\r\nT-Signed: 1\r\nT-Request: "
-            + std::string{http::findHeader(request.headers, "T-Request")}
-    + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            + std::string{http::findHeader(request.headers, "T-Request")} + "\r\n";
 }
 
 void ScriptedServer::accept(boost::asio::ip::tcp::socket socket)
@@ -47,19 +53,54 @@
             [this, connection](const boost::system::error_code &ec, std::size_t n) {
                 if (ec) {
                     --openConnections;
+                    boost::system::error_code ignored;
+                    connection->socket.close(ignored);
                     return;
                 }
                 const auto state = connection->reader.feed({connection->input.data(), n}, {});
                 if (state == http::RequestReader::State::Done) {
-                    const auto script = respond(connection->reader.take());
+                    connection->script = respond(connection->reader.take());
+                    writeAfter(connection, connection->script.delay);
+                }
+                read(connection);
+            });
+}
+
+void ScriptedServer::writeAfter(const std::shared_ptr<Connection> &connection, Millis delay)
+{
+    if (delay.count() == 0) {
+        write(connection);
+        return;
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, delay);
+    timer->async_wait([this, connection, timer](const boost::system::error_code &ec) {
+        if (!ec) {
+            write(connection);
+        }
+    });
+}
+
+void ScriptedServer::write(const std::shared_ptr<Connection> &connection)
+{
+    boost::asio::async_write(
+            connection->socket, boost::asio::buffer(connection->script.bytes),
+            [this, connection](const boost::system::error_code &ec, std::size_t n) {
+                bytesSent += n;
+                if (ec) {
+                    return; // the reading side handles the end of the connection
+                }
+                auto &script = connection->script;
+                script.bytes = script.more ? script.more() : std::string{};
+                if (!script.bytes.empty()) {
+                    write(connection);
+                } else if (script.closes) {
                     boost::system::error_code ignored;
-                    boost::asio::write(connection->socket, boost::asio::buffer(script.bytes),
-                                       ignored);
-                    if (script.closes) {
-                        connection->socket.close(ignored);
+                    if (script.resets) {
+                        connection->socket.set_option(boost::asio::socket_base::linger{true, 0},
+                                                      ignored);
                     }
+                    connection->socket.close(ignored);
                 }
-                read(connection);
             });
 }
 
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "core/time.h"
 #include "http/listener.h"
 #include "http/request_reader.h"
 
@@ -24,6 +25,10 @@
     {
         std::string bytes; /*!< Empty for no answer. */
         bool closes = false;
+        bool resets = false; /*!< Together with `closes`: the connection is reset. */
+        std::function<std::string()> more = {}; /*!< Returns further bytes once those before are sent;
+                                              empty at the end. */
+        Millis delay{0}; /*!< Before the first byte. */
     };
 
     using Respond = std::function<Script(const http::Request &)>;
@@ -36,6 +41,10 @@
     /*! @return A complete signed answer to the request. */
     [[nodiscard]] static std::string good(const http::Request &request, const std::string &body);
 
+    /*! @return Status line and headers of a signed answer, without framing and empty line. */
+    [[nodiscard]] static std::string head(const http::Request &request);
+
+    std::size_t bytesSent = 0; /*!< Of all answers. */
     std::vector<http::Request> seen; /*!< Received requests except health probes. */
     int openConnections = 0;
 
@@ -44,8 +53,11 @@
 
     void accept(boost::asio::ip::tcp::socket socket);
     void read(const std::shared_ptr<Connection> &connection);
+    void writeAfter(const std::shared_ptr<Connection> &connection, Millis delay);
+    void write(const std::shared_ptr<Connection> &connection);
     [[nodiscard]] Script respond(const http::Request &request);
 
+    boost::asio::io_context &m_context;
     std::string m_id;
     Respond m_respond;
     http::Listener m_listener;
