--- a/src/celeryramp/directory/routing_table.cpp
+++ b/src/celeryramp/directory/routing_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <tuple>
 
 namespace celeryramp::directory {
 
@@ -58,16 +59,20 @@
                 return DirectoryError{route.name, "unknown service " + part.service};
             }
         }
-        auto &indices = table.m_byHost[route.host];
-        for (const auto index : indices) {
-            if (config.routes[index].prefix == route.prefix) {
-                return DirectoryError{route.name,
-                                      "same host and prefix as route " + config.routes[index].name};
-            }
-        }
-        indices.push_back(i);
+        table.m_byHost[route.host].push_back(i);
     }
     for (auto &[host, indices] : table.m_byHost) {
+        std::sort(indices.begin(), indices.end(), [&config](std::size_t a, std::size_t b) {
+            return std::tie(config.routes[a].prefix, a) < std::tie(config.routes[b].prefix, b);
+        });
+        const auto same = std::adjacent_find(
+                indices.begin(), indices.end(), [&config](std::size_t a, std::size_t b) {
+                    return config.routes[a].prefix == config.routes[b].prefix;
+                });
+        if (same != indices.end()) {
+            return DirectoryError{config.routes[*std::next(same)].name,
+                                  "same host and prefix as route " + config.routes[*same].name};
+        }
         std::stable_sort(indices.begin(), indices.end(), [&config](std::size_t a, std::size_t b) {
             return config.routes[a].prefix.size() > config.routes[b].prefix.size();
         });
--- a/test/platform/store_item_decoder.cpp
+++ b/test/platform/store_item_decoder.cpp
@@ -168,6 +168,40 @@
     REQUIRE(configuration.problems.size() == 2);
 }
 
+TEST_CASE("A version decoded after another one is the same as decoded alone")
+{
+    const platform::StoreItemDecoder decoder;
+    const auto decodeWith = [](const platform::StoreItemDecoder &it, const std::string &value) {
+        return std::get<Configuration>(it.decode("op/config", value).value());
+    };
+    const std::vector<std::pair<std::string, std::string>> changes{
+            {"\"Version\":7", "\"Version\":8"}, {"1200ms", "900ms"}, {"\"Weight\":90", "\"Weight\":70"},
+            {"\"RatePerS\":78", "\"RatePerS\":12"}, {"[\"k\"]", "[\"k\",\"k2\"]"}, {"900ms", "900"},
+            {"\"900\"", "\"1s\""}, {"[\"k\",\"k2\"]", "7"}};
+    auto value = kConfiguration;
+    for (const auto &[from, to] : changes) {
+        value = replaced(value, from, to);
+        CAPTURE(value);
+        const auto after = decodeWith(decoder, value);
+        const auto alone = decodeWith(platform::StoreItemDecoder{}, value);
+        REQUIRE(after.version == alone.version);
+        REQUIRE(after.routes.size() == alone.routes.size());
+        REQUIRE(after.routes.at(0).timeout == alone.routes.at(0).timeout);
+        REQUIRE(after.routes.at(0).isReadable == alone.routes.at(0).isReadable);
+        REQUIRE(after.routes.at(0).split.size() == alone.routes.at(0).split.size());
+        REQUIRE(after.accounts.size() == alone.accounts.size());
+        REQUIRE(after.hasUnknownKeys == alone.hasUnknownKeys);
+        REQUIRE(after.problems.size() == alone.problems.size());
+        for (std::size_t i = 0; i < after.accounts.size(); ++i) {
+            REQUIRE(after.accounts[i].rate == alone.accounts[i].rate);
+            REQUIRE(after.accounts[i].keys == alone.accounts[i].keys);
+        }
+        for (std::size_t i = 0; i < after.routes.at(0).split.size(); ++i) {
+            REQUIRE(after.routes[0].split[i].weight == alone.routes[0].split[i].weight);
+        }
+    }
+}
+
 TEST_CASE("No bytes crash the decoder")
 {
     rc::prop("random", [](const std::string &key, const std::string &value) {
