Gate: estimates by place in the order, learnt rest of connections, servers that hang

(2) A server that forgets resting connections costs each request that must not be repeated until it stops. (3) A repeatable request at a server that hangs waited for its deadline. Change: waits are divided by what those before in the order leave of the capacity, by their recent rate, with a margin for new calls; IdleReuse halves the allowed rest after a loss without a byte; HangDetector lets repeatable requests go when several are overdue.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -16,8 +16,6 @@
 
 /*! The server runs on the same host, so a slower connect means that its accept queue is full. */
 constexpr Millis kConnectTimeout{500};
-/*! Longest idle time of a connection that is reused for a request that must not be repeated. */
-constexpr Millis kMaxIdleForNonIdempotent{1000};
 /*! Interval at which queued calls that can no longer be served are refused. */
 constexpr Millis kExpiryInterval{25};
 /*! Minimum time between two health probes of the server. */
@@ -178,6 +176,41 @@
     });
 }
 
+void BackendGate::giveUpHungCalls(TimePoint now)
+{
+    const auto overdueAge = m_hangs.overdueAge();
+    const auto isSilentFor = [now](const Call &call, Millis age) {
+        return call.isRunning && call.connection && !call.connection->hasReceived()
+                && millisBetween(call.handedOverAt, now) > age;
+    };
+    const auto overdue = static_cast<int>(
+            std::count_if(m_calls.begin(), m_calls.end(), [&](const auto &entry) {
+                return isSilentFor(entry.second, overdueAge);
+            }));
+    const auto patience = m_hangs.patience(overdue, now);
+    if (!patience) {
+        return;
+    }
+    std::vector<std::uint64_t> hung;
+    for (const auto &[ticket, call] : m_calls) {
+        if (call.frame.isIdempotent && isSilentFor(call, *patience)) {
+            hung.push_back(ticket);
+        }
+    }
+    for (const auto ticket : hung) {
+        const auto connection = m_calls.at(ticket).connection;
+        m_hangs.onUnanswered(
+                std::chrono::duration_cast<Micros>(now - m_calls.at(ticket).handedOverAt), now);
+        proxy::ReplyFrame reply;
+        reply.id = m_calls.at(ticket).frame.id;
+        reply.kind = proxy::ReplyKind::Failed;
+        reply.reason = proxy::Reason::Hung;
+        finish(ticket, std::move(reply), proxy::HandoverOutcome::Failed, now);
+        connection->cancel();
+    }
+    dispatchWaiting(now);
+}
+
 void BackendGate::sendToServer(std::uint64_t ticket, TimePoint now)
 {
     auto &call = m_calls.at(ticket);
@@ -204,9 +237,8 @@
     exchange.done = [this, ticket](http::ExchangeEnd end, http::Answer answer) {
         onExchangeEnd(ticket, end, std::move(answer));
     };
-    const auto maxIdle
-            = call.frame.isIdempotent ? Millis::max() : internal::kMaxIdleForNonIdempotent;
-    auto connection = m_pool.send(std::move(exchange), maxIdle, now);
+    auto connection = m_pool.send(std::move(exchange),
+                                  m_idleReuse.maxRest(call.frame.isIdempotent, now), now);
     if (const auto it = m_calls.find(ticket); it != m_calls.end()) {
         it->second.connection = std::move(connection);
     }
@@ -277,6 +309,7 @@
     auto handover = proxy::HandoverOutcome::Failed;
     switch (end) {
     case http::ExchangeEnd::Answered: {
+        m_hangs.onAnswered(std::chrono::duration_cast<Micros>(now - it->second.handedOverAt));
         const auto metadata = m_headerAdapter.readAnswer(answer);
         if (metadata.isOtherServer) {
             reply.kind = proxy::ReplyKind::NotRun;
@@ -307,6 +340,10 @@
         reply.reason = proxy::Reason::Malformed;
         break;
     case http::ExchangeEnd::Lost:
+        if (const auto &connection = it->second.connection; connection && !connection->hasReceived()) {
+            m_idleReuse.onLost(connection->restBefore(), now);
+        }
+        [[fallthrough]];
     case http::ExchangeEnd::Cancelled:
         reply.kind = proxy::ReplyKind::Failed;
         reply.reason = proxy::Reason::Lost;
@@ -378,8 +415,11 @@
     if (!call.isRunning) {
         m_admission.cancel(ticket);
     } else {
-        m_admission.finished(proxy::HandoverOutcome::Cancelled,
-                             std::chrono::duration_cast<Micros>(now - call.handedOverAt), now);
+        const auto spent = std::chrono::duration_cast<Micros>(now - call.handedOverAt);
+        m_admission.finished(proxy::HandoverOutcome::Cancelled, spent, now);
+        if (call.connection && !call.connection->hasReceived()) {
+            m_hangs.onUnanswered(spent, now);
+        }
         if (call.connection) {
             call.connection->cancel();
         }
@@ -485,6 +525,7 @@
 void BackendGate::sweep(TimePoint now)
 {
     m_pool.sweep(now);
+    giveUpHungCalls(now);
     if (m_admission.waiting() > 0) {
         probeIfNeeded(now);
     }
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -17,7 +17,9 @@
 #include "observe/metrics_registry.h"
 #include "proxy/crash_registry.h"
 #include "proxy/frames.h"
+#include "proxy/hang_detector.h"
 #include "proxy/header_adapter.h"
+#include "proxy/idle_reuse.h"
 #include "proxy/server_gate.h"
 
 namespace celeryramp::engine {
@@ -113,6 +115,8 @@
     void finish(std::uint64_t ticket, proxy::ReplyFrame reply, proxy::HandoverOutcome outcome,
                 TimePoint now);
     void armExpiryTimer();
+    /*! @brief Gives up repeatable calls at a server that hangs, so that they are tried elsewhere. */
+    void giveUpHungCalls(TimePoint now);
     /*! @brief Treats the server as cold until a health probe reports its state. */
     void assumeCold(const char *cause);
     /*! @brief Passes the requests that may have crashed the server to the crash handler. */
@@ -131,6 +135,8 @@
     CrashHandler m_crashHandler;
     http::ClientPool m_pool;
     proxy::ServerGate m_admission;
+    proxy::HangDetector m_hangs;
+    proxy::IdleReuse m_idleReuse;
     directory::DirectoryPtr m_view;
     directory::BackendServer
             m_server; /*!< The server beside this node; the id is empty if it is unknown. */
--- a/src/celeryramp/http/client_connection.cpp
+++ b/src/celeryramp/http/client_connection.cpp
@@ -42,6 +42,8 @@
 {
     m_exchange = std::move(exchange);
     m_sent = false;
+    m_hasReceived = false;
+    m_restBefore = m_requests > 0 ? millisBetween(m_freeSince, bootNow()) : Millis{0};
     ++m_requests;
     m_foreignAnswers = 0;
     m_match.reset();
@@ -127,6 +129,7 @@
         close();
         return;
     }
+    m_hasReceived = true;
     m_reader.feed(bytes);
     if (processAnswer()) {
         read();
--- a/src/celeryramp/http/client_connection.h
+++ b/src/celeryramp/http/client_connection.h
@@ -46,6 +46,12 @@
     /*! @return Time at which the connection last became free. */
     [[nodiscard]] TimePoint freeSince() const noexcept { return m_freeSince; }
 
+    /*! @return Time for which the connection had rested before the last request; zero for the
+     * first one. */
+    [[nodiscard]] Millis restBefore() const noexcept { return m_restBefore; }
+    /*! @return True if any byte was received since the last request was sent. */
+    [[nodiscard]] bool hasReceived() const noexcept { return m_hasReceived; }
+
     /*! @return Idle timeout that the server announced in `Keep-Alive`; zero without one. */
     [[nodiscard]] Millis announcedIdle() const noexcept { return m_announcedIdle; }
 
@@ -77,6 +83,8 @@
     bool m_isStreaming = false; /*!< The head of the answer was passed to `Exchange::onHead`. */
     bool m_isReadingPaused = false;
     bool m_closesAfterAnswer = false; /*!< The server has closed its side. */
+    Millis m_restBefore{0};
+    bool m_hasReceived = false;
     Millis m_announcedIdle{0};
     bool m_connected = false;
     bool m_sent = false; /*!< Bytes of the current request may have been sent. */
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -114,7 +114,7 @@
     }
     frame.kind = static_cast<ReplyKind>(kind);
     const int reason = json.at(3).get<int>();
-    if (reason < 0 || reason > static_cast<int>(Reason::Unreadable)) {
+    if (reason < 0 || reason > static_cast<int>(Reason::Hung)) {
         throw std::out_of_range{"unknown reason"};
     }
     frame.reason = static_cast<Reason>(reason);
--- a/src/celeryramp/proxy/reason.h
+++ b/src/celeryramp/proxy/reason.h
@@ -28,19 +28,20 @@
     DeadlinePassed,
     TimedOut, /*!< The route's timeout was reached. */
     Cancelled, /*!< The caller no longer waits. */
-    Unreadable /*!< The entry of the configuration that decides on it cannot be read. */
+    Unreadable, /*!< The entry of the configuration that decides on it cannot be read. */
+    Hung /*!< The server leaves requests without an answer. */
 };
 
 /*! @return Name of the reason in logs and metrics. */
 [[nodiscard]] constexpr std::string_view reasonName(Reason reason) noexcept
 {
-    constexpr std::array<std::string_view, 21> kNames{
+    constexpr std::array<std::string_view, 22> kNames{
             "none",      "no-configuration", "stale-keys",  "unknown-key",
             "no-route",  "bad-request",      "over-limit",  "no-server",
             "busy",      "draining",         "evacuated",   "wrong-server",
             "shed",      "unreachable",      "quarantined", "lost",
             "malformed", "deadline-passed",  "timed-out",   "cancelled",
-            "unreadable"};
+            "unreadable", "hung"};
     return kNames.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace celeryramp::proxy {
 
@@ -15,10 +16,17 @@
 constexpr double kFailureDecaySeconds = 3.0;
 /*! A call cancelled after this multiple of the average service time counts as failed. */
 constexpr double kHungFactor = 3.0;
-/*! Time constant of the utilization by timely calls; a few service times long. */
-constexpr double kUtilizationSeconds = 1.0;
-/*! Minimum share of the server's capacity that late calls are assumed to get. */
-constexpr double kMinLateShare = 0.02;
+/*! Time constant of the rates at which calls start; a few service times long. */
+constexpr double kStartRateSeconds = 1.0;
+/*! Minimum share of the server's capacity that the last calls in the order are assumed to get. */
+constexpr double kMinShare = 0.02;
+/*! Factor on the estimated wait of a new call. Without it, half of the calls at the limit would be
+ *  refused only after they have waited. */
+constexpr double kAdmissionMargin = 1.3;
+/*! Places in the order of service. */
+constexpr int kNestedClass = 0;
+constexpr int kTimelyClass = 1;
+constexpr int kLateClass = 2;
 /*! Assumed minimum service time of a call as a share of the average. With a usual distribution,
  *  half of the calls take less than 0.8 of the average. */
 constexpr double kMinServiceShare = 0.5;
@@ -47,36 +55,40 @@
     return (call.mayBeLate ? call.deadline : call.target) - minServiceTime();
 }
 
+ServerGate::Precedence ServerGate::precedence(const GateCall &call, TimePoint now) const
+{
+    const int place = isLate(call, now) ? internal::kLateClass : internal::kTimelyClass;
+    return {call.isNested ? internal::kNestedClass : place, call.rank};
+}
+
 bool ServerGate::precedes(const GateCall &a, const GateCall &b, TimePoint now) const
 {
-    if (a.isNested != b.isNested) {
-        return a.isNested;
+    if (a.isNested && b.isNested) {
+        return std::make_tuple(isLate(a, now), a.rank, a.target)
+                < std::make_tuple(isLate(b, now), b.rank, b.target);
     }
-    if (const bool isLateA = isLate(a, now); isLateA != isLate(b, now)) {
-        return !isLateA;
-    }
-    if (a.rank != b.rank) {
-        return a.rank < b.rank;
-    }
-    return a.target < b.target;
+    return std::make_tuple(precedence(a, now), a.target)
+            < std::make_tuple(precedence(b, now), b.target);
 }
 
-Millis ServerGate::estimateWait(std::size_t ahead, bool isLateCall, TimePoint now)
+Millis ServerGate::estimateWait(std::size_t ahead, const GateCall &call, TimePoint now)
 {
     double millis = 0.0;
+    const double preceding = precedingRate(call, now);
+    const auto shareLeft = [preceding](double capacity) {
+        return std::max(internal::kMinShare, 1.0 - preceding / capacity);
+    };
     const int free = std::max(0, m_slots - m_running);
     if (ahead >= static_cast<std::size_t>(free)) {
-        millis = static_cast<double>(ahead - static_cast<std::size_t>(free) + 1) * m_serviceMillis
-                / m_slots;
-        if (isLateCall) {
-            // Late calls only get the capacity that timely calls leave.
-            millis /= std::max(internal::kMinLateShare, 1.0 - timelyUtilization(now));
-        }
+        const double perSecond = m_slots * 1000.0 / std::max(1.0, m_serviceMillis);
+        const auto excess = static_cast<double>(ahead - static_cast<std::size_t>(free) + 1);
+        millis = excess * 1000.0 / perSecond / shareLeft(perSecond);
     }
     if (const int available = m_cold.available(m_coldPerSecond, now);
         available >= 0 && ahead >= static_cast<std::size_t>(available)) {
         const auto excess = static_cast<double>(ahead - static_cast<std::size_t>(available) + 1);
-        millis = std::max(millis, excess * 1000.0 / m_coldPerSecond);
+        millis = std::max(millis,
+                          excess * 1000.0 / m_coldPerSecond / shareLeft(m_coldPerSecond));
     }
     return Millis{std::lround(millis)};
 }
@@ -89,8 +101,8 @@
     const auto ahead = static_cast<std::size_t>(
             std::count_if(m_waiting.begin(), m_waiting.end(),
                           [&](const GateCall &other) { return !precedes(call, other, now); }));
-    const auto wait = estimateWait(ahead, isLate(call, now), now);
-    if (wait.count() > 0 && now + wait > latestStart(call)) {
+    const auto wait = estimateWait(ahead, call, now) * internal::kAdmissionMargin;
+    if (wait.count() > 0 && now + std::chrono::duration_cast<Millis>(wait) > latestStart(call)) {
         return Reason::Busy;
     }
     if (now >= call.deadline) {
@@ -110,11 +122,8 @@
             m_waiting.begin(), m_waiting.end(),
             [&](const GateCall &a, const GateCall &b) { return precedes(a, b, now); });
     const auto ticket = it->ticket;
-    if (!isLate(*it, now)) {
-        m_timelyUtilization = timelyUtilization(now)
-                + m_serviceMillis / 1000.0 / m_slots / internal::kUtilizationSeconds;
-        m_timelyUtilizationAt = now;
-    }
+    auto &rate = m_startRates[precedence(*it, now)];
+    rate = {rateAt(rate, now) + 1.0 / internal::kStartRateSeconds, now};
     m_waiting.erase(it);
     ++m_running;
     m_cold.onHandedOver(m_coldPerSecond, now);
@@ -135,7 +144,7 @@
               [&](const GateCall &a, const GateCall &b) { return precedes(a, b, now); });
     std::vector<GateCall> remaining;
     for (const auto &call : m_waiting) {
-        if (now + estimateWait(remaining.size(), isLate(call, now), now) > latestStart(call)) {
+        if (now + estimateWait(remaining.size(), call, now) > latestStart(call)) {
             refusals.push_back({call.ticket, Reason::Busy});
         } else {
             remaining.push_back(call);
@@ -145,10 +154,20 @@
     return refusals;
 }
 
-double ServerGate::timelyUtilization(TimePoint now) const
+double ServerGate::rateAt(const StartRate &rate, TimePoint now)
 {
-    return m_timelyUtilization
-            * std::exp(-secondsBetween(m_timelyUtilizationAt, now) / internal::kUtilizationSeconds);
+    return rate.perSecond
+            * std::exp(-secondsBetween(rate.at, now) / internal::kStartRateSeconds);
+}
+
+double ServerGate::precedingRate(const GateCall &call, TimePoint now) const
+{
+    double sum = 0.0;
+    const auto last = m_startRates.lower_bound(precedence(call, now));
+    for (auto it = m_startRates.begin(); it != last; ++it) {
+        sum += rateAt(it->second, now);
+    }
+    return sum;
 }
 
 void ServerGate::finished(HandoverOutcome outcome, Micros spent, TimePoint now)
--- a/src/celeryramp/proxy/server_gate.h
+++ b/src/celeryramp/proxy/server_gate.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/time.h"
@@ -40,8 +42,8 @@
  * draining and evacuation locally. Nested calls are served first, because the work of the sending
  * server is lost if they fail. Next are the calls that can still meet their target, then the late
  * ones, each ordered by rank and target. A call is refused as soon as the estimated wait exceeds
- * its deadline. Late calls only get the capacity that timely calls leave, and their estimated wait
- * takes this into account.
+ * its deadline. A call only gets the capacity that those before it in this order leave, also those
+ * that are yet to arrive, and its estimated wait takes this into account.
  */
 class ServerGate
 {
@@ -77,9 +79,9 @@
     [[nodiscard]] std::size_t waiting() const noexcept { return m_waiting.size(); }
     [[nodiscard]] int running() const noexcept { return m_running; }
 
-    /*! @return Estimated time until a call that arrives now is handed over. @param ahead Number of
-     * queued calls that precede it. */
-    [[nodiscard]] Millis estimateWait(std::size_t ahead, bool isLateCall, TimePoint now);
+    /*! @return Estimated time until a call is handed over. @param ahead Number of queued calls that
+     * precede it. */
+    [[nodiscard]] Millis estimateWait(std::size_t ahead, const GateCall &call, TimePoint now);
 
 private:
     [[nodiscard]] bool precedes(const GateCall &a, const GateCall &b, TimePoint now) const;
@@ -88,8 +90,19 @@
     [[nodiscard]] Millis minServiceTime() const;
     /*! @return Latest time of handover with which the call is worth queueing. */
     [[nodiscard]] TimePoint latestStart(const GateCall &call) const;
-    /*! @return Recent share of the server's capacity used by timely calls. */
-    [[nodiscard]] double timelyUtilization(TimePoint now) const;
+    /*! Order of service: nested, timely or late, then the rank. */
+    using Precedence = std::pair<int, int>;
+    /*! Calls per second, as a moving average. */
+    struct StartRate
+    {
+        double perSecond = 0.0; /*!< At `at`. */
+        TimePoint at;
+    };
+
+    [[nodiscard]] Precedence precedence(const GateCall &call, TimePoint now) const;
+    /*! @return Recent calls per second that were handed over before any call like this one. */
+    [[nodiscard]] double precedingRate(const GateCall &call, TimePoint now) const;
+    [[nodiscard]] static double rateAt(const StartRate &rate, TimePoint now);
     [[nodiscard]] double failureShare(TimePoint now) const;
     /*! @return Milliseconds until a cold server can take a new call; -1 if it is warm. */
     [[nodiscard]] int estimateColdWaitMillis(TimePoint now);
@@ -102,8 +115,7 @@
     double m_serviceMillis; /*!< Moving average of the service time. */
     double m_failureShare = 0.0; /*!< Moving average, at `m_failureShareAt`. */
     TimePoint m_failureShareAt;
-    double m_timelyUtilization = 0.0; /*!< At `m_timelyUtilizationAt`. */
-    TimePoint m_timelyUtilizationAt;
+    std::map<Precedence, StartRate> m_startRates;
     Reason m_closedReason = Reason::NoServer;
 
 public:
--- a/test/proxy/server_gate.cpp
+++ b/test/proxy/server_gate.cpp
@@ -1,6 +1,7 @@
 #include "proxy/server_gate.h"
 
 #include <deque>
+#include <map>
 
 #include <catch2/catch.hpp>
 
@@ -283,3 +284,54 @@
     }
     REQUIRE(nestedServed >= nestedSent * 9 / 10);
 }
+
+TEST_CASE("Pattern: urgent work leaves little - what has no chance is refused at once")
+{
+    auto gate = openGate(4);
+    constexpr Millis kService{100}; // 40 calls a second
+    constexpr Millis kStep{5};
+    std::deque<TimePoint> running;
+    std::map<std::uint64_t, TimePoint> offeredAt;
+    std::uint64_t ticket = 0;
+    int lowServed = 0;
+    int lowRefused = 0;
+    int lowRefusedLate = 0; // after a quarter of the time to the target
+    const auto end = kStart + Millis{10'000};
+    int step = 0;
+    for (auto now = kStart; now < end; now += kStep, ++step) {
+        while (!running.empty() && running.front() <= now) {
+            running.pop_front();
+            gate.finished(HandoverOutcome::Served, kService, now);
+        }
+        const auto count = [&](std::uint64_t refused) {
+            if (const auto it = offeredAt.find(refused); it != offeredAt.end()) {
+                ++lowRefused;
+                lowRefusedLate += millisBetween(it->second, now) > Millis{125} ? 1 : 0;
+                offeredAt.erase(it);
+            }
+        };
+        for (const auto &refusal : gate.expire(now)) {
+            count(refusal.ticket);
+        }
+        if (step % 7 == 0) { // urgent: 29 a second
+            static_cast<void>(gate.offer(
+                    call(++ticket, 0, Millis{500}, Millis{1500}, false, now), now));
+        }
+        if (step % 5 == 0) { // less urgent: 40 a second, of which about 11 fit
+            offeredAt[++ticket] = now;
+            auto low = call(ticket, 3, Millis{500}, Millis{1500}, false, now);
+            low.mayBeLate = false;
+            if (gate.offer(low, now) != Reason::None) {
+                count(ticket);
+            }
+        }
+        while (const auto next = gate.next(now)) {
+            running.push_back(now + kService);
+            lowServed += static_cast<int>(offeredAt.erase(*next));
+        }
+    }
+    CAPTURE(lowServed, lowRefused, lowRefusedLate);
+    REQUIRE(lowServed >= 90);
+    REQUIRE(lowRefused > 200);
+    REQUIRE(lowRefusedLate <= lowRefused / 5); // four of five are refused at once
+}
