Backend client: a process that dies in either order is found dead

Change: a server lives if it answers its health check or keeps a connection open; a connection closed without an answer is tried again every 20 ms, up to ten times. The order 'connection first' is the failing one.

--- a/src/celeryramp/transport/backend_client.cpp
+++ b/src/celeryramp/transport/backend_client.cpp
@@ -1,5 +1,7 @@
 #include "transport/backend_client.h"
 
+#include <thread>
+
 #include <httplib.h>
 
 #include "transport/headers.h"
@@ -9,6 +11,9 @@
 namespace internal {
 
 constexpr Millis kServerConnectTimeout{500};
+/*! Probes of a server that accepts connections and closes them, and the pause between two. */
+constexpr int kMaxProbes = 10;
+constexpr Millis kProbePause{20};
 constexpr Millis kKeptConnectionLife{3000}; /*!< Below the server's own limit for idle ones. */
 
 [[nodiscard]] httplib::Headers toLibrary(const CallMessage &call, const BackendCallInfo &info)
@@ -74,7 +79,7 @@
         if (Clock::now() - start >= info.remaining) {
             return {BackendEnd::TimedOut, 0, {}, {}};
         }
-        return {isListening() ? BackendEnd::Broken : BackendEnd::Crashed, 0, {}, {}};
+        return {isAlive() ? BackendEnd::Broken : BackendEnd::Crashed, 0, {}, {}};
     }
 
     void cancel(const std::string &request)
@@ -104,13 +109,26 @@
         return response.get_header_value("Content-Length") == std::to_string(response.body.size());
     }
 
-    [[nodiscard]] bool isListening() const
+    /*! @return False if the server has ended. A process that dies may close its connections before
+     * its listening socket, so a connection that is closed without an answer is no sign of life
+     * and is tried again until there is one. */
+    [[nodiscard]] bool isAlive() const
     {
-        httplib::Client probe{m_address.host, m_address.port};
-        probe.set_connection_timeout(internal::kServerConnectTimeout);
-        probe.set_read_timeout(internal::kServerConnectTimeout);
-        const auto result = probe.Get("/_control/health");
-        return result || result.error() != httplib::Error::Connection;
+        for (int probe = 0; probe < internal::kMaxProbes; ++probe) {
+            httplib::Client client{m_address.host, m_address.port};
+            client.set_connection_timeout(internal::kServerConnectTimeout);
+            client.set_read_timeout(internal::kServerConnectTimeout);
+            const auto start = Clock::now();
+            const auto result = client.Get("/_control/health");
+            if (result || Clock::now() - start >= internal::kServerConnectTimeout) {
+                return true; // it answers, or is alive and slow
+            }
+            if (result.error() == httplib::Error::Connection) {
+                return false;
+            }
+            std::this_thread::sleep_for(internal::kProbePause);
+        }
+        return true;
     }
 
     Address m_address;
--- a/src/celeryramp/transport/backend_client.h
+++ b/src/celeryramp/transport/backend_client.h
@@ -14,7 +14,7 @@
     Answered, /*!< A whole answer. */
     NotConnected, /*!< No connection could be made: the server saw nothing. */
     TimedOut, /*!< No whole answer before the deadline. */
-    Broken, /*!< The connection ended without a whole answer, and the server still listens. */
+    Broken, /*!< The connection ended without a whole answer, and the server is still alive. */
     Crashed /*!< The connection ended without a whole answer, and the server is gone. */
 };
 
