--- a/standin/soak/backend.cpp
+++ b/standin/soak/backend.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdlib>
+#include <deque>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -52,7 +53,9 @@
     boost::asio::steady_timer timer; /*!< Ends the work on the current request. */
     http::RequestReader reader;
     std::array<char, 8192> input{};
-    std::string output;
+    std::deque<std::string> output;
+    std::string endless;
+    bool closesAfterOutput = false;
     bool isClosed = false;
 };
 
@@ -151,14 +154,26 @@
 
 void Backend::send(const std::shared_ptr<Connection> &connection, std::string bytes, bool closes)
 {
-    const auto held = std::make_shared<std::string>(std::move(bytes));
-    boost::asio::async_write(connection->socket, boost::asio::buffer(*held),
-                             [connection, held, closes](const boost::system::error_code &, std::size_t) {
-                                 if (closes) {
-                                     boost::system::error_code ignored;
-                                     connection->socket.close(ignored);
-                                 }
-                             });
+    connection->output.push_back(std::move(bytes));
+    connection->closesAfterOutput = connection->closesAfterOutput || closes;
+    if (connection->output.size() == 1) {
+        write(connection);
+    }
+}
+
+void Backend::write(const std::shared_ptr<Connection> &connection)
+{
+    boost::asio::async_write(
+            connection->socket, boost::asio::buffer(connection->output.front()),
+            [this, connection](const boost::system::error_code &ec, std::size_t) {
+                connection->output.pop_front();
+                if (!connection->output.empty() && !ec) {
+                    write(connection);
+                } else if (connection->closesAfterOutput) {
+                    boost::system::error_code ignored;
+                    connection->socket.close(ignored);
+                }
+            });
 }
 
 void Backend::sendEndless(const std::shared_ptr<Connection> &connection)
@@ -166,8 +181,8 @@
     if (connection->isClosed) {
         return;
     }
-    connection->output.assign(kEndlessBlock, 'x');
-    boost::asio::async_write(connection->socket, boost::asio::buffer(connection->output),
+    connection->endless.assign(kEndlessBlock, 'x');
+    boost::asio::async_write(connection->socket, boost::asio::buffer(connection->endless),
                              [this, connection](const boost::system::error_code &ec, std::size_t) {
                                  if (!ec) {
                                      sendEndless(connection);
--- a/standin/soak/backend.h
+++ b/standin/soak/backend.h
@@ -42,6 +42,7 @@
     void handle(const std::shared_ptr<Connection> &connection,
                 const celeryramp::http::Request &request);
     void send(const std::shared_ptr<Connection> &connection, std::string bytes, bool closes);
+    void write(const std::shared_ptr<Connection> &connection);
     void sendEndless(const std::shared_ptr<Connection> &connection);
 
     boost::asio::io_context &m_context;
--- a/standin/soak/records.h
+++ b/standin/soak/records.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -35,6 +36,8 @@
     int status = 0;
     bool isSigned = false; /*!< The answer is a server's. */
     bool isRightBody = false;
+    std::size_t bodyBytes = 0;
+    std::size_t expectedBytes = 0;
 };
 
 /*! @brief One execution of a request as the server saw it. */
--- a/standin/soak/soak.cpp
+++ b/standin/soak/soak.cpp
@@ -493,6 +493,8 @@
         request.end = CallerEnd::Answered;
         request.status = answer.status;
         request.isSigned = http::countHeaders(answer.headers, platform::kServerStampHeader) > 0;
+        request.bodyBytes = answer.body.size();
+        request.expectedBytes = size;
         request.isRightBody
                 = http::findHeader(answer.headers, platform::kRequestIdHeader) == id
                 && answer.body == bodyOf(id, size);
--- a/standin/soak/verdict.cpp
+++ b/standin/soak/verdict.cpp
@@ -99,7 +99,9 @@
     {
         if (request.end == CallerEnd::Answered && request.status == 200
             && !(request.isSigned && request.isRightBody)) {
-            report("right-answer", request.id + " got another or a partial answer");
+            report("right-answer", request.id + " got " + std::to_string(request.bodyBytes) + " of "
+                           + std::to_string(request.expectedBytes) + " bytes"
+                           + (request.isSigned ? "" : ", unsigned"));
         }
     }
 
