A server that hangs is left only if another one can take the request; cold rates are used in full after a loss of power

Change: the gate only reports the hang; the sender moves the request if attempts, budget, time and another server allow it and never while it shuts down. Three instead of two overdue requests are evidence.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -31,7 +31,12 @@
 BackendGate::BackendGate(boost::asio::io_context &context, const EngineSettings &settings,
                          const proxy::HeaderAdapter &headerAdapter, proxy::CrashRegistry &crashes,
                          MetricsRegistry &metrics)
-    : m_context{context}, m_startedAt{bootNow()}, m_expiryTimer{context}, m_settings{settings},
+    : m_context{context}, m_startedAt{bootNow()},
+      m_startedUnixMillis{static_cast<std::uint64_t>(
+              std::chrono::duration_cast<Millis>(
+                      std::chrono::system_clock::now().time_since_epoch())
+                      .count())},
+      m_expiryTimer{context}, m_settings{settings},
       m_headerAdapter{headerAdapter}, m_crashes{crashes}, m_metrics{metrics},
       m_pool{context, settings.backend, http::PoolSettings{internal::kConnectTimeout}}
 { }
@@ -59,8 +64,11 @@
     } else {
         if (m_server.id.empty()) {
             // An earlier process may have sent requests to the server in its last second.
-            // Their number is unknown, so the window counts as used up.
-            m_admission.cold().markUsed(m_startedAt);
+            // Their number is unknown, so the window counts as used up, unless the server started
+            // too late for that: both come back together after a loss of power.
+            if (proxy::ColdStartLimiter::mayBeUsed(server->startedMillis, m_startedUnixMillis)) {
+                m_admission.cold().markUsed(m_startedAt);
+            }
         }
         if (!m_server.isSameIncarnation(*server)) {
             assumeCold("new-incarnation");
@@ -176,7 +184,7 @@
     });
 }
 
-void BackendGate::giveUpHungCalls(TimePoint now)
+void BackendGate::reportHungCalls(TimePoint now)
 {
     const auto overdueAge = m_hangs.overdueAge();
     const auto isSilentFor = [now](const Call &call, Millis age) {
@@ -191,24 +199,12 @@
     if (!patience) {
         return;
     }
-    std::vector<std::uint64_t> hung;
-    for (const auto &[ticket, call] : m_calls) {
-        if (call.frame.isIdempotent && isSilentFor(call, *patience)) {
-            hung.push_back(ticket);
+    for (auto &[ticket, call] : m_calls) {
+        if (call.frame.isIdempotent && !call.isReportedHung && isSilentFor(call, *patience)) {
+            call.isReportedHung = true;
+            call.replies.onHung({call.frame.id});
         }
     }
-    for (const auto ticket : hung) {
-        const auto connection = m_calls.at(ticket).connection;
-        m_hangs.onUnanswered(
-                std::chrono::duration_cast<Micros>(now - m_calls.at(ticket).handedOverAt), now);
-        proxy::ReplyFrame reply;
-        reply.id = m_calls.at(ticket).frame.id;
-        reply.kind = proxy::ReplyKind::Failed;
-        reply.reason = proxy::Reason::Hung;
-        finish(ticket, std::move(reply), proxy::HandoverOutcome::Failed, now);
-        connection->cancel();
-    }
-    dispatchWaiting(now);
 }
 
 void BackendGate::sendToServer(std::uint64_t ticket, TimePoint now)
@@ -527,7 +523,7 @@
 void BackendGate::sweep(TimePoint now)
 {
     m_pool.sweep(now);
-    giveUpHungCalls(now);
+    reportHungCalls(now);
     if (m_admission.waiting() > 0) {
         probeIfNeeded(now);
     }
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -38,6 +38,8 @@
         /*! Gets the parts of a long body after the reply. Returns false if a part cannot be sent.
          */
         std::function<bool(proxy::BodyFrame)> onBody;
+        /*! Called at most once for a call that may be repeated, if the server seems to hang. */
+        std::function<void(proxy::HungFrame)> onHung;
     };
 
     BackendGate(boost::asio::io_context &context, const EngineSettings &settings,
@@ -98,6 +100,7 @@
         TimePoint handedOverAt;
         http::ClientConnectionPtr connection;
         bool isRunning = false;
+        bool isReportedHung = false;
         bool isStreaming = false; /*!< The head of the answer was sent. */
         std::uint64_t bodySent = 0; /*!< Bytes of the body that were sent. */
         std::uint64_t bodyAllowed = proxy::kBodyWindowBytes; /*!< Bytes that may be sent. */
@@ -115,8 +118,9 @@
     void finish(std::uint64_t ticket, proxy::ReplyFrame reply, proxy::HandoverOutcome outcome,
                 TimePoint now);
     void armExpiryTimer();
-    /*! @brief Gives up repeatable calls at a server that hangs, so that they are tried elsewhere. */
-    void giveUpHungCalls(TimePoint now);
+    /*! @brief Reports repeatable calls that wait at a server that hangs, so that they can be tried
+     * elsewhere. */
+    void reportHungCalls(TimePoint now);
     /*! @brief Treats the server as cold until a health probe reports its state. */
     void assumeCold(const char *cause);
     /*! @brief Passes the requests that may have crashed the server to the crash handler. */
@@ -127,6 +131,7 @@
 
     boost::asio::io_context &m_context;
     TimePoint m_startedAt; /*!< An earlier process on this host may have run until then. */
+    std::uint64_t m_startedUnixMillis; /*!< The same as Unix time in milliseconds. */
     boost::asio::steady_timer m_expiryTimer;
     const EngineSettings &m_settings;
     const proxy::HeaderAdapter &m_headerAdapter;
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -238,6 +238,8 @@
         m_gate.cancel(peer.text(), cancel->id, now);
     } else if (auto *body = std::get_if<proxy::BodyFrame>(&frame)) {
         m_dispatcher.onBody(peer, std::move(*body), now);
+    } else if (const auto *hung = std::get_if<proxy::HungFrame>(&frame)) {
+        m_dispatcher.onHung(peer, hung->id, now);
     } else if (const auto *credit = std::get_if<proxy::CreditFrame>(&frame)) {
         m_gate.addCredit(peer.text(), *credit);
     } else if (std::holds_alternative<proxy::ClosedFrame>(frame)) {
@@ -286,7 +288,8 @@
                                     {{"peer", peer.text()}, {"call", std::to_string(reply.id)}});
                        }
                    },
-                   [send](const proxy::BodyFrame &part) { return send(part); }},
+                   [send](const proxy::BodyFrame &part) { return send(part); },
+                   [send](const proxy::HungFrame &hung) { static_cast<void>(send(hung)); }},
                   now);
 }
 
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -317,6 +317,10 @@
                          onBody({}, std::move(held), bootNow());
                      });
                      return true;
+                 },
+                 [this](proxy::HungFrame hung) {
+                     boost::asio::post(m_context,
+                                       [this, hung] { onHung({}, hung.id, bootNow()); });
                  }},
                 now);
         return;
@@ -608,6 +612,29 @@
     }
 }
 
+void RequestDispatcher::onHung(const Address &peer, std::uint64_t id, TimePoint now)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end() || !isExpecting(it->second, peer) || it->second.isStreaming
+        || m_isShuttingDown) {
+        return;
+    }
+    auto &call = it->second;
+    if (!call.dispatcher.canLeaveServer(dispatchContext(), now)) {
+        return;
+    }
+    logEvent(LogLevel::Info, "desk", "server-hangs",
+             {{"request", call.frame.requestId},
+              {"server", call.dispatcher.pendingServer()},
+              {"spent_ms", std::to_string(millisBetween(call.arrivedAt, now).count())}});
+    cancelOffer(call, now);
+    proxy::ReplyFrame reply;
+    reply.id = id;
+    reply.kind = proxy::ReplyKind::Failed;
+    reply.reason = proxy::Reason::Hung;
+    onGateReply(id, reply, now);
+}
+
 void RequestDispatcher::onPeerLeaving(const Address &peer, TimePoint now)
 {
     m_leavingNodes[peer.host] = now;
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -69,6 +69,9 @@
     void onLinkOpen(const Address &peer);
     /*! @brief Fails the attempts that wait for a reply over a lost link. */
     void onLinkLost(const Address &peer, links::LinkLoss loss, TimePoint now);
+    /*! @brief Tries a call elsewhere whose server seems to hang, if that is possible. Otherwise it
+     * keeps waiting. */
+    void onHung(const Address &peer, std::uint64_t id, TimePoint now);
     /*!
      * @brief Retries the calls that may be repeated and wait for a reply of a peer that is silent.
      * The other calls keep waiting: the peer may only be slow, and may be executing them.
--- a/src/celeryramp/proxy/call_dispatcher.cpp
+++ b/src/celeryramp/proxy/call_dispatcher.cpp
@@ -15,6 +15,8 @@
 constexpr int kMaxLateOffers = 4;
 /*! Minimum time before the deadline at which another server is tried. */
 constexpr Millis kMinTimeLeft{30};
+/*! Minimum time before the deadline at which a server that hangs is left for another one. */
+constexpr Millis kMinTimeToLeave{150};
 /*! Bounds of the retry delay that refused callers are told. */
 constexpr Millis kMinRetryAfter{50};
 constexpr Millis kMaxRetryAfter{1000};
@@ -23,12 +25,14 @@
 constexpr int kUnavailableStatus = 503;
 constexpr int kGatewayTimeoutStatus = 504;
 
-/*! @return Time that the server needs to work off the calls beyond its slots, within the bounds. */
+/*! @return Time until the server may take another call, within the bounds: it works off the calls
+ * beyond its slots, or is cold and takes few. */
 [[nodiscard]] Millis retryDelay(const GateLoad &load)
 {
     const int excess = load.running + load.waiting - load.slots;
-    const Millis delay{excess > 0 && load.slots > 0 ? excess * load.serviceMillis / load.slots : 0};
-    return std::clamp(delay, kMinRetryAfter, kMaxRetryAfter);
+    const int queue = excess > 0 && load.slots > 0 ? excess * load.serviceMillis / load.slots : 0;
+    return std::clamp(Millis{std::max(queue, load.coldWaitMillis)}, kMinRetryAfter,
+                      kMaxRetryAfter);
 }
 
 } // namespace internal
@@ -129,6 +133,18 @@
             && context.retries.trySpend(m_policy.service);
 }
 
+bool CallDispatcher::canLeaveServer(const DispatchContext &context, TimePoint now) const
+{
+    const auto pool = context.servers.candidates(m_policy.service, m_triedServers, now);
+    const bool hasOther = std::any_of(pool.begin(), pool.end(), [](const Candidate &candidate) {
+        return !candidate.isExcluded;
+    });
+    return hasOther && m_policy.mayRepeat && m_attempts + 1 < m_policy.maxAttempts
+            && m_offers < internal::kMaxOffers && !m_allowsLate
+            && millisBetween(now, m_policy.deadline) >= internal::kMinTimeToLeave
+            && context.retries.canSpend(m_policy.service);
+}
+
 GiveUpStep CallDispatcher::onTimeout(const DispatchContext &context, TimePoint now)
 {
     m_mayHaveRun = m_mayHaveRun || !m_pendingServer.empty();
--- a/src/celeryramp/proxy/call_dispatcher.h
+++ b/src/celeryramp/proxy/call_dispatcher.h
@@ -85,6 +85,9 @@
     /*! @brief Handles the reply of the gate, or the loss of its node. @return The next step. */
     [[nodiscard]] CallStep onReply(const ReplyFrame &reply, const DispatchContext &context,
                                    TimePoint now);
+    /*! @return True if the attempt at the pending server may be given up now, since another server
+     * can be tried within the attempts and the retry budget. */
+    [[nodiscard]] bool canLeaveServer(const DispatchContext &context, TimePoint now) const;
     /*! @brief Ends the call when its deadline or the timeout of its route is reached. */
     [[nodiscard]] GiveUpStep onTimeout(const DispatchContext &context, TimePoint now);
     /*! @brief Handles that the caller closed its connection or cancelled the call. */
--- a/src/celeryramp/proxy/cold_start_limiter.cpp
+++ b/src/celeryramp/proxy/cold_start_limiter.cpp
@@ -1,6 +1,7 @@
 #include "proxy/cold_start_limiter.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace celeryramp::proxy {
 
@@ -15,7 +16,9 @@
     while (!m_handovers.empty() && now - m_handovers.front() >= kWindow) {
         m_handovers.pop_front();
     }
-    const int inWindow = static_cast<int>(perSecond) - static_cast<int>(m_handovers.size());
+    // Rounded up: the pacing keeps the average, which a window of whole requests would miss.
+    const int inWindow
+            = static_cast<int>(std::ceil(perSecond)) - static_cast<int>(m_handovers.size());
     return std::max(0, std::min(inWindow, static_cast<int>(availableTokens(perSecond, now))));
 }
 
--- a/src/celeryramp/proxy/cold_start_limiter.h
+++ b/src/celeryramp/proxy/cold_start_limiter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 
 #include "core/time.h"
@@ -27,6 +28,17 @@
      * requests handed over in the previous second are not known. */
     void markUsed(TimePoint now) noexcept { m_blockedUntil = now + kWindow; }
 
+    /*!
+     * @return True if an earlier process of this node may have sent requests to a server.
+     * @param serverStarted Start of the server, as Unix time in milliseconds.
+     * @param processStarted Start of this process on the same host, likewise.
+     */
+    [[nodiscard]] static bool mayBeUsed(std::uint64_t serverStarted,
+                                        std::uint64_t processStarted) noexcept
+    {
+        return serverStarted + kMinRestartMillis < processStarted;
+    }
+
     [[nodiscard]] bool isCold(TimePoint now) const noexcept { return now < m_coldUntil; }
 
     /*! @return Requests that may be handed over now; negative if there is no limit. */
@@ -37,6 +49,8 @@
 
 private:
     static constexpr Millis kWindow{1000};
+    /*! Minimum time between the end of a process and the start of the next one on its host. */
+    static constexpr std::uint64_t kMinRestartMillis = 100;
     /*! Requests that may be handed over at once. A larger burst would leave none for the end of the
      *  window. */
     static constexpr double kBurst = 1.0;
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -332,13 +332,23 @@
     return ClosedFrame{};
 }
 
+void append(Json &out, const HungFrame &frame)
+{
+    out.push_back(frame.id);
+}
+
+[[nodiscard]] Frame readHung(const Json &json)
+{
+    return HungFrame{json.at(1).get<std::uint64_t>()};
+}
+
 using ReadFrame = Frame (*)(const Json &);
 
 /*! Decoders by the index of the type in `Frame`. */
 constexpr std::array<ReadFrame, std::variant_size_v<Frame>> kReaders{
         readCall,        readReply,     readCancel,  readLeaving, readUsage, readLevels,
         readSyncRequest, readSyncReply, readSuspect, readNews,    readReader, readBody,
-        readCredit,      readClosed};
+        readCredit,      readClosed,    readHung};
 
 } // namespace internal
 
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -188,8 +188,16 @@
     bool canRead = false;
 };
 
+/*! @brief Tells that the server of a call seems to hang. The call goes on unless its sender cancels
+ * it because another server can take it. */
+struct HungFrame
+{
+    std::uint64_t id = 0; /*!< Of the call. */
+};
+
 using Frame = std::variant<CallFrame, ReplyFrame, CancelFrame, LeavingFrame, UsageFrame,
                            LevelsFrame, SyncRequestFrame, SyncReplyFrame, SuspectFrame,
-                           ChangesFrame, ReaderStatusFrame, BodyFrame, CreditFrame, ClosedFrame>;
+                           ChangesFrame, ReaderStatusFrame, BodyFrame, CreditFrame, ClosedFrame,
+                           HungFrame>;
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/hang_detector.cpp
+++ b/src/celeryramp/proxy/hang_detector.cpp
@@ -14,7 +14,7 @@
 constexpr double kPatienceFactor = 2.0;
 constexpr Millis kMinPatience{50};
 /*! Overdue and unanswered requests from which the server is taken to hang. */
-constexpr double kEvidence = 2.0;
+constexpr double kEvidence = 3.0;
 /*! Time constant with which unanswered requests fade. */
 constexpr double kFadeSeconds = 4.0;
 
--- a/src/celeryramp/routing/retry_budget.cpp
+++ b/src/celeryramp/routing/retry_budget.cpp
@@ -20,4 +20,10 @@
     return true;
 }
 
+bool RetryBudget::canSpend(const std::string &service) const
+{
+    const auto it = m_balances.find(service);
+    return (it == m_balances.end() ? m_initialBalance : it->second) >= 1.0;
+}
+
 } // namespace celeryramp
--- a/src/celeryramp/routing/retry_budget.h
+++ b/src/celeryramp/routing/retry_budget.h
@@ -29,6 +29,9 @@
     /*! @brief Spends one retry if the budget allows it. @return True if the retry is allowed. */
     [[nodiscard]] bool trySpend(const std::string &service);
 
+    /*! @return True if the budget allows a retry now. */
+    [[nodiscard]] bool canSpend(const std::string &service) const;
+
 private:
     double m_ratio;
     double m_maxBalance;
--- a/test/proxy/call_dispatcher.cpp
+++ b/test/proxy/call_dispatcher.cpp
@@ -196,3 +196,17 @@
     REQUIRE(end.status == 503);
     REQUIRE(end.reason == Reason::NoServer);
 }
+
+TEST_CASE("Pattern: power returns - callers are told when a cold server may take them")
+{
+    TestService service{"near-1", "near-2"};
+    CallDispatcher dispatcher{policy(true)};
+    auto step = dispatcher.begin(service.dispatchContext(), kStart);
+    auto reply = refusal(Reason::Busy);
+    reply.load = {0, 2, 5, 100, 600, 0}; // slots are free, but the server is cold
+    while (std::holds_alternative<OfferStep>(step)) {
+        step = dispatcher.onReply(reply, service.dispatchContext(), kStart);
+    }
+    REQUIRE(std::get<GiveUpStep>(step).status == 503);
+    REQUIRE(*std::get<GiveUpStep>(step).retryAfter == Millis{600});
+}
--- a/test/proxy/server_gate.cpp
+++ b/test/proxy/server_gate.cpp
@@ -335,3 +335,34 @@
     REQUIRE(lowRefused > 200);
     REQUIRE(lowRefusedLate <= lowRefused / 5); // four of five are refused at once
 }
+
+TEST_CASE("Pattern: power returns - a fractional cold start rate is used in full")
+{
+    auto gate = openGate(50, 3.3);
+    gate.cold().markCold(kStart + Millis{30'000});
+    std::vector<TimePoint> handed;
+    std::uint64_t ticket = 1;
+    for (int ms = 0; ms < 20'000; ms += 10) {
+        const auto now = kStart + Millis{ms};
+        static_cast<void>(
+                gate.offer(call(ticket++, 0, Millis{500}, Millis{1500}, false, now), now));
+        while (gate.next(now)) {
+            handed.push_back(now);
+            gate.finished(HandoverOutcome::Served, Micros{5000}, now);
+        }
+    }
+    REQUIRE(handed.size() >= 64); // 3.3 a second
+    REQUIRE(handed.size() <= 68);
+    for (std::size_t i = 4; i < handed.size(); ++i) {
+        REQUIRE(handed[i] - handed[i - 4] >= Millis{1000});
+    }
+}
+
+TEST_CASE("Pattern: power returns - a server that started with its node has an unused cold rate")
+{
+    constexpr std::uint64_t kProcessStarted = 1'700'000'000'000;
+    REQUIRE_FALSE(ColdStartLimiter::mayBeUsed(kProcessStarted + 300, kProcessStarted));
+    REQUIRE_FALSE(ColdStartLimiter::mayBeUsed(kProcessStarted - 80, kProcessStarted));
+    REQUIRE(ColdStartLimiter::mayBeUsed(kProcessStarted - 101, kProcessStarted));
+    REQUIRE(ColdStartLimiter::mayBeUsed(0, kProcessStarted)); // unknown start
+}
