Long bodies: one after the other on a link, and from servers whose links are free

Change: BodyScheduler keeps 96 KB under way over all bodies of a gate, the oldest first, and passes over receivers that do not acknowledge; bodies over 16 KB travel in parts. Whole answers up to 128 KB are still read before they are sent. ServerPicker learns how long a server's bodies take and prefers other servers for long answers. An answer that has begun is broken off a second after the caller's deadline, so that callers leave first.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -22,6 +22,8 @@
 constexpr Millis kProbeInterval{300};
 /*! Time for which a server is treated as cold when its service configures no cold start time. */
 constexpr Millis kDefaultColdDuration{3000};
+/*! Bytes of a body that are read from the server ahead of what can be sent. */
+constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
 /*! With less time left, the server would start a request that it cannot finish. */
 constexpr Millis kMinServerTime{5};
 constexpr int kServerError = 500;
@@ -199,9 +201,8 @@
     if (!patience) {
         return;
     }
-    for (auto &[ticket, call] : m_calls) {
-        if (call.frame.isIdempotent && !call.isReportedHung && isSilentFor(call, *patience)) {
-            call.isReportedHung = true;
+    for (const auto &[ticket, call] : m_calls) {
+        if (call.frame.isIdempotent && isSilentFor(call, *patience)) {
             call.replies.onHung({call.frame.id});
         }
     }
@@ -249,12 +250,14 @@
     if (it == m_calls.end()) {
         return;
     }
+    const auto now = bootNow();
     auto &call = it->second;
     call.isStreaming = true;
+    beginBody(call, now).connection = call.connection;
     proxy::ReplyFrame reply;
     reply.id = call.frame.id;
     reply.kind = proxy::ReplyKind::Answer;
-    reply.load = m_admission.load(bootNow());
+    reply.load = m_admission.load(now);
     http::eraseHopByHop(head.headers);
     reply.answer = std::move(head);
     reply.hasMore = true;
@@ -264,37 +267,96 @@
 
 void BackendGate::onAnswerBytes(std::uint64_t ticket, std::string bytes)
 {
-    const auto it = m_calls.find(ticket);
-    if (it == m_calls.end()) {
+    const auto call = m_calls.find(ticket);
+    if (call == m_calls.end()) {
         return;
     }
-    auto &call = it->second;
-    const auto offset = std::exchange(call.bodySent, call.bodySent + bytes.size());
-    if (call.bodySent >= call.bodyAllowed && call.connection) {
-        call.connection->setReadingPaused(true);
-    }
-    const auto origin = call.origin;
-    const auto id = call.frame.id;
-    const auto onBody = call.replies.onBody;
-    if (!onBody({id, offset, proxy::BodyEnd::More, std::move(bytes)})) {
-        // The body now has a gap, so nothing of it may follow.
-        cancel(origin, id, bootNow());
+    const BodyKey key{call->second.origin, call->second.frame.id};
+    const auto it = m_bodies.find(key);
+    if (it == m_bodies.end()) {
+        return;
     }
+    auto &body = it->second;
+    m_bodyScheduler.onAvailable(key, bytes.size());
+    body.unsent.append(bytes);
+    if (body.unsent.size() > internal::kMaxUnsentBytes && body.connection) {
+        body.connection->setReadingPaused(true);
+    }
+    sendBodies(bootNow());
 }
 
-void BackendGate::addCredit(const std::string &origin, const proxy::CreditFrame &credit)
+BackendGate::OutgoingBody &BackendGate::beginBody(const Call &call, TimePoint now)
 {
-    const auto entry = m_ticketsByCallId.find({origin, credit.id});
-    if (entry == m_ticketsByCallId.end()) {
-        return;
+    const BodyKey key{call.origin, call.frame.id};
+    m_bodyScheduler.add(key, call.origin != kLocalOrigin, now);
+    auto &body = m_bodies[key];
+    body = {};
+    body.send = call.replies.onBody;
+    body.requestId = call.frame.requestId;
+    return body;
+}
+
+void BackendGate::endBody(const BodyKey &key, proxy::BodyEnd end, TimePoint now)
+{
+    if (const auto it = m_bodies.find(key); it != m_bodies.end()) {
+        it->second.end = end;
+        it->second.connection.reset();
+        sendBodies(now);
+    }
+}
+
+void BackendGate::sendBodies(TimePoint now)
+{
+    std::vector<BodyKey> failed;
+    while (const auto grant = m_bodyScheduler.next(now)) {
+        const auto it = m_bodies.find(grant->key);
+        auto &body = it->second;
+        proxy::BodyFrame part{grant->key.second, body.offset, proxy::BodyEnd::More,
+                              body.unsent.substr(0, grant->bytes)};
+        body.unsent.erase(0, grant->bytes);
+        body.offset += grant->bytes;
+        if (body.unsent.empty() && body.end) {
+            part.end = *body.end;
+        }
+        if (body.unsent.size() < internal::kMaxUnsentBytes / 2 && body.connection) {
+            body.connection->setReadingPaused(false);
+        }
+        const bool isLast = part.end != proxy::BodyEnd::More;
+        if (!body.send(std::move(part))) {
+            logEvent(LogLevel::Warn, "gate", "body-not-sent", {{"request", body.requestId}});
+            m_bodyScheduler.remove(grant->key);
+            failed.push_back(grant->key);
+        } else if (isLast) {
+            m_bodyScheduler.remove(grant->key);
+            m_bodies.erase(it);
+        }
+    }
+    // Bodies that ended without further bytes after their last part.
+    for (auto it = m_bodies.begin(); it != m_bodies.end();) {
+        auto &body = it->second;
+        if (!body.end || !body.unsent.empty()) {
+            ++it;
+            continue;
+        }
+        if (!body.send({it->first.second, body.offset, *body.end, {}})) {
+            logEvent(LogLevel::Warn, "gate", "body-not-sent", {{"request", body.requestId}});
+        }
+        m_bodyScheduler.remove(it->first);
+        it = m_bodies.erase(it);
     }
-    auto &call = m_calls.at(entry->second);
-    call.bodyAllowed += credit.bytes;
-    if (call.isStreaming && call.connection && call.bodySent < call.bodyAllowed) {
-        call.connection->setReadingPaused(false);
+    for (const auto &[origin, id] : failed) {
+        // The body now has a gap, so nothing of it may follow.
+        cancel(origin, id, now);
     }
 }
 
+void BackendGate::addCredit(const std::string &origin, const proxy::CreditFrame &credit)
+{
+    const auto now = bootNow();
+    m_bodyScheduler.onCredit({origin, credit.id}, credit.bytes, now);
+    sendBodies(now);
+}
+
 void BackendGate::onExchangeEnd(std::uint64_t ticket, http::ExchangeEnd end, http::Answer answer)
 {
     const auto it = m_calls.find(ticket);
@@ -387,13 +449,21 @@
             .counter("gate_calls_total{outcome=\"" + std::string{proxy::reasonName(reply.reason)}
                      + "\"}")
             .add();
+    const BodyKey key{call.origin, call.frame.id};
     if (call.isStreaming) {
-        const bool isWhole = reply.kind == proxy::ReplyKind::Answer;
-        if (!call.replies.onBody({call.frame.id, call.bodySent,
-                                  isWhole ? proxy::BodyEnd::Complete : proxy::BodyEnd::Broken,
-                                  {}})) {
-            logEvent(LogLevel::Warn, "gate", "body-not-sent", {{"request", call.frame.requestId}});
-        }
+        endBody(key, reply.kind == proxy::ReplyKind::Answer ? proxy::BodyEnd::Complete
+                                                            : proxy::BodyEnd::Broken,
+                now);
+        return;
+    }
+    if (call.origin != kLocalOrigin && reply.answer.body.size() > proxy::kInlineBodyBytes) {
+        auto &body = beginBody(call, now);
+        body.unsent = std::exchange(reply.answer.body, {});
+        m_bodyScheduler.onAvailable(key, body.unsent.size());
+        reply.hasMore = true;
+        reply.length = body.unsent.size();
+        call.replies.onReply(std::move(reply));
+        endBody(key, proxy::BodyEnd::Complete, now);
         return;
     }
     call.replies.onReply(std::move(reply));
@@ -401,6 +471,8 @@
 
 void BackendGate::cancel(const std::string &origin, std::uint64_t id, TimePoint now)
 {
+    m_bodyScheduler.remove({origin, id});
+    m_bodies.erase({origin, id});
     const auto entry = m_ticketsByCallId.find({origin, id});
     if (entry == m_ticketsByCallId.end()) {
         return;
@@ -432,6 +504,10 @@
          it != m_ticketsByCallId.end() && it->first.first == origin; ++it) {
         ids.push_back(it->first.second);
     }
+    for (auto it = m_bodies.lower_bound({origin, 0});
+         it != m_bodies.end() && it->first.first == origin; ++it) {
+        ids.push_back(it->first.second);
+    }
     for (const auto id : ids) {
         cancel(origin, id, now);
     }
@@ -444,6 +520,10 @@
         const auto &call = m_calls.begin()->second;
         cancel(std::string{call.origin}, call.frame.id, now);
     }
+    while (!m_bodies.empty()) {
+        const auto key = m_bodies.begin()->first;
+        cancel(key.first, key.second, now);
+    }
     m_expiryTimer.cancel();
     m_pool.closeIdle();
 }
@@ -524,6 +604,7 @@
 {
     m_pool.sweep(now);
     reportHungCalls(now);
+    sendBodies(now); // of receivers that others have stopped waiting for
     if (m_admission.waiting() > 0) {
         probeIfNeeded(now);
     }
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -15,6 +15,7 @@
 #include "engine/engine_settings.h"
 #include "http/client_pool.h"
 #include "observe/metrics_registry.h"
+#include "proxy/body_scheduler.h"
 #include "proxy/crash_registry.h"
 #include "proxy/frames.h"
 #include "proxy/hang_detector.h"
@@ -31,6 +32,9 @@
 class BackendGate
 {
 public:
+    /*! Origin of the calls of the own node. */
+    static constexpr std::string_view kLocalOrigin = "own";
+
     /*! Receives what a gate sends back to the node of a call. */
     struct Replies
     {
@@ -38,7 +42,8 @@
         /*! Gets the parts of a long body after the reply. Returns false if a part cannot be sent.
          */
         std::function<bool(proxy::BodyFrame)> onBody;
-        /*! Called at most once for a call that may be repeated, if the server seems to hang. */
+        /*! Called from time to time for a call that may be repeated, while the server seems to
+         * hang: another server may become available later. */
         std::function<void(proxy::HungFrame)> onHung;
     };
 
@@ -81,7 +86,7 @@
      * server whose state is unknown. */
     void sweep(TimePoint now);
 
-    [[nodiscard]] bool isIdle() const noexcept { return m_calls.empty(); }
+    [[nodiscard]] bool isIdle() const noexcept { return m_calls.empty() && m_bodies.empty(); }
     [[nodiscard]] const std::string &serverId() const noexcept { return m_server.id; }
     [[nodiscard]] proxy::GateLoad load(TimePoint now) { return m_admission.load(now); }
 
@@ -100,12 +105,21 @@
         TimePoint handedOverAt;
         http::ClientConnectionPtr connection;
         bool isRunning = false;
-        bool isReportedHung = false;
         bool isStreaming = false; /*!< The head of the answer was sent. */
-        std::uint64_t bodySent = 0; /*!< Bytes of the body that were sent. */
-        std::uint64_t bodyAllowed = proxy::kBodyWindowBytes; /*!< Bytes that may be sent. */
     };
 
+    /*! A body that is sent in parts. It can outlast its call, whose server is done. */
+    struct OutgoingBody
+    {
+        std::function<bool(proxy::BodyFrame)> send;
+        std::string requestId;
+        std::string unsent;
+        std::uint64_t offset = 0; /*!< Of `unsent` in the body. */
+        std::optional<proxy::BodyEnd> end; /*!< How it ends after `unsent`; empty while more comes. */
+        http::ClientConnectionPtr connection; /*!< Source of more. */
+    };
+    using BodyKey = proxy::BodyScheduler::Key;
+
     void dispatchWaiting(TimePoint now);
     /*! @brief Dispatches after the events that have arrived by now. A cancel among them then comes
      * before its call is handed over. */
@@ -114,6 +128,11 @@
     void onAnswerHead(std::uint64_t ticket, http::Answer head, std::optional<std::uint64_t> length);
     void onAnswerBytes(std::uint64_t ticket, std::string bytes);
     void onExchangeEnd(std::uint64_t ticket, http::ExchangeEnd end, http::Answer answer);
+    /*! @brief Begins to send a body in parts. */
+    OutgoingBody &beginBody(const Call &call, TimePoint now);
+    void endBody(const BodyKey &key, proxy::BodyEnd end, TimePoint now);
+    /*! @brief Sends what the scheduler allows. */
+    void sendBodies(TimePoint now);
     void refuse(std::uint64_t ticket, proxy::Reason reason, TimePoint now);
     void finish(std::uint64_t ticket, proxy::ReplyFrame reply, proxy::HandoverOutcome outcome,
                 TimePoint now);
@@ -149,6 +168,8 @@
     std::map<std::uint64_t, Call> m_calls; /*!< By ticket. */
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t>
             m_ticketsByCallId; /*!< By origin and call id. */
+    std::map<BodyKey, OutgoingBody> m_bodies;
+    proxy::BodyScheduler m_bodyScheduler;
     std::uint64_t m_nextTicket = 1;
     TimePoint m_lastProbeAt;
     bool m_needsProbe = true; /*!< It is unknown whether the server is cold or warm. */
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -34,7 +34,9 @@
 constexpr Millis kIdleBeforeClose{150};
 /*! Bytes sent to a caller after which the gate is allowed as many more. */
 constexpr std::uint64_t kCreditStep = 32 * 1024;
-constexpr std::string_view kLocalOrigin = "own";
+/*! Time after the caller's deadline after which an unfinished answer is broken off. Callers leave
+ *  by themselves before. */
+constexpr Millis kStreamGrace{1000};
 
 [[nodiscard]] std::string normalizeHost(std::string_view hostHeader)
 {
@@ -171,7 +173,8 @@
             = now + (route->targetLatency.count() > 0 ? route->targetLatency : route->timeout);
     policy.deadline = now
             + std::min(metadata.deadline.value_or(internal::kDefaultDeadline), route->timeout);
-    policy.maySpill = request.body.size() + m_answerSizes.expected(route->name)
+    policy.answerBytes = m_answerSizes.expected(route->name);
+    policy.maySpill = request.body.size() + policy.answerBytes
             <= proxy::spillAllowance(route->priority);
     m_retryBudget.onFirstAttempt(policy.service);
     auto &call = m_calls.emplace(id, Call{}).first->second;
@@ -282,9 +285,8 @@
     } else if (const auto *end = std::get_if<proxy::GiveUpStep>(&step)) {
         giveUp(call, *end, now);
     } else {
-        const auto bodySize = reply->hasMore
-                ? std::max<std::uint64_t>(reply->length.value_or(0), proxy::kWholeBodyBytes)
-                : reply->answer.body.size();
+        const auto bodySize = reply->hasMore ? reply->length.value_or(proxy::kWholeBodyBytes)
+                                             : reply->answer.body.size();
         m_answerSizes.onAnswer(call.route->name, bodySize);
         if (reply->hasMore) {
             beginStream(call, *reply, now);
@@ -305,7 +307,7 @@
     if (server.address.host == m_dependencies.settings.links.host) {
         call.peer = {};
         m_dependencies.gate.submit(
-                std::string{internal::kLocalOrigin}, call.frame,
+                std::string{BackendGate::kLocalOrigin}, call.frame,
                 {[this, id](proxy::ReplyFrame reply) {
                      // Posted, since a refusal that is handled inside submit() would recurse.
                      boost::asio::post(m_context, [this, id, held = std::move(reply)] {
@@ -362,7 +364,8 @@
 {
     call.isStreaming = true;
     // An answer that has begun is delivered, also when it takes longer than the route's timeout.
-    armTimer(call, call.callerDeadline, now);
+    armTimer(call, call.callerDeadline + internal::kStreamGrace, now);
+    call.streamBeganAt = now;
     call.response.begin(reply.answer, reply.length);
 }
 
@@ -385,6 +388,10 @@
     const bool isLast = part.end == proxy::BodyEnd::Complete;
     const auto response = call.response;
     if (isLast) {
+        m_serverPicker.onDelivered(call.frame.serverId, call.bodyReceived,
+                                   millisBetween(call.streamBeganAt, now), now);
+        // The rest is held here until the caller has read it, and no longer on the way.
+        sendCredit(call, call.bodyReceived - call.bodyCredited, now);
         recordEnd(call, 200, proxy::Reason::None, now);
         removeCall(call);
     }
@@ -401,14 +408,18 @@
     }
     auto &call = it->second;
     call.bodyUnacknowledged += bytes;
-    if (call.bodyUnacknowledged < internal::kCreditStep) {
-        return;
+    if (call.bodyUnacknowledged >= internal::kCreditStep) {
+        sendCredit(call, std::exchange(call.bodyUnacknowledged, 0), bootNow());
     }
-    const proxy::CreditFrame credit{call.id, std::exchange(call.bodyUnacknowledged, 0)};
+}
+
+void RequestDispatcher::sendCredit(Call &call, std::uint64_t bytes, TimePoint now)
+{
+    call.bodyCredited += bytes;
+    const proxy::CreditFrame credit{call.id, bytes};
     if (call.peer.host.empty()) {
-        m_dependencies.gate.addCredit(std::string{internal::kLocalOrigin}, credit);
-    } else if (!m_dependencies.peers.sendFollowUp(call.peer, proxy::encodeFrame(credit),
-                                                  bootNow())) {
+        m_dependencies.gate.addCredit(std::string{BackendGate::kLocalOrigin}, credit);
+    } else if (!m_dependencies.peers.sendFollowUp(call.peer, proxy::encodeFrame(credit), now)) {
         logEvent(LogLevel::Warn, "desk", "credit-not-sent",
                  {{"request", call.frame.requestId}, {"peer", call.peer.text()}});
     }
@@ -497,7 +508,7 @@
 void RequestDispatcher::cancelOffer(const Call &call, TimePoint now)
 {
     if (call.peer.host.empty()) {
-        m_dependencies.gate.cancel(std::string{internal::kLocalOrigin}, call.id, now);
+        m_dependencies.gate.cancel(std::string{BackendGate::kLocalOrigin}, call.id, now);
     } else if (!m_dependencies.peers.sendFollowUp(
                        call.peer, proxy::encodeFrame(proxy::CancelFrame{call.id}), now)) {
         logEvent(LogLevel::Warn, "desk", "cancel-not-sent",
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -112,6 +112,8 @@
         bool isOnSilentLink = false; /*!< Sent on a link that has become silent since. */
         bool isStreaming = false; /*!< The body of the answer arrives in parts. */
         std::uint64_t bodyReceived = 0; /*!< Bytes of the body received so far. */
+        TimePoint streamBeganAt;
+        std::uint64_t bodyCredited = 0; /*!< Bytes that the gate was told it may replace. */
         std::uint64_t bodyUnacknowledged = 0; /*!< Bytes sent to the caller, without credit yet. */
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
@@ -138,6 +140,7 @@
     void answer(Call &call, const http::Answer &answer, proxy::Reason reason, TimePoint now);
     /*! @brief Begins the answer to the caller with the first part of a long body. */
     void beginStream(Call &call, const proxy::ReplyFrame &reply, TimePoint now);
+    void sendCredit(Call &call, std::uint64_t bytes, TimePoint now);
     /*! @brief Fails an answer of which the body cannot be completed. */
     void abortStream(Call &call, proxy::Reason reason, TimePoint now);
     /*! @brief Counts and logs the end of a call. */
--- /dev/null
+++ b/src/celeryramp/proxy/body_scheduler.cpp
@@ -0,0 +1,79 @@
+#include "proxy/body_scheduler.h"
+
+#include <algorithm>
+
+#include "proxy/frames.h"
+
+namespace celeryramp::proxy {
+
+namespace internal {
+
+/*! Bytes of all bodies that may be under way. A link of 10 Mbit/s sends them in 80 ms, and one of
+ *  100 Mbit/s with a round trip of 5 ms is kept busy. */
+constexpr std::size_t kLinkWindowBytes = 96 * 1024;
+/*! Bytes of one frame. */
+constexpr std::size_t kPieceBytes = 16 * 1024;
+/*! Time without a credit after which a receiver no longer holds up the others. */
+constexpr Millis kStallTime{300};
+
+} // namespace internal
+
+void BodyScheduler::add(const Key &key, bool isOnLink, TimePoint now)
+{
+    remove(key);
+    m_byKey[key] = m_bodies.insert(m_bodies.end(), {key, isOnLink, 0, 0, now});
+}
+
+void BodyScheduler::onAvailable(const Key &key, std::size_t bytes)
+{
+    if (const auto it = m_byKey.find(key); it != m_byKey.end()) {
+        it->second->available += bytes;
+    }
+}
+
+void BodyScheduler::onCredit(const Key &key, std::size_t bytes, TimePoint now)
+{
+    if (const auto it = m_byKey.find(key); it != m_byKey.end()) {
+        auto &body = *it->second;
+        body.underWay -= std::min(bytes, body.underWay);
+        body.progressAt = now;
+    }
+}
+
+void BodyScheduler::remove(const Key &key)
+{
+    if (const auto it = m_byKey.find(key); it != m_byKey.end()) {
+        m_bodies.erase(it->second);
+        m_byKey.erase(it);
+    }
+}
+
+bool BodyScheduler::isStalled(const Body &body, TimePoint now) const
+{
+    return body.underWay > 0 && millisBetween(body.progressAt, now) > internal::kStallTime;
+}
+
+std::optional<BodyScheduler::Grant> BodyScheduler::next(TimePoint now)
+{
+    std::size_t underWay = 0;
+    for (const auto &body : m_bodies) {
+        underWay += body.isOnLink && !isStalled(body, now) ? body.underWay : 0;
+    }
+    for (auto &body : m_bodies) {
+        const bool hasRoom = body.underWay < kBodyWindowBytes
+                && (!body.isOnLink || underWay < internal::kLinkWindowBytes);
+        if (body.available == 0 || !hasRoom || isStalled(body, now)) {
+            continue;
+        }
+        const auto n = std::min(body.available, internal::kPieceBytes);
+        if (body.underWay == 0) {
+            body.progressAt = now;
+        }
+        body.available -= n;
+        body.underWay += n;
+        return Grant{body.key, n};
+    }
+    return std::nullopt;
+}
+
+} // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/call_dispatcher.cpp
+++ b/src/celeryramp/proxy/call_dispatcher.cpp
@@ -46,7 +46,7 @@
 {
     const auto pool = context.servers.candidates(m_policy.service, m_triedServers, now);
     const auto left = millisBetween(now, m_allowsLate ? m_policy.deadline : m_policy.target);
-    return context.picker.pick(pool, {std::max(left, Millis{0}), m_policy.maySpill}, now);
+    return context.picker.pick(pool, {std::max(left, Millis{0}), m_policy.maySpill, m_policy.answerBytes}, now);
 }
 
 CallStep CallDispatcher::advance(const DispatchContext &context, TimePoint now)
--- a/src/celeryramp/proxy/call_dispatcher.h
+++ b/src/celeryramp/proxy/call_dispatcher.h
@@ -22,6 +22,7 @@
     TimePoint deadline;
     bool maySpill = true; /*!< Servers of other zones may be used to meet the target. */
     bool reportsUnknown = true; /*!< False: failures count as not run, for tests of the checks. */
+    std::size_t answerBytes = 0; /*!< Expected length of the answer. */
 };
 
 /*! @brief Next step of a call: offer it to the gate of this server. */
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -56,9 +56,11 @@
     std::optional<std::uint64_t> length; /*!< Announced length of a body that follows in parts. */
 };
 
-/*! Unacknowledged bytes of a body that a gate may send. It bounds what the gate and the receiving
- * node hold of one answer. */
-inline constexpr std::uint64_t kBodyWindowBytes = 192 * 1024;
+/*! Unacknowledged bytes of a body that a gate may send. It bounds what the receiving node holds of
+ * one answer. */
+inline constexpr std::size_t kBodyWindowBytes = 192 * 1024;
+/*! Longest body that is sent to another node within the reply; longer ones follow in parts. */
+inline constexpr std::size_t kInlineBodyBytes = 16 * 1024;
 /*! Longest body that a gate sends whole. Until it is complete, a broken answer can be replaced by
  * that of another server. */
 inline constexpr std::size_t kWholeBodyBytes = 128 * 1024;
--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -7,6 +7,11 @@
 
 namespace internal {
 
+constexpr double kBytesPerKb = 1024.0;
+/*! Weight of the newest body in the time that a server's bodies take to arrive. */
+constexpr double kDeliveryWeight = 0.3;
+/*! Time constant with which that time is forgotten, so that a server is tried again. */
+constexpr double kDeliveryDecaySeconds = 5.0;
 /*! Age at which a load report has lost all its weight, which falls linearly from 1. */
 constexpr Millis kLoadReportLifetime{1000};
 /*! Time constant of the decay of the share of failures, so that a failing server is retried. */
@@ -110,6 +115,9 @@
         occupied = weight * (state.load.running + state.load.waiting) + (1.0 - weight) * occupied;
         occupied = std::max<double>(state.inFlight, occupied);
         estimate.wait = weight * std::max(0, state.load.coldWaitMillis);
+        estimate.wait += summary.answerKb * state.deliveryMillisPerKb
+                * std::exp(-secondsBetween(state.deliveredAt, now)
+                           / internal::kDeliveryDecaySeconds);
     }
     const double utilization = std::min(1.0, occupied / slots);
     const double excess = std::max(0.0, occupied + 1.0 - slots);
@@ -127,7 +135,8 @@
                           const PickRequirements &requirements, TimePoint now)
 {
     const auto entries = collectEntries(candidates, now);
-    const auto summary = summarize(entries, now);
+    auto summary = summarize(entries, now);
+    summary.answerKb = static_cast<double>(requirements.answerBytes) / internal::kBytesPerKb;
     const auto local = eligible(entries, summary, true);
     const bool isLocalInTime = std::any_of(local.begin(), local.end(), [&](const Entry *entry) {
         return estimate(*entry, summary, now).likelyLatency() <= requirements.left;
@@ -186,6 +195,17 @@
     state.failureShare += internal::kFailureWeight * ((isSuccess ? 0.0 : 1.0) - state.failureShare);
 }
 
+void ServerPicker::onDelivered(const std::string &serverId, std::uint64_t bytes, Millis spent,
+                               TimePoint now)
+{
+    auto &state = m_states[serverId];
+    const double newest = static_cast<double>(spent.count()) * internal::kBytesPerKb
+            / static_cast<double>(std::max<std::uint64_t>(bytes, 1));
+    state.deliveryMillisPerKb
+            += internal::kDeliveryWeight * (newest - state.deliveryMillisPerKb);
+    state.deliveredAt = now;
+}
+
 void ServerPicker::onAbandoned(const std::string &serverId)
 {
     auto &state = m_states[serverId];
--- a/src/celeryramp/proxy/server_picker.h
+++ b/src/celeryramp/proxy/server_picker.h
@@ -28,6 +28,7 @@
 {
     Millis left{0}; /*!< Time left until the answer is due. */
     bool maySpill = true; /*!< Other zones may be used if the local one is likely late. */
+    std::size_t answerBytes = 0; /*!< Expected length of the answer. */
 };
 
 /*! @brief The chosen server and its likely latency. */
@@ -61,6 +62,9 @@
     void onSent(const std::string &serverId);
     /*! @brief Records the reply of a gate with its load. */
     void onReply(const std::string &serverId, const GateLoad &load, bool isSuccess, TimePoint now);
+    /*! @brief Records how long a body took to arrive after its head, by which servers on slow or
+     * busy links are recognized. */
+    void onDelivered(const std::string &serverId, std::uint64_t bytes, Millis spent, TimePoint now);
     /*! @brief Records a call that its caller cancelled, which says nothing about the server. */
     void onAbandoned(const std::string &serverId);
     /*! @brief Records a call that timed out without a reply, as a failure of the server. */
@@ -74,6 +78,8 @@
         GateLoad load;
         int inFlight = 0;
         double failureShare = 0.0; /*!< Moving average over the calls of this node. */
+        double deliveryMillisPerKb = 0.0; /*!< Moving average, at `deliveredAt`. */
+        TimePoint deliveredAt;
         TimePoint updatedAt;
     };
 
@@ -84,6 +90,7 @@
         double localUtilization = 0.0; /*!< Of the servers in the local zone. */
         double remoteUtilization = 0.0;
         double minFailureShare = 1.0;
+        double answerKb = 0.0; /*!< Expected length of the answer. */
     };
 
     /*! Expected times of a call at a server, in milliseconds. */
--- a/test/proxy/server_picker.cpp
+++ b/test/proxy/server_picker.cpp
@@ -167,3 +167,32 @@
     }
     REQUIRE(chosen > 20);
 }
+
+TEST_CASE("Pattern: downloads from a server on a slow link - other servers are preferred for them")
+{
+    ServerPicker picker{7};
+    const directory::BackendServer slow = [] {
+        directory::BackendServer it;
+        it.id = "slow";
+        it.slots = 10;
+        return it;
+    }();
+    auto fast = slow;
+    fast.id = "fast";
+    const std::vector<Candidate> candidates{{&slow, true, false}, {&fast, true, false}};
+    const TimePoint now{std::chrono::hours{1}};
+    for (const auto *id : {"slow", "fast"}) {
+        picker.onSent(id);
+        picker.onReply(id, {1, 0, 10, 100, -1, 0}, true, now);
+        for (int i = 0; i < 10; ++i) {
+            picker.onDelivered(id, 100'000, Millis{std::string{id} == "slow" ? 800 : 20}, now);
+        }
+    }
+    for (int i = 0; i < 6; ++i) {
+        picker.onSent("fast"); // it is busier
+    }
+    for (int i = 0; i < 50; ++i) {
+        REQUIRE(picker.pick(candidates, {Millis{500}, true, 100'000}, now).server->id == "fast");
+        REQUIRE(picker.pick(candidates, {Millis{500}, true, 500}, now).server->id == "slow");
+    }
+}
