Soak: checks that noticed nothing are sharpened

Change: half of the bodies are chunked, the limited account asks more, servers leave after 6 s and the stretch of bounds is given only while something is disturbed, some work takes 1.2 s and its end is recorded.

--- a/standin/soak/backend.cpp
+++ b/standin/soak/backend.cpp
@@ -108,17 +108,27 @@
         send(connection, statusAnswer("421 Misdirected", idHeader), false);
         return;
     }
-    m_executed({id, m_id, m_zone, header(platform::kAccountHeader), bootNow()});
+    Execution execution{id, m_id, m_zone, header(platform::kAccountHeader), bootNow(), {}};
+    m_executed(execution);
     const auto size = static_cast<std::size_t>(
             std::atoi(request.target.c_str() + request.target.rfind('/') + 1));
     const auto body = bodyOf(id, size);
     auto answer = "HTTP/1.1 200 OK\r\n" + idHeader + std::string{platform::kServerStampHeader}
-            + ": s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            + ": s\r\n";
+    if (size % 2 == 0) {
+        answer += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    } else {
+        answer += "Transfer-Encoding: chunked\r\n\r\n" + http::chunkHeader(body.size()) + body
+                + "\r\n0\r\n\r\n";
+    }
     const auto fault = m_random.unit() < kFaultShare ? m_fault : AnswerFault::None;
-    const Millis work{10 + static_cast<int>(m_random.below(60))};
+    const bool isSlow = size % 16 == 0;
+    const Millis work{10 + static_cast<int>(m_random.below(60)) + (isSlow ? 1200 : 0)};
     connection->timer.expires_after(work);
-    connection->timer.async_wait([this, connection, fault, id,
+    connection->timer.async_wait([this, connection, fault, execution = std::move(execution),
                                   answer = std::move(answer)](const boost::system::error_code &ec) mutable {
+        execution.endedAt = bootNow();
+        m_executed(execution);
         if (ec || fault == AnswerFault::Hangs) {
             return;
         }
--- a/standin/soak/backend.h
+++ b/standin/soak/backend.h
@@ -26,6 +26,7 @@
 class Backend
 {
 public:
+    /*! Called when an execution begins and again, with `endedAt`, when it ends. */
     using Executed = std::function<void(const Execution &)>;
 
     Backend(boost::asio::io_context &context, const celeryramp::Address &address, std::string zone,
--- a/standin/soak/records.h
+++ b/standin/soak/records.h
@@ -48,6 +48,7 @@
     std::string zone;
     std::string account;
     celeryramp::TimePoint at;
+    celeryramp::TimePoint endedAt; /*!< The answer was made or its caller left; 0 while it runs. */
 };
 
 /*! @brief A span of time in which a promise is suspended or in force. */
--- a/standin/soak/soak.cpp
+++ b/standin/soak/soak.cpp
@@ -39,7 +39,7 @@
 constexpr double kSmallRate = 15.0;
 constexpr Millis kWarmUp{2500}; /*!< From the start of the nodes to the first request. */
 constexpr Millis kGrace{6000};
-constexpr Millis kDrainTime{2500}; /*!< From the report of a leaving server to its removal. */
+constexpr Millis kDrainTime{6000}; /*!< From the report of a leaving server to its removal. */
 /*! Callers learn from the readiness check that a node stops. */
 constexpr Millis kReadinessLag{2000};
 /*! Share of the requests that are answered with success once nothing is disturbed. */
@@ -121,7 +121,7 @@
                                               Address{host(kListenNetwork, index), kLinkPort});
     node->backend = std::make_unique<Backend>(
             m_context, Address{host(kPublicNetwork, index), kBackendPort}, node->zone, m_random(),
-            [this](const Execution &execution) { m_evidence.executions.push_back(execution); });
+            [this](const Execution &execution) { record(execution); });
     node->settingsPath = m_options.directory + "/" + node->name + ".toml";
     std::ofstream{node->settingsPath} << settings(*node);
     m_nodes.push_back(std::move(node));
@@ -129,6 +129,21 @@
     startNode(*m_nodes.back());
 }
 
+void Soak::record(const Execution &execution)
+{
+    auto &executions = m_evidence.executions;
+    const auto it = execution.endedAt == TimePoint{}
+            ? executions.rend()
+            : std::find_if(executions.rbegin(), executions.rend(), [&](const Execution &other) {
+                  return other.id == execution.id && other.server == execution.server;
+              });
+    if (it == executions.rend()) {
+        executions.push_back(execution);
+    } else {
+        it->endedAt = execution.endedAt;
+    }
+}
+
 void Soak::startNode(Node &node)
 {
     node.isStopping = false;
@@ -430,10 +445,10 @@
     const auto who = m_random.below(10);
     std::string key = "k-free";
     sent.account = "free";
-    if (who == 0) {
+    if (who < 3) {
         key = "k-small";
         sent.account = "small";
-    } else if (who == 1) {
+    } else if (who == 3) {
         const auto doomed = static_cast<int>(m_random.below(kDoomedKeys));
         key = "k-doomed-" + std::to_string(doomed);
         sent.account = "doomed-" + std::to_string(doomed);
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -60,6 +60,7 @@
     [[nodiscard]] std::string host(int network, int index) const;
     [[nodiscard]] std::string settings(const Node &node) const;
     void addNode(int index);
+    void record(const Execution &execution);
     void startNode(Node &node);
     void publishConfiguration();
     void publishServer(const Node &node, const char *state);
--- a/standin/soak/verdict.cpp
+++ b/standin/soak/verdict.cpp
@@ -40,6 +40,7 @@
         for (const auto &execution : m_evidence.executions) {
             checkPlace(execution);
         }
+        checkDepartures();
         for (const auto &[account, limit] : m_evidence.rates) {
             checkRate(account, limit.first, limit.second);
         }
@@ -126,7 +127,8 @@
     {
         const auto isInForce = [&](const Span &span, Millis bound) {
             const auto request = m_evidence.requests.find(execution.id);
-            const auto since = span.from + bound + m_bounds.stretch;
+            const auto since = span.from + bound
+                    + (isDisturbed(span.from, execution.at) ? m_bounds.stretch : Millis{0});
             return request != m_evidence.requests.end() && request->second.sentAt > since
                     && execution.at < span.to;
         };
@@ -142,6 +144,29 @@
         }
     }
 
+    /*! Work for callers that have left ends soon, in three of four cases at least. */
+    void checkDepartures()
+    {
+        int n = 0;
+        int late = 0;
+        for (const auto &execution : m_evidence.executions) {
+            const auto it = m_evidence.requests.find(execution.id);
+            if (it == m_evidence.requests.end() || it->second.end != CallerEnd::Left
+                || it->second.kind == RouteKind::Write || execution.endedAt == TimePoint{}
+                || execution.at > it->second.endedAt
+                || execution.endedAt < it->second.endedAt
+                || isDisturbed(it->second.sentAt, execution.endedAt)) {
+                continue;
+            }
+            ++n;
+            late += execution.endedAt > it->second.endedAt + m_bounds.departure ? 1 : 0;
+        }
+        if (late > 2 && late * 4 > n) {
+            report("departure", std::to_string(late) + " of " + std::to_string(n)
+                           + " requests were worked on after their callers had left");
+        }
+    }
+
     void checkRate(const std::string &account, double rate, double burst)
     {
         const double seconds = static_cast<double>(m_bounds.rateWindow.count()) / 1000.0;
