--- a/src/celeryramp/directory/route.h
+++ b/src/celeryramp/directory/route.h
@@ -22,7 +22,8 @@
     std::string prefix; /*!< Begins and ends with a slash. */
     bool isIdempotent = false; /*!< A request may be executed more than once. */
     bool isOpen = false; /*!< Requests need no API key. */
-    bool isReadable = true; /*!< False: only name, host and prefix are known; requests are refused. */
+    bool isReadable
+            = true; /*!< False: only name, host and prefix are known; requests are refused. */
     Millis timeout{0}; /*!< A request fails after this time. */
     Millis targetLatency{0}; /*!< Responses that take longer miss the target. */
     int maxAttempts = 1; /*!< Number of servers to which a request may be sent. */
--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -38,9 +38,9 @@
               std::chrono::duration_cast<Millis>(
                       std::chrono::system_clock::now().time_since_epoch())
                       .count())},
-      m_expiryTimer{context}, m_settings{settings},
-      m_headerAdapter{headerAdapter}, m_crashes{crashes}, m_metrics{metrics},
-      m_pool{context, settings.backend, http::PoolSettings{internal::kConnectTimeout}}
+      m_expiryTimer{context}, m_settings{settings}, m_headerAdapter{headerAdapter},
+      m_crashes{crashes}, m_metrics{metrics}, m_pool{context, settings.backend,
+                                                     http::PoolSettings{internal::kConnectTimeout}}
 { }
 
 proxy::Reason BackendGate::reasonToClose() const
@@ -232,7 +232,7 @@
         onAnswerHead(ticket, std::move(head), length);
     };
     exchange.onBytes
-            = [this, ticket](std::string bytes) { onAnswerBytes(ticket, std::move(bytes)); };
+            = [this, ticket](const std::string &bytes) { onAnswerBytes(ticket, bytes); };
     exchange.done = [this, ticket](http::ExchangeEnd end, http::Answer answer) {
         onExchangeEnd(ticket, end, std::move(answer));
     };
@@ -265,7 +265,7 @@
     call.replies.onReply(std::move(reply));
 }
 
-void BackendGate::onAnswerBytes(std::uint64_t ticket, std::string bytes)
+void BackendGate::onAnswerBytes(std::uint64_t ticket, std::string_view bytes)
 {
     const auto call = m_calls.find(ticket);
     if (call == m_calls.end()) {
@@ -400,7 +400,8 @@
         reply.reason = proxy::Reason::Malformed;
         break;
     case http::ExchangeEnd::Lost:
-        if (const auto &connection = it->second.connection; connection && !connection->hasReceived()) {
+        if (const auto &connection = it->second.connection;
+            connection && !connection->hasReceived()) {
             m_idleReuse.onLost(connection->restBefore(), now);
         }
         [[fallthrough]];
@@ -451,8 +452,9 @@
             .add();
     const BodyKey key{call.origin, call.frame.id};
     if (call.isStreaming) {
-        endBody(key, reply.kind == proxy::ReplyKind::Answer ? proxy::BodyEnd::Complete
-                                                            : proxy::BodyEnd::Broken,
+        endBody(key,
+                reply.kind == proxy::ReplyKind::Answer ? proxy::BodyEnd::Complete
+                                                       : proxy::BodyEnd::Broken,
                 now);
         return;
     }
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -115,7 +115,8 @@
         std::string requestId;
         std::string unsent;
         std::uint64_t offset = 0; /*!< Of `unsent` in the body. */
-        std::optional<proxy::BodyEnd> end; /*!< How it ends after `unsent`; empty while more comes. */
+        std::optional<proxy::BodyEnd>
+                end; /*!< How it ends after `unsent`; empty while more comes. */
         http::ClientConnectionPtr connection; /*!< Source of more. */
     };
     using BodyKey = proxy::BodyScheduler::Key;
@@ -126,7 +127,7 @@
     void scheduleDispatch();
     void sendToServer(std::uint64_t ticket, TimePoint now);
     void onAnswerHead(std::uint64_t ticket, http::Answer head, std::optional<std::uint64_t> length);
-    void onAnswerBytes(std::uint64_t ticket, std::string bytes);
+    void onAnswerBytes(std::uint64_t ticket, std::string_view bytes);
     void onExchangeEnd(std::uint64_t ticket, http::ExchangeEnd end, http::Answer answer);
     /*! @brief Begins to send a body in parts. */
     OutgoingBody &beginBody(const Call &call, TimePoint now);
--- a/src/celeryramp/engine/fwd.h
+++ b/src/celeryramp/engine/fwd.h
@@ -11,6 +11,7 @@
 class RequestDispatcher;
 class Engine;
 struct EngineSettings;
+struct Mechanisms;
 class PeerCoordinator;
 
 } // namespace celeryramp::engine
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -159,8 +159,7 @@
     if (!m_dependencies.crashes.isEmpty()
         && m_dependencies.crashes.isQuarantined(
                 proxy::requestDigest(account != nullptr ? account->name : "", request), now)) {
-        refuseRequest(response, metadata.requestId, 503, proxy::Reason::Quarantined,
-                      std::nullopt);
+        refuseRequest(response, metadata.requestId, 503, proxy::Reason::Quarantined, std::nullopt);
         return;
     }
     const auto id = m_nextId++;
@@ -174,8 +173,8 @@
     policy.deadline = now
             + std::min(metadata.deadline.value_or(internal::kDefaultDeadline), route->timeout);
     policy.answerBytes = m_answerSizes.expected(route->name);
-    policy.maySpill = request.body.size() + policy.answerBytes
-            <= proxy::spillAllowance(route->priority);
+    policy.maySpill
+            = request.body.size() + policy.answerBytes <= proxy::spillAllowance(route->priority);
     m_retryBudget.onFirstAttempt(policy.service);
     auto &call = m_calls.emplace(id, Call{}).first->second;
     call.id = id;
@@ -225,9 +224,9 @@
         return true; // it is refused at once
     }
     const std::string_view target = request.target;
-    const auto *route = routing->findRoute(
-            internal::normalizeHost(http::findHeader(request.headers, "Host")),
-            target.substr(0, target.find('?')));
+    const auto *route
+            = routing->findRoute(internal::normalizeHost(http::findHeader(request.headers, "Host")),
+                                 target.substr(0, target.find('?')));
     return route == nullptr || route->isIdempotent;
 }
 
@@ -258,8 +257,8 @@
         const auto &host = server->address.host;
         if (!isLocal
             && (m_closedNodes.count(host) > 0
-                || !m_dependencies.peers.isReachable(
-                        {host, m_dependencies.settings.links.port}, now))) {
+                || !m_dependencies.peers.isReachable({host, m_dependencies.settings.links.port},
+                                                     now))) {
             continue;
         }
         const proxy::Candidate candidate{server, server->zone == m_dependencies.settings.zone,
@@ -321,16 +320,15 @@
                      return true;
                  },
                  [this](proxy::HungFrame hung) {
-                     boost::asio::post(m_context,
-                                       [this, hung] { onHung({}, hung.id, bootNow()); });
+                     boost::asio::post(m_context, [this, hung] { onHung({}, hung.id, bootNow()); });
                  }},
                 now);
         return;
     }
     call.peer = {server.address.host, m_dependencies.settings.links.port};
     call.isOnSilentLink = false;
-    call.frame.sentAt = std::chrono::duration_cast<std::chrono::nanoseconds>(now.time_since_epoch())
-                                .count();
+    call.frame.sentAt
+            = std::chrono::duration_cast<std::chrono::nanoseconds>(now.time_since_epoch()).count();
     if (!m_dependencies.peers.send(call.peer, proxy::encodeFrame(call.frame), now)) {
         boost::asio::post(m_context, [this, id] {
             onGateReply(id, proxy::notRunReply(id, proxy::Reason::Unreachable), bootNow());
@@ -402,7 +400,8 @@
                                       std::size_t bytes)
 {
     const auto entry = m_callIdsByResponse.find({&connection, id});
-    const auto it = entry == m_callIdsByResponse.end() ? m_calls.end() : m_calls.find(entry->second);
+    const auto it
+            = entry == m_callIdsByResponse.end() ? m_calls.end() : m_calls.find(entry->second);
     if (it == m_calls.end() || !it->second.isStreaming) {
         return;
     }
--- a/src/celeryramp/http/caller_connection.cpp
+++ b/src/celeryramp/http/caller_connection.cpp
@@ -191,8 +191,7 @@
         pending->keepsAlive = false; // the end of the connection ends the body
     }
     decideClose(*pending);
-    pending->output.push_back(
-            serializeHead(head, pending->closes, {length, pending->isChunked}));
+    pending->output.push_back(serializeHead(head, pending->closes, {length, pending->isChunked}));
     pending->bodyBytes.push_back(0);
     m_lastChange = bootNow();
     write();
--- a/src/celeryramp/http/message.cpp
+++ b/src/celeryramp/http/message.cpp
@@ -125,8 +125,8 @@
 std::string serialize(const Answer &answer, bool closes, bool isBodyOmitted)
 {
     const bool isBodiless = answer.status == 204 || answer.status == 304;
-    const auto length = isBodiless ? std::nullopt
-                                   : std::optional<std::uint64_t>{answer.body.size()};
+    const auto length
+            = isBodiless ? std::nullopt : std::optional<std::uint64_t>{answer.body.size()};
     auto out = serializeHead(answer, closes, {length, false});
     if (!isBodiless && !isBodyOmitted) {
         out.append(answer.body);
--- a/src/celeryramp/links/peer_links.cpp
+++ b/src/celeryramp/links/peer_links.cpp
@@ -198,16 +198,16 @@
         if (isSimultaneousOpen) {
             return;
         }
+        const auto pendingFrames = std::exchange(link.pendingFrames, {});
         if (isSameProcess) {
             // The peer finds the old link silent. What it sent on it may still arrive.
-            silentLinks.emplace(*peer, std::move(link));
+            silentLinks.emplace(*peer, link);
         } else if (link.isOpen) {
             events.onLinkLost(*peer, LinkLoss::PeerGone);
         }
-        auto pendingFrames = std::move(link.pendingFrames);
         const auto now = bootNow();
         links[*peer] = {handle, false, true, {}, now, now, {}, peerIncarnation};
-        for (auto &frame : pendingFrames) {
+        for (const auto &frame : pendingFrames) {
             writeFrame(links[*peer], frame);
         }
         failedAt.erase(*peer);
@@ -274,7 +274,8 @@
             failedAt[peer] = bootNow();
         }
         const bool isLast = silentLinks.count(peer) == 0;
-        events.onLinkLost(peer, !wasOpen ? LinkLoss::NotOpened
+        events.onLinkLost(peer,
+                          !wasOpen         ? LinkLoss::NotOpened
                                   : isLast ? LinkLoss::PeerGone
                                            : LinkLoss::Closed);
     }
--- a/src/celeryramp/proxy/answer_check.cpp
+++ b/src/celeryramp/proxy/answer_check.cpp
@@ -29,7 +29,8 @@
         return http::AnswerMatch::Invalid;
     }
     const auto &statuses = internal::kNotRunStatuses;
-    const bool promisesNotRun = std::find(statuses.begin(), statuses.end(), status) != statuses.end();
+    const bool promisesNotRun
+            = std::find(statuses.begin(), statuses.end(), status) != statuses.end();
     return promisesNotRun && !metadata.isSigned ? http::AnswerMatch::Invalid
                                                 : http::AnswerMatch::Ours;
 }
--- a/src/celeryramp/proxy/call_dispatcher.cpp
+++ b/src/celeryramp/proxy/call_dispatcher.cpp
@@ -31,8 +31,7 @@
 {
     const int excess = load.running + load.waiting - load.slots;
     const int queue = excess > 0 && load.slots > 0 ? excess * load.serviceMillis / load.slots : 0;
-    return std::clamp(Millis{std::max(queue, load.coldWaitMillis)}, kMinRetryAfter,
-                      kMaxRetryAfter);
+    return std::clamp(Millis{std::max(queue, load.coldWaitMillis)}, kMinRetryAfter, kMaxRetryAfter);
 }
 
 } // namespace internal
@@ -46,7 +45,8 @@
 {
     const auto pool = context.servers.candidates(m_policy.service, m_triedServers, now);
     const auto left = millisBetween(now, m_allowsLate ? m_policy.deadline : m_policy.target);
-    return context.picker.pick(pool, {std::max(left, Millis{0}), m_policy.maySpill, m_policy.answerBytes}, now);
+    return context.picker.pick(
+            pool, {std::max(left, Millis{0}), m_policy.maySpill, m_policy.answerBytes}, now);
 }
 
 CallStep CallDispatcher::advance(const DispatchContext &context, TimePoint now)
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -346,9 +346,9 @@
 
 /*! Decoders by the index of the type in `Frame`. */
 constexpr std::array<ReadFrame, std::variant_size_v<Frame>> kReaders{
-        readCall,        readReply,     readCancel,  readLeaving, readUsage, readLevels,
-        readSyncRequest, readSyncReply, readSuspect, readNews,    readReader, readBody,
-        readCredit,      readClosed,    readHung};
+        readCall,   readReply,       readCancel,    readLeaving, readUsage,
+        readLevels, readSyncRequest, readSyncReply, readSuspect, readNews,
+        readReader, readBody,        readCredit,    readClosed,  readHung};
 
 } // namespace internal
 
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -33,7 +33,8 @@
     bool mayQueue
             = true; /*!< False: refuse it if the target cannot be met, as others can be asked. */
     http::Request request; /*!< Without hop-by-hop headers and credentials. */
-    std::int64_t sentAt = 0; /*!< Nanoseconds on the sender's clock; shows how long it was under way. */
+    std::int64_t sentAt
+            = 0; /*!< Nanoseconds on the sender's clock; shows how long it was under way. */
 };
 
 /*! @brief Outcome of a call at a gate. */
@@ -81,7 +82,8 @@
     std::string bytes;
 };
 
-/*! @brief Acknowledges bytes of a body that the caller was sent, so that as many more may follow. */
+/*! @brief Acknowledges bytes of a body that the caller was sent, so that as many more may follow.
+ */
 struct CreditFrame
 {
     std::uint64_t id = 0; /*!< Of the call. */
@@ -197,9 +199,9 @@
     std::uint64_t id = 0; /*!< Of the call. */
 };
 
-using Frame = std::variant<CallFrame, ReplyFrame, CancelFrame, LeavingFrame, UsageFrame,
-                           LevelsFrame, SyncRequestFrame, SyncReplyFrame, SuspectFrame,
-                           ChangesFrame, ReaderStatusFrame, BodyFrame, CreditFrame, ClosedFrame,
-                           HungFrame>;
+using Frame
+        = std::variant<CallFrame, ReplyFrame, CancelFrame, LeavingFrame, UsageFrame, LevelsFrame,
+                       SyncRequestFrame, SyncReplyFrame, SuspectFrame, ChangesFrame,
+                       ReaderStatusFrame, BodyFrame, CreditFrame, ClosedFrame, HungFrame>;
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/fwd.h
+++ b/src/celeryramp/proxy/fwd.h
@@ -8,14 +8,18 @@
 namespace celeryramp::proxy {
 
 class AnswerSizes;
+class BodyScheduler;
 class CallDispatcher;
 struct CallFrame;
+class HangDetector;
 class HeaderAdapter;
+class IdleReuse;
 struct GateLoad;
 class FleetLimiter;
 class ServerGate;
 class ServerPicker;
 class SplitChooser;
+class TransitDelay;
 class UsageAggregator;
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/hang_detector.cpp
+++ b/src/celeryramp/proxy/hang_detector.cpp
@@ -10,11 +10,11 @@
 constexpr double kMeanWeight = 0.1;
 /*! A request is overdue at this multiple of the mean; about 1 % of the usual ones get there. */
 constexpr double kOverdueFactor = 3.0;
-/*! Multiple of the mean after which a repeatable request is given up at a server that hangs. */
-constexpr double kPatienceFactor = 2.0;
-constexpr Millis kMinPatience{50};
-/*! Overdue and unanswered requests from which the server is taken to hang. */
-constexpr double kEvidence = 3.0;
+/*! Weight of an overdue request against one that ended without an answer: it may still be answered. */
+constexpr double kOverdueWeight = 0.5;
+constexpr Millis kMinOverdueAge{50};
+/*! Unanswered requests from which the server is taken to hang. */
+constexpr double kEvidence = 2.0;
 /*! Time constant with which unanswered requests fade. */
 constexpr double kFadeSeconds = 4.0;
 
@@ -31,8 +31,7 @@
 void HangDetector::onUnanswered(Micros spent, TimePoint now)
 {
     if (m_meanMillis <= 0.0
-        || static_cast<double>(spent.count()) / 1000.0
-                < internal::kPatienceFactor * m_meanMillis) {
+        || static_cast<double>(spent.count()) / 1000.0 < internal::kPatienceFactor * m_meanMillis) {
         return; // ended early by its caller, which says nothing about the server
     }
     m_unanswered = unanswered(now) + 1.0;
@@ -43,7 +42,7 @@
 {
     return m_meanMillis <= 0.0
             ? Millis::max()
-            : std::max(internal::kMinPatience,
+            : std::max(internal::kMinOverdueAge,
                        Millis{std::lround(internal::kOverdueFactor * m_meanMillis)});
 }
 
@@ -54,11 +53,11 @@
 
 std::optional<Millis> HangDetector::patience(int overdue, TimePoint now) const
 {
-    if (m_meanMillis <= 0.0 || unanswered(now) + overdue < internal::kEvidence) {
+    const double evidence = unanswered(now) + internal::kOverdueWeight * overdue;
+    if (m_meanMillis <= 0.0 || evidence < internal::kEvidence) {
         return std::nullopt;
     }
-    return std::max(internal::kMinPatience,
-                    Millis{std::lround(internal::kPatienceFactor * m_meanMillis)});
+    return overdueAge();
 }
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/idle_reuse.cpp
+++ b/src/celeryramp/proxy/idle_reuse.cpp
@@ -31,8 +31,7 @@
     }
     // The server may forget connections after a shorter rest than the one that was seen.
     const auto bound = rest / 2;
-    const bool isFaded
-            = !m_learntRest || millisBetween(m_learntAt, now) > internal::kLearntFor;
+    const bool isFaded = !m_learntRest || millisBetween(m_learntAt, now) > internal::kLearntFor;
     m_learntRest = isFaded ? bound : std::min(*m_learntRest, bound);
     m_learntAt = now;
 }
--- a/src/celeryramp/proxy/reason.h
+++ b/src/celeryramp/proxy/reason.h
@@ -36,12 +36,14 @@
 [[nodiscard]] constexpr std::string_view reasonName(Reason reason) noexcept
 {
     constexpr std::array<std::string_view, 22> kNames{
-            "none",      "no-configuration", "stale-keys",  "unknown-key",
-            "no-route",  "bad-request",      "over-limit",  "no-server",
-            "busy",      "draining",         "evacuated",   "wrong-server",
-            "shed",      "unreachable",      "quarantined", "lost",
-            "malformed", "deadline-passed",  "timed-out",   "cancelled",
-            "unreadable", "hung"};
+            "none",        "no-configuration", "stale-keys",
+            "unknown-key", "no-route",         "bad-request",
+            "over-limit",  "no-server",        "busy",
+            "draining",    "evacuated",        "wrong-server",
+            "shed",        "unreachable",      "quarantined",
+            "lost",        "malformed",        "deadline-passed",
+            "timed-out",   "cancelled",        "unreadable",
+            "hung"};
     return kNames.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -87,8 +87,7 @@
     if (const int available = m_cold.available(m_coldPerSecond, now);
         available >= 0 && ahead >= static_cast<std::size_t>(available)) {
         const auto excess = static_cast<double>(ahead - static_cast<std::size_t>(available) + 1);
-        millis = std::max(millis,
-                          excess * 1000.0 / m_coldPerSecond / shareLeft(m_coldPerSecond));
+        millis = std::max(millis, excess * 1000.0 / m_coldPerSecond / shareLeft(m_coldPerSecond));
     }
     return Millis{std::lround(millis)};
 }
@@ -156,8 +155,7 @@
 
 double ServerGate::rateAt(const StartRate &rate, TimePoint now)
 {
-    return rate.perSecond
-            * std::exp(-secondsBetween(rate.at, now) / internal::kStartRateSeconds);
+    return rate.perSecond * std::exp(-secondsBetween(rate.at, now) / internal::kStartRateSeconds);
 }
 
 double ServerGate::precedingRate(const GateCall &call, TimePoint now) const
--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -201,8 +201,7 @@
     auto &state = m_states[serverId];
     const double newest = static_cast<double>(spent.count()) * internal::kBytesPerKb
             / static_cast<double>(std::max<std::uint64_t>(bytes, 1));
-    state.deliveryMillisPerKb
-            += internal::kDeliveryWeight * (newest - state.deliveryMillisPerKb);
+    state.deliveryMillisPerKb += internal::kDeliveryWeight * (newest - state.deliveryMillisPerKb);
     state.deliveredAt = now;
 }
 
--- a/standin/soak/link_proxy.cpp
+++ b/standin/soak/link_proxy.cpp
@@ -53,8 +53,10 @@
 
 LinkProxy::LinkProxy(boost::asio::io_context &context, const celeryramp::Address &address,
                      celeryramp::Address target)
-    : m_context{context}, m_target{std::move(target)},
-      m_listener{context, [this](tcp::socket socket) { accept(std::move(socket)); }}
+    : m_context{context}, m_target{std::move(target)}, m_listener{context,
+                                                                  [this](tcp::socket socket) {
+                                                                      accept(std::move(socket));
+                                                                  }}
 {
     if (const auto opened = m_listener.open(address); !opened) {
         throw std::runtime_error{"proxy cannot listen on " + opened.error().place + ": "
@@ -116,21 +118,20 @@
     }
     const auto n = m_state.isDripping ? std::min(kDripBytes, direction.pending.size())
                                       : direction.pending.size();
-    boost::asio::async_write(
-            direction.to, boost::asio::buffer(direction.pending.data(), n),
-            [this, pair, &direction, waitThenForward](const boost::system::error_code &ec,
-                                                      std::size_t written) {
-                if (ec) {
-                    pair->close();
-                    return;
-                }
-                direction.pending.erase(0, written);
-                if (direction.pending.empty()) {
-                    read(pair, direction);
-                } else {
-                    waitThenForward(kDripPause);
-                }
-            });
+    boost::asio::async_write(direction.to, boost::asio::buffer(direction.pending.data(), n),
+                             [this, pair, &direction, waitThenForward](
+                                     const boost::system::error_code &ec, std::size_t written) {
+                                 if (ec) {
+                                     pair->close();
+                                     return;
+                                 }
+                                 direction.pending.erase(0, written);
+                                 if (direction.pending.empty()) {
+                                     read(pair, direction);
+                                 } else {
+                                     waitThenForward(kDripPause);
+                                 }
+                             });
 }
 
 void LinkProxy::setState(const LinkState &state)
--- a/standin/soak/main.cpp
+++ b/standin/soak/main.cpp
@@ -27,7 +27,8 @@
             "callers", "Number of callers", cxxopts::value<int>()->default_value("30"))(
             "seconds", "Time in which faults begin", cxxopts::value<int>()->default_value("18"))(
             "without", "Mechanisms to switch off, to prove that the checks notice",
-            cxxopts::value<std::vector<std::string>>()->default_value(""))("help", "Print this help");
+            cxxopts::value<std::vector<std::string>>()->default_value(""))("help",
+                                                                           "Print this help");
     try {
         const auto parsed = options.parse(argc, argv);
         if (parsed.count("help") > 0) {
