--- a/src/celeryramp/proxy/hang_detector.cpp
+++ b/src/celeryramp/proxy/hang_detector.cpp
@@ -31,7 +31,7 @@
 void HangDetector::onUnanswered(Micros spent, TimePoint now)
 {
     if (m_meanMillis <= 0.0
-        || static_cast<double>(spent.count()) / 1000.0 < internal::kPatienceFactor * m_meanMillis) {
+        || static_cast<double>(spent.count()) / 1000.0 < internal::kOverdueFactor * m_meanMillis) {
         return; // ended early by its caller, which says nothing about the server
     }
     m_unanswered = unanswered(now) + 1.0;
