--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -231,8 +231,7 @@
     exchange.onHead = [this, ticket](http::Answer head, std::optional<std::uint64_t> length) {
         onAnswerHead(ticket, std::move(head), length);
     };
-    exchange.onBytes
-            = [this, ticket](const std::string &bytes) { onAnswerBytes(ticket, bytes); };
+    exchange.onBytes = [this, ticket](const std::string &bytes) { onAnswerBytes(ticket, bytes); };
     exchange.done = [this, ticket](http::ExchangeEnd end, http::Answer answer) {
         onExchangeEnd(ticket, end, std::move(answer));
     };
--- a/src/celeryramp/proxy/hang_detector.cpp
+++ b/src/celeryramp/proxy/hang_detector.cpp
@@ -10,7 +10,8 @@
 constexpr double kMeanWeight = 0.1;
 /*! A request is overdue at this multiple of the mean; about 1 % of the usual ones get there. */
 constexpr double kOverdueFactor = 3.0;
-/*! Weight of an overdue request against one that ended without an answer: it may still be answered. */
+/*! Weight of an overdue request against one that ended without an answer: it may still be answered.
+ */
 constexpr double kOverdueWeight = 0.5;
 constexpr Millis kMinOverdueAge{50};
 /*! Unanswered requests from which the server is taken to hang. */
--- a/standin/soak/store.h
+++ b/standin/soak/store.h
@@ -34,7 +34,7 @@
     void remove(const std::string &key);
     /*! @brief Forgets all events, so that watches from before get status 410. */
     void compact();
-    void setState(StoreState state) { m_state = std::move(state); }
+    void setState(const StoreState &state) { m_state = state; }
 
     void onRequest(celeryramp::http::ResponseWriter response,
                    celeryramp::http::Request request) override;
--- a/test/engine/late_second_answer.cpp
+++ b/test/engine/late_second_answer.cpp
@@ -64,9 +64,9 @@
 {
     Mesh mesh{1};
     mesh.nodes[0]->server->setRespond([](const http::Request &) {
-        const std::string copy = "HTTP/1.1 200 OK\r\nT-Signed: 1\r\nT-Request: earlier\r\n"
-                                 "Content-Length: 3\r\n\r\nold";
-        return Script{copy, false, false, [copy] { return copy; }};
+        constexpr const char *kCopy = "HTTP/1.1 200 OK\r\nT-Signed: 1\r\nT-Request: earlier\r\n"
+                                      "Content-Length: 3\r\n\r\nold";
+        return Script{kCopy, false, false, [] { return std::string{kCopy}; }};
     });
     const auto outcome = std::make_shared<Outcome>();
     const auto caller = mesh.call(0, "POST", "/once/", outcome, {}, "x");
