--- a/test/engine/pipelined_caller.cpp
+++ b/test/engine/pipelined_caller.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-TEST_CASE("Pipelined caller: repeatable requests run at the same time, answers keep the order")
+TEST_CASE("Pipelined caller: repeatable requests run at the same time and answers keep the order")
 {
     Mesh mesh{2};
     for (const auto &node : mesh.nodes) {
--- a/test/proxy/body_scheduler.cpp
+++ b/test/proxy/body_scheduler.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-TEST_CASE("Pattern: many downloads on a slow link - few bytes are under way, the oldest first")
+TEST_CASE("Pattern: many downloads on a slow link - few bytes are under way and the oldest first")
 {
     BodyScheduler scheduler;
     for (std::uint64_t i = 0; i < 20; ++i) {
--- a/test/proxy/transit_delay.cpp
+++ b/test/proxy/transit_delay.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-TEST_CASE("A call that waited on its way has less time left, whatever the clocks show")
+TEST_CASE("A call that waited on its way has less time left whatever the clocks show")
 {
     const auto offset = GENERATE(std::chrono::nanoseconds{0}, std::chrono::hours{5000},
                                  std::chrono::hours{-3});
