--- a/standin/soak/soak.cpp
+++ b/standin/soak/soak.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <fstream>
 
+#include <boost/asio/signal_set.hpp>
 #include <nlohmann/json.hpp>
 
 #include "core/boot_clock.h"
@@ -582,10 +583,23 @@
         m_callers.push_back(std::make_unique<Caller>(m_context));
         schedule(kWarmUp, [this, &caller = *m_callers.back()] { sendNext(caller); });
     }
+    // A run that is broken off ends its processes too.
+    bool isInterrupted = false;
+    boost::asio::signal_set signals{m_context, SIGINT, SIGTERM, SIGHUP};
+    signals.async_wait([&](const boost::system::error_code &ec, int) {
+        if (!ec) {
+            isInterrupted = true;
+            m_context.stop();
+        }
+    });
     const auto length = kWarmUp + lastEnd + m_options.calm;
     m_calmFrom = bootNow() + length - m_options.calm / 3;
     m_context.run_for(length);
     m_isOver = true;
+    if (isInterrupted) {
+        m_processes.killAll();
+        throw std::runtime_error{"interrupted"};
+    }
     auto result = conclude();
     m_processes.killAll();
     return result;
