--- a/test/engine/settings_reader.cpp
+++ b/test/engine/settings_reader.cpp
@@ -53,6 +53,8 @@
              {replaced("\"6s\"", "\"6\""), "bounds.grace"},
              {replaced("0.2", "2.0"), "bounds.retry_ratio"},
              {replaced("retry_ratio", "retry_ration"), "bounds.retry_ration"},
+             {replaced("service", "links_listen = \"here\"\nservice"), "links_listen"},
+             {replaced("service", "without = [\"gravity\"]\nservice"), "without"},
              {replaced("service", "log_level = \"loud\"\nservice"), "log_level"}}));
     const auto settings = readSettings(text);
     REQUIRE_FALSE(settings);
@@ -65,3 +67,15 @@
     REQUIRE_FALSE(settings);
     REQUIRE_FALSE(settings.error().reason.empty());
 }
+
+TEST_CASE("A listening address for peers and mechanisms to switch off are optional")
+{
+    REQUIRE_FALSE(readSettings(kValidSettings).value().engine.linksListen);
+    REQUIRE(readSettings(kValidSettings).value().engine.mechanisms.draining);
+    const auto settings = readSettings(replaced(
+            "service", "links_listen = \"127.0.0.9:8002\"\nwithout = [\"draining\"]\nservice"));
+    REQUIRE(settings);
+    REQUIRE(settings.value().engine.linksListen->host == "127.0.0.9");
+    REQUIRE_FALSE(settings.value().engine.mechanisms.draining);
+    REQUIRE(settings.value().engine.mechanisms.evacuation);
+}
