Long bodies count on a link until they are acknowledged

Cause: found by reading: a body was taken out of the window when its last part was sent, so bodies shorter than the window were never held back and the link filled as before. Change: a finished body counts until its receiver's credit, or 5 s.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -326,7 +326,7 @@
             m_bodyScheduler.remove(grant->key);
             failed.push_back(grant->key);
         } else if (isLast) {
-            m_bodyScheduler.remove(grant->key);
+            m_bodyScheduler.finish(grant->key);
             m_bodies.erase(it);
         }
     }
@@ -340,7 +340,7 @@
         if (!body.send({it->first.second, body.offset, *body.end, {}})) {
             logEvent(LogLevel::Warn, "gate", "body-not-sent", {{"request", body.requestId}});
         }
-        m_bodyScheduler.remove(it->first);
+        m_bodyScheduler.finish(it->first);
         it = m_bodies.erase(it);
     }
     for (const auto &[origin, id] : failed) {
@@ -512,6 +512,7 @@
     for (const auto id : ids) {
         cancel(origin, id, now);
     }
+    m_bodyScheduler.removeAll(origin);
 }
 
 void BackendGate::abandon(TimePoint now)
@@ -605,6 +606,7 @@
 {
     m_pool.sweep(now);
     reportHungCalls(now);
+    m_bodyScheduler.sweep(now);
     sendBodies(now); // of receivers that others have stopped waiting for
     if (m_admission.waiting() > 0) {
         probeIfNeeded(now);
--- a/src/celeryramp/proxy/body_scheduler.cpp
+++ b/src/celeryramp/proxy/body_scheduler.cpp
@@ -16,12 +16,15 @@
 /*! Time without a credit after which a receiver no longer holds up the others. */
 constexpr Millis kStallTime{300};
 
+/*! Time after which a finished body that was not acknowledged is forgotten. */
+constexpr Millis kForgetTime{5000};
+
 } // namespace internal
 
 void BodyScheduler::add(const Key &key, bool isOnLink, TimePoint now)
 {
     remove(key);
-    m_byKey[key] = m_bodies.insert(m_bodies.end(), {key, isOnLink, 0, 0, now});
+    m_byKey[key] = m_bodies.insert(m_bodies.end(), {key, isOnLink, 0, 0, now, false});
 }
 
 void BodyScheduler::onAvailable(const Key &key, std::size_t bytes)
@@ -37,6 +40,19 @@
         auto &body = *it->second;
         body.underWay -= std::min(bytes, body.underWay);
         body.progressAt = now;
+        if (body.isFinished && body.underWay == 0) {
+            remove(key);
+        }
+    }
+}
+
+void BodyScheduler::finish(const Key &key)
+{
+    if (const auto it = m_byKey.find(key); it != m_byKey.end()) {
+        it->second->isFinished = true;
+        if (it->second->underWay == 0) {
+            remove(key);
+        }
     }
 }
 
@@ -48,6 +64,27 @@
     }
 }
 
+void BodyScheduler::removeAll(const std::string &origin)
+{
+    for (auto it = m_byKey.lower_bound({origin, 0});
+         it != m_byKey.end() && it->first.first == origin;) {
+        m_bodies.erase(it->second);
+        it = m_byKey.erase(it);
+    }
+}
+
+void BodyScheduler::sweep(TimePoint now)
+{
+    for (auto it = m_bodies.begin(); it != m_bodies.end();) {
+        if (it->isFinished && millisBetween(it->progressAt, now) > internal::kForgetTime) {
+            m_byKey.erase(it->key);
+            it = m_bodies.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
 bool BodyScheduler::isStalled(const Body &body, TimePoint now) const
 {
     return body.underWay > 0 && millisBetween(body.progressAt, now) > internal::kStallTime;
--- a/src/celeryramp/proxy/body_scheduler.h
+++ b/src/celeryramp/proxy/body_scheduler.h
@@ -40,14 +40,21 @@
     void onAvailable(const Key &key, std::size_t bytes);
     /*! @brief Records that the receiver has passed on bytes of a body. */
     void onCredit(const Key &key, std::size_t bytes, TimePoint now);
-    /*! @brief Ends a body. What is under way of it no longer counts. */
+    /*! @brief Records that all of a body was sent. It counts until it is acknowledged. */
+    void finish(const Key &key);
+    /*! @brief Ends a body that nobody waits for. What is under way of it no longer counts. */
     void remove(const Key &key);
+    /*! @brief Ends all bodies for a node whose link is lost. */
+    void removeAll(const std::string &origin);
 
     /*! @return The piece to send next, which counts as sent; nothing if all have to wait. */
     [[nodiscard]] std::optional<Grant> next(TimePoint now);
 
     [[nodiscard]] bool isEmpty() const noexcept { return m_bodies.empty(); }
 
+    /*! @brief Forgets finished bodies whose receivers have not acknowledged them for long. */
+    void sweep(TimePoint now);
+
 private:
     struct Body
     {
@@ -56,6 +63,7 @@
         std::size_t available = 0;
         std::size_t underWay = 0; /*!< Sent and not acknowledged. */
         TimePoint progressAt; /*!< Last credit, or first byte. */
+        bool isFinished = false; /*!< All of it was sent. */
     };
 
     [[nodiscard]] bool isStalled(const Body &body, TimePoint now) const;
--- a/test/proxy/body_scheduler.cpp
+++ b/test/proxy/body_scheduler.cpp
@@ -98,3 +98,36 @@
     REQUIRE_FALSE(scheduler.next(kStart));
     REQUIRE(scheduler.isEmpty());
 }
+
+TEST_CASE("A body that was sent counts until it is acknowledged")
+{
+    BodyScheduler scheduler;
+    const Key first{"a", 1};
+    const Key second{"b", 2};
+    for (const auto &key : {first, second}) {
+        scheduler.add(key, true, kStart);
+        scheduler.onAvailable(key, 90'000);
+    }
+    REQUIRE(takeAll(scheduler, first, kStart) == 90'000);
+    scheduler.finish(first);
+    scheduler.onCredit(first, 20'000, kStart + Millis{20});
+    REQUIRE(takeAll(scheduler, second, kStart + Millis{20}) <= 32'768);
+    scheduler.onCredit(first, 70'000, kStart + Millis{80});
+    REQUIRE(takeAll(scheduler, second, kStart + Millis{80}) > 50'000);
+    scheduler.finish(second);
+    scheduler.removeAll("b");
+    REQUIRE(scheduler.isEmpty());
+}
+
+TEST_CASE("A finished body that is never acknowledged is forgotten")
+{
+    BodyScheduler scheduler;
+    scheduler.add({"a", 1}, true, kStart);
+    scheduler.onAvailable({"a", 1}, 50'000);
+    REQUIRE(takeAll(scheduler, {"a", 1}, kStart) == 50'000);
+    scheduler.finish({"a", 1});
+    scheduler.sweep(kStart + Millis{4000});
+    REQUIRE_FALSE(scheduler.isEmpty());
+    scheduler.sweep(kStart + Millis{5100});
+    REQUIRE(scheduler.isEmpty());
+}
