Arrivals at a server and further offers are counted by outcome

Until now a rejection by 421 was in neither a metric nor the arrivals of request-end. New: server_arrivals_total, further_offers_total, the event server-mismatch.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -28,6 +28,18 @@
 constexpr Millis kMinServerTime{5};
 constexpr int kServerError = 500;
 
+/*! @return How the server dealt with a call that was sent to it, for metrics. */
+[[nodiscard]] const char *arrivalOutcome(http::ExchangeEnd end, const proxy::AnswerMetadata &answer)
+{
+    if (end != http::ExchangeEnd::Answered) {
+        return "unanswered";
+    }
+    if (answer.isOtherServer) {
+        return "misdirected";
+    }
+    return answer.isNotRun ? "rejected" : "answered";
+}
+
 } // namespace internal
 
 BackendGate::BackendGate(boost::asio::io_context &context, const EngineSettings &settings,
@@ -366,11 +378,19 @@
     proxy::ReplyFrame reply;
     reply.id = it->second.frame.id;
     auto handover = proxy::HandoverOutcome::Failed;
+    const auto metadata = m_headerAdapter.readAnswer(answer);
+    if (end != http::ExchangeEnd::NotSent) {
+        m_metrics
+                .counter("server_arrivals_total{outcome=\""
+                         + std::string{internal::arrivalOutcome(end, metadata)} + "\"}")
+                .add();
+    }
     switch (end) {
     case http::ExchangeEnd::Answered: {
         m_hangs.onAnswered(std::chrono::duration_cast<Micros>(now - it->second.handedOverAt));
-        const auto metadata = m_headerAdapter.readAnswer(answer);
         if (metadata.isOtherServer) {
+            logEvent(LogLevel::Warn, "gate", "server-mismatch",
+                     {{"request", it->second.frame.requestId}, {"server", m_server.id}});
             reply.kind = proxy::ReplyKind::NotRun;
             reply.reason = proxy::Reason::WrongServer;
             handover = proxy::HandoverOutcome::NotSent;
@@ -492,6 +512,7 @@
             m_hangs.onUnanswered(spent, now);
         }
         if (call.connection) {
+            m_metrics.counter("server_arrivals_total{outcome=\"cancelled\"}").add();
             call.connection->cancel();
         }
     }
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -354,6 +354,12 @@
     }
     auto &call = it->second;
     const auto step = call.dispatcher.onReply(reply, dispatchContext(), now);
+    if (std::holds_alternative<proxy::OfferStep>(step)) {
+        m_dependencies.metrics
+                .counter("further_offers_total{service=\"" + call.frame.service + "\",after=\""
+                         + std::string{proxy::reasonName(reply.reason)} + "\"}")
+                .add();
+    }
     if (reply.hasMore && !std::holds_alternative<proxy::AnswerStep>(step)) {
         cancelOffer(call, now); // the rest of the body is of no use
     }
