--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -50,8 +50,9 @@
             proxy = std::make_unique<standin::soak::LinkProxy>(
                     context, Address{node->backendHost, kLinkPort}, Address{node->host, kLinkPort});
         }
+        node->serverId = "s" + std::to_string(i);
         node->server = std::make_unique<ScriptedServer>(
-                context, Address{node->backendHost, kServerPort}, "s" + std::to_string(i));
+                context, Address{node->backendHost, kServerPort}, node->serverId);
         engine::EngineSettings settings;
         settings.name = "node-" + std::to_string(i);
         node->zone = i < count - south ? "north" : "south";
@@ -82,7 +83,7 @@
     ++m_revision;
     std::vector<directory::ItemChange> items{{"configuration", "1", 1, false}};
     for (std::size_t i = 0; i < nodes.size(); ++i) {
-        const auto id = "s" + std::to_string(i);
+        const auto &id = nodes[i]->serverId;
         if (missing.count(static_cast<int>(i)) > 0) {
             continue;
         }
@@ -90,7 +91,8 @@
         items.push_back({"server/" + id,
                          id + " stock " + nodes[i]->zone + " " + nodes[i]->backendHost + ":"
                                  + std::to_string(kServerPort) + " 4 "
-                                 + (isDraining ? "draining" : "ready") + " 0 1",
+                                 + (isDraining ? "draining" : "ready") + " 0 "
+                                 + std::to_string(nodes[i]->serverStarts),
                          m_revision, false});
     }
     for (const auto &node : nodes) {
@@ -151,6 +153,14 @@
     return *outcome;
 }
 
+void Mesh::restartServer(int index, const std::string &id)
+{
+    auto &node = *nodes[static_cast<std::size_t>(index)];
+    node.serverId = id;
+    ++node.serverStarts;
+    node.server->restartAs(id);
+}
+
 void Mesh::restartNode(int index)
 {
     auto &node = *nodes[static_cast<std::size_t>(index)];
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -66,6 +66,8 @@
     /*! @return The bytes of a request, with a new id. */
     [[nodiscard]] std::string request(const std::string &method, const std::string &target,
                                       const std::string &body = {}, Millis deadline = Millis{1500});
+    /*! @brief Restarts the server of a node with this id. `publish` lists it from then on. */
+    void restartServer(int index, const std::string &id);
     /*! @brief Replaces the engine of a node by a new one that has received nothing yet. */
     void restartNode(int index);
 
@@ -84,6 +86,8 @@
 
     struct Node
     {
+        std::string serverId;
+        int serverStarts = 1;
         ScriptedSource source;
         std::unique_ptr<engine::Engine> engine;
         std::unique_ptr<ScriptedServer> server;
--- a/test/support/scripted_server.cpp
+++ b/test/support/scripted_server.cpp
@@ -29,6 +29,12 @@
     }
 }
 
+void ScriptedServer::restartAs(std::string id)
+{
+    m_id = std::move(id);
+    m_checksId = true;
+}
+
 std::string ScriptedServer::good(const http::Request &request, const std::string &body)
 {
     return head(request) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -110,6 +116,12 @@
         return {"HTTP/1.1 200 OK\r\nT-Server: " + m_id + "\r\nContent-Length: 0\r\n\r\n", false};
     }
     seen.push_back(request);
+    if (m_checksId && http::findHeader(request.headers, "T-Server") != m_id) {
+        return {"HTTP/1.1 421 Misdirected Request\r\nT-Request: "
+                        + std::string{http::findHeader(request.headers, "T-Request")}
+                        + "\r\nContent-Length: 0\r\n\r\n",
+                false};
+    }
     return m_respond(request);
 }
 
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -38,6 +38,10 @@
     /*! @brief Replaces the default behaviour, which is a complete signed answer. */
     void setRespond(Respond respond) { m_respond = std::move(respond); }
 
+    /*! @brief Gives the server another id, as after a restart. Requests for any other one are
+     * rejected from now on. */
+    void restartAs(std::string id);
+
     /*! @return A complete signed answer to the request. */
     [[nodiscard]] static std::string good(const http::Request &request, const std::string &body);
 
@@ -59,6 +63,7 @@
 
     boost::asio::io_context &m_context;
     std::string m_id;
+    bool m_checksId = false;
     Respond m_respond;
     http::Listener m_listener;
 };
--- a/test/support/test_header_adapter.cpp
+++ b/test/support/test_header_adapter.cpp
@@ -38,6 +38,7 @@
     metadata.isSigned = http::countHeaders(answer.headers, "T-Signed") > 0;
     metadata.isEncoded = http::countHeaders(answer.headers, "Content-Encoding") > 0;
     metadata.isNotRun = http::countHeaders(answer.headers, "T-Not-Run") > 0;
+    metadata.isOtherServer = answer.status == 421;
     return metadata;
 }
 
