Rejections of an outdated server id count as repeats, and close the gate

Callers saw little: their requests went on to another server. Cause: a restarted server has a new id. Until the store publishes it, calls are sent with the old id and rejected with 421. The gate reported this as if nothing had reached the server, so that each request went on to up to six gates without drawing on the budget. A gate with such a server replies at once and looks free, which drew further calls to it. Fix: a 421 is an arrival, so going on needs an attempt of the route and the budget. The gate then closes until another incarnation is published or a health probe finds the published one, so that further calls are refused before they arrive and may go on freely. Callers without another server are told to come back once the id can be known.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -66,7 +66,7 @@
     if (m_settings.mechanisms.evacuation && m_view->evacuatedZones.count(m_server.zone) > 0) {
         return proxy::Reason::Evacuated;
     }
-    return proxy::Reason::None;
+    return m_isMismatched ? proxy::Reason::WrongServer : proxy::Reason::None;
 }
 
 void BackendGate::onDirectory(const directory::DirectoryPtr &view, TimePoint now)
@@ -85,6 +85,7 @@
             }
         }
         if (!m_server.isSameIncarnation(*server)) {
+            m_isMismatched = false;
             assumeCold("new-incarnation");
             reportCrash(now);
         } else if (server->learnedAt != m_server.learnedAt && server->coldRemaining.count() > 0) {
@@ -144,8 +145,10 @@
     if (reason == proxy::Reason::None && frame.serverId != m_server.id) {
         reason = proxy::Reason::WrongServer;
     }
-    if (reason == proxy::Reason::None) {
+    if (reason == proxy::Reason::None || m_isMismatched) {
         probeIfNeeded(now);
+    }
+    if (reason == proxy::Reason::None) {
         reason = m_admission.offer({ticket, frame.rank, frame.isNested, frame.mayQueue, now,
                                     now + frame.target, held.deadline},
                                    now);
@@ -389,11 +392,13 @@
     case http::ExchangeEnd::Answered: {
         m_hangs.onAnswered(std::chrono::duration_cast<Micros>(now - it->second.handedOverAt));
         if (metadata.isOtherServer) {
-            logEvent(LogLevel::Warn, "gate", "server-mismatch",
-                     {{"request", it->second.frame.requestId}, {"server", m_server.id}});
             reply.kind = proxy::ReplyKind::NotRun;
             reply.reason = proxy::Reason::WrongServer;
+            reply.reachedServer = true;
             handover = proxy::HandoverOutcome::NotSent;
+            if (it->second.frame.serverId == m_server.id) {
+                onMismatch(it->second.frame.requestId);
+            }
         } else if (metadata.isNotRun) {
             reply.kind = proxy::ReplyKind::NotRun;
             reply.reason = proxy::Reason::Shed;
@@ -435,9 +440,23 @@
         break;
     }
     finish(ticket, std::move(reply), handover, now);
+    if (m_isMismatched) {
+        updateClosed(now);
+    }
     dispatchWaiting(now);
 }
 
+void BackendGate::onMismatch(const std::string &requestId)
+{
+    logEvent(LogLevel::Warn, "gate", "server-mismatch",
+             {{"request", requestId}, {"server", m_server.id}});
+    if (m_service.healthPath.empty()) {
+        return; // nothing would show that the server is the intended one after all
+    }
+    m_isMismatched = true;
+    assumeCold("mismatch");
+}
+
 void BackendGate::refuse(std::uint64_t ticket, proxy::Reason reason, TimePoint now)
 {
     const auto it = m_calls.find(ticket);
@@ -610,6 +629,8 @@
         }
         const auto answeredAt = bootNow();
         m_needsProbe = false;
+        m_isMismatched = false;
+        updateClosed(answeredAt);
         const auto cold = metadata.coldFor.value_or(Millis{0});
         if (cold.count() > 0) {
             m_admission.cold().markCold(answeredAt + cold);
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -141,6 +141,9 @@
     /*! @brief Reports repeatable calls that wait at a server that hangs, so that they can be tried
      * elsewhere. */
     void reportHungCalls(TimePoint now);
+    /*! @brief Closes the gate, since the server at the address is not the published one. It reopens
+     * with the next published incarnation, or when a health probe finds the published one. */
+    void onMismatch(const std::string &requestId);
     /*! @brief Treats the server as cold until a health probe reports its state. */
     void assumeCold(const char *cause);
     /*! @brief Passes the requests that may have crashed the server to the crash handler. */
@@ -175,6 +178,7 @@
     TimePoint m_lastProbeAt;
     bool m_needsProbe = true; /*!< It is unknown whether the server is cold or warm. */
     bool m_isProbing = false;
+    bool m_isMismatched = false; /*!< The server rejected the id under which it is published. */
     bool m_isShuttingDown = false;
     bool m_isExpiryTimerArmed = false;
     bool m_isDispatchScheduled = false;
--- a/src/celeryramp/proxy/call_dispatcher.cpp
+++ b/src/celeryramp/proxy/call_dispatcher.cpp
@@ -20,6 +20,8 @@
 /*! Bounds of the retry delay that refused callers are told. */
 constexpr Millis kMinRetryAfter{50};
 constexpr Millis kMaxRetryAfter{1000};
+/*! Retry delay while a server has restarted and is not published yet. */
+constexpr Millis kUnpublishedRetryAfter{500};
 constexpr int kServerErrorStatus = 500;
 constexpr int kBadGatewayStatus = 502;
 constexpr int kUnavailableStatus = 503;
@@ -27,8 +29,11 @@
 
 /*! @return Time until the server may take another call, within the bounds: it works off the calls
  * beyond its slots, or is cold and takes few. */
-[[nodiscard]] Millis retryDelay(const GateLoad &load)
+[[nodiscard]] Millis retryDelay(Reason reason, const GateLoad &load)
 {
+    if (reason == Reason::WrongServer) {
+        return kUnpublishedRetryAfter;
+    }
     const int excess = load.running + load.waiting - load.slots;
     const int queue = excess > 0 && load.slots > 0 ? excess * load.serviceMillis / load.slots : 0;
     return std::clamp(Millis{std::max(queue, load.coldWaitMillis)}, kMinRetryAfter, kMaxRetryAfter);
@@ -90,7 +95,7 @@
     const bool isSuccess = reply.kind == ReplyKind::Answer
             ? reply.answer.status < internal::kServerErrorStatus
             : reply.kind == ReplyKind::NotRun && !reply.reachedServer
-                    && reply.reason != Reason::Unreachable;
+                    && reply.reason != Reason::Unreachable && reply.reason != Reason::WrongServer;
     context.picker.onReply(m_pendingServer, reply.load, isSuccess, now);
     m_pendingServer.clear();
     m_lastReason = reply.reason;
@@ -112,7 +117,7 @@
 CallStep CallDispatcher::onNotRun(const ReplyFrame &reply, const DispatchContext &context,
                                   TimePoint now)
 {
-    const auto delay = internal::retryDelay(reply.load);
+    const auto delay = internal::retryDelay(reply.reason, reply.load);
     m_retryAfter = m_retryAfter.count() == 0 ? delay : std::min(m_retryAfter, delay);
     if (reply.reachedServer) {
         ++m_attempts;
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -50,7 +50,8 @@
     std::uint64_t id = 0;
     ReplyKind kind = ReplyKind::NotRun;
     Reason reason = Reason::None;
-    bool reachedServer = false; /*!< The server itself refused; counts as an attempt. */
+    bool reachedServer = false; /*!< The server itself refused it, also because it is not the
+                                   intended one; counts as an attempt. */
     GateLoad load;
     http::Answer answer; /*!< With the first part of its body if `hasMore`. */
     bool hasMore = false; /*!< The rest of the body follows in `BodyFrame`s. */
--- a/test/proxy/call_dispatcher.cpp
+++ b/test/proxy/call_dispatcher.cpp
@@ -149,6 +149,26 @@
             == 502);
 }
 
+// Guards against arrivals that the retry budget does not count: a server that has restarted rejects
+// the id under which it is listed.
+TEST_CASE("A rejection by a server with another id is an attempt and draws on the retry budget")
+{
+    TestService service{"near-1", "near-2", "near-3", "near-4"};
+    int further = 0;
+    for (int i = 0; i < 100; ++i) {
+        CallDispatcher dispatcher{policy(i % 2 == 0, 3)};
+        auto step = dispatcher.begin(service.dispatchContext(), kStart);
+        while (std::holds_alternative<OfferStep>(step)) {
+            step = dispatcher.onReply(refusal(Reason::WrongServer, true), service.dispatchContext(),
+                                      kStart);
+            further += std::holds_alternative<OfferStep>(step) ? 1 : 0;
+        }
+        REQUIRE(dispatcher.attempts() <= 3);
+        REQUIRE(std::get<GiveUpStep>(step).status == 503); // it has not run
+    }
+    REQUIRE(further == 10); // all of the balance of this service
+}
+
 TEST_CASE("Pattern: a large zone is full - other zones are tried before the offers are used up")
 {
     TestService service{"near-1", "near-2", "near-3", "near-4", "near-5",
