Calls of a request that is run again draw on the retry budget

Callers saw nothing; a called service got repeats that its budget did not count. Cause: a request that is run again makes its calls again, and the node beside its server took them for first attempts, which even added to the budget. Fix: a call tells the gate whether it has reached a server before; a nested call that enters at a node draws the share of repeats among the requests that run beside it from the budget of its service, also below zero, so that the decided repeats make room for those that follow from others.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -586,6 +586,17 @@
     return *middle;
 }
 
+double BackendGate::repeatShare() const
+{
+    int running = 0;
+    int repeats = 0;
+    for (const auto &[ticket, call] : m_calls) {
+        running += call.isRunning ? 1 : 0;
+        repeats += call.isRunning && call.frame.isRepeat ? 1 : 0;
+    }
+    return running > 0 ? static_cast<double>(repeats) / running : 0.0;
+}
+
 void BackendGate::assumeCold(const char *cause)
 {
     const auto cold = m_service.coldStart.count() > 0 ? m_service.coldStart
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -94,6 +94,10 @@
      * server itself sends get this rank. */
     [[nodiscard]] std::optional<int> medianRunningRank() const;
 
+    /*! @return Share of the running calls that are repeats. Calls that the server itself sends are
+     * repeats with this probability. */
+    [[nodiscard]] double repeatShare() const;
+
 private:
     struct Call
     {
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -172,7 +172,6 @@
     policy.answerBytes = m_answerSizes.expected(route->name);
     policy.maySpill
             = request.body.size() + policy.answerBytes <= proxy::spillAllowance(route->priority);
-    m_retryBudget.onFirstAttempt(policy.service);
     auto &call = m_calls.emplace(id, Call{}).first->second;
     call.id = id;
     call.response = std::move(response);
@@ -191,6 +190,8 @@
     call.frame.rank
             = (account != nullptr ? account->priority : 0) * internal::kRanksPerAccountPriority
             + route->priority;
+    m_retryBudget.onFirstAttempt(call.frame.service,
+                                 call.frame.isNested ? m_dependencies.gate.repeatShare() : 0.0);
     if (call.frame.isNested) {
         // The urgency is that of the request which waits for this one at the local server.
         call.frame.rank = m_dependencies.gate.medianRunningRank().value_or(call.frame.rank);
@@ -304,6 +305,7 @@
     call.frame.deadline = millisBetween(now, call.dispatcher.policy().deadline);
     call.frame.target = millisBetween(now, call.dispatcher.policy().target);
     call.frame.mayQueue = step.mayBeLate;
+    call.frame.isRepeat = call.dispatcher.attempts() > 0;
     const auto id = call.id;
     if (server.address.host == m_dependencies.settings.links.host) {
         call.peer = {};
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -52,7 +52,7 @@
     out.push_back(frame.target.count());
     out.push_back(frame.rank);
     out.push_back((frame.isNested ? 1 : 0) + (frame.isIdempotent ? 2 : 0)
-                  + (frame.mayQueue ? 4 : 0));
+                  + (frame.mayQueue ? 4 : 0) + (frame.isRepeat ? 8 : 0));
     out.push_back(binary(frame.request.method));
     out.push_back(binary(frame.request.target));
     out.push_back(headersToJson(frame.request.headers));
@@ -76,6 +76,7 @@
     frame.isNested = (flags & 1) != 0;
     frame.isIdempotent = (flags & 2) != 0;
     frame.mayQueue = (flags & 4) != 0;
+    frame.isRepeat = (flags & 8) != 0;
     frame.request.method = bytesOf(json.at(11));
     frame.request.target = bytesOf(json.at(12));
     frame.request.headers = headersFromJson(json.at(13));
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -30,6 +30,7 @@
     int rank = 0; /*!< Priority; 0 is the most urgent. */
     bool isNested = false; /*!< Sent by a server that occupies a slot until the answer. */
     bool isIdempotent = false;
+    bool isRepeat = false; /*!< It has reached a server before. */
     bool mayQueue
             = true; /*!< False: refuse it if the target cannot be met, as others can be asked. */
     http::Request request; /*!< Without hop-by-hop headers and credentials. */
--- a/src/celeryramp/routing/retry_budget.cpp
+++ b/src/celeryramp/routing/retry_budget.cpp
@@ -4,10 +4,10 @@
 
 namespace celeryramp {
 
-void RetryBudget::onFirstAttempt(const std::string &service)
+void RetryBudget::onFirstAttempt(const std::string &service, double repeatShare)
 {
     auto &balance = m_balances.try_emplace(service, m_initialBalance).first->second;
-    balance = std::min(m_maxBalance, balance + m_ratio);
+    balance = std::min(m_maxBalance, balance + m_ratio * (1.0 - repeatShare) - repeatShare);
 }
 
 bool RetryBudget::trySpend(const std::string &service)
--- a/src/celeryramp/routing/retry_budget.h
+++ b/src/celeryramp/routing/retry_budget.h
@@ -8,8 +8,10 @@
 /*!
  * @brief Limits retries per service to a fraction of the first attempts.
  *
- * An attempt that a gate refused before it ran needs no budget, since trying another gate does not
- * execute the request twice.
+ * An attempt that a gate refused before it reached a server needs no budget. A rejection by a
+ * server does. A request that is run again makes its calls again; these are repeats of the called
+ * service, which nobody decides on, so they are drawn from its balance even if that makes it
+ * negative.
  */
 class RetryBudget
 {
@@ -23,8 +25,12 @@
         : m_ratio{ratio}, m_maxBalance{maxBalance}, m_initialBalance{initialBalance}
     { }
 
-    /*! @brief Counts a first attempt, which adds to the budget of its service. */
-    void onFirstAttempt(const std::string &service);
+    /*!
+     * @brief Counts a first attempt, which adds to the budget of its service.
+     * @param repeatShare Probability, from 0 to 1, that it is a call of a request that is run again
+     * and so a repeat.
+     */
+    void onFirstAttempt(const std::string &service, double repeatShare = 0.0);
 
     /*! @brief Spends one retry if the budget allows it. @return True if the retry is allowed. */
     [[nodiscard]] bool trySpend(const std::string &service);
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -17,6 +17,7 @@
     call.target = Millis{-40};
     call.rank = 17;
     call.isNested = true;
+    call.isRepeat = true;
     call.mayQueue = false;
     call.request.method = "PUT";
     call.request.target = "/a/?b";
@@ -29,6 +30,7 @@
     REQUIRE(back.requestId == call.requestId);
     REQUIRE(back.target == call.target);
     REQUIRE(back.isNested);
+    REQUIRE(back.isRepeat);
     REQUIRE_FALSE(back.mayQueue);
     REQUIRE_FALSE(back.isIdempotent);
     REQUIRE(back.request.body == call.request.body);
