--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -51,8 +51,8 @@
     out.push_back(frame.deadline.count());
     out.push_back(frame.target.count());
     out.push_back(frame.rank);
-    out.push_back((frame.isNested ? 1 : 0) + (frame.isIdempotent ? 2 : 0)
-                  + (frame.mayQueue ? 4 : 0) + (frame.isRepeat ? 8 : 0));
+    out.push_back((frame.isNested ? 1 : 0) + (frame.isIdempotent ? 2 : 0) + (frame.mayQueue ? 4 : 0)
+                  + (frame.isRepeat ? 8 : 0));
     out.push_back(binary(frame.request.method));
     out.push_back(binary(frame.request.target));
     out.push_back(headersToJson(frame.request.headers));
