--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -90,8 +90,8 @@
         const bool isDraining = draining.count(static_cast<int>(i)) > 0;
         items.push_back({"server/" + id,
                          id + " stock " + nodes[i]->zone + " " + nodes[i]->backendHost + ":"
-                                 + std::to_string(kServerPort) + " 4 "
-                                 + (isDraining ? "draining" : "ready") + " 0 "
+                                 + std::to_string(kServerPort) + " " + std::to_string(serverSlots)
+                                 + " " + (isDraining ? "draining" : "ready") + " 0 "
                                  + std::to_string(nodes[i]->serverStarts),
                          m_revision, false});
     }
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -98,6 +98,7 @@
 
     boost::asio::io_context context;
     std::vector<std::unique_ptr<Node>> nodes;
+    int serverSlots = 4; /*!< Listed with the next `publish`. */
 
     static constexpr std::uint16_t kCallerPort = 17801;
     static constexpr std::uint16_t kLinkPort = 17802;
