Servers that announce in an answer that they leave get no new requests

Callers could be cut off: requests went to a server that had said in its answers that it leaves, as long as the store listed it as ready. Cause: nothing read the header. Fix: the gate closes for this incarnation, and its replies tell the senders, which remember it, so that a gate that has restarted gets nothing from them.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -60,7 +60,8 @@
     if (m_server.id.empty()) {
         return proxy::Reason::NoServer;
     }
-    if (m_isShuttingDown || (m_server.isDraining && m_settings.mechanisms.draining)) {
+    const bool isLeaving = m_server.isDraining || m_isServerLeaving;
+    if (m_isShuttingDown || (isLeaving && m_settings.mechanisms.draining)) {
         return proxy::Reason::Draining;
     }
     if (m_settings.mechanisms.evacuation && m_view->evacuatedZones.count(m_server.zone) > 0) {
@@ -86,6 +87,7 @@
         }
         if (!m_server.isSameIncarnation(*server)) {
             m_isMismatched = false;
+            m_isServerLeaving = false;
             m_admission.rate().reset();
             assumeCold("new-incarnation");
             reportCrash(now);
@@ -269,14 +271,16 @@
         return;
     }
     const auto now = bootNow();
-    onRateLimit(m_headerAdapter.readAnswer(head), now);
     auto &call = it->second;
+    if (call.frame.serverId == m_server.id) {
+        onServerState(m_headerAdapter.readAnswer(head), now);
+    }
     call.isStreaming = true;
     beginBody(call, now).connection = call.connection;
     proxy::ReplyFrame reply;
     reply.id = call.frame.id;
     reply.kind = proxy::ReplyKind::Answer;
-    reply.load = m_admission.load(now);
+    reply.load = load(now);
     http::eraseHopByHop(head.headers);
     reply.answer = std::move(head);
     reply.hasMore = true;
@@ -394,7 +398,7 @@
                 .add();
     }
     if (end == http::ExchangeEnd::Answered && it->second.frame.serverId == m_server.id) {
-        onRateLimit(metadata, now);
+        onServerState(metadata, now);
     }
     switch (end) {
     case http::ExchangeEnd::Answered: {
@@ -448,12 +452,20 @@
         break;
     }
     finish(ticket, std::move(reply), handover, now);
-    if (m_isMismatched) {
+    if (m_isMismatched || m_isServerLeaving) {
         updateClosed(now);
     }
     dispatchWaiting(now);
 }
 
+void BackendGate::onServerState(const proxy::AnswerMetadata &answer, TimePoint now)
+{
+    onRateLimit(answer, now);
+    if (answer.isLeaving && !answer.isOtherServer && !std::exchange(m_isServerLeaving, true)) {
+        logEvent(LogLevel::Info, "gate", "server-leaving", {{"server", m_server.id}});
+    }
+}
+
 void BackendGate::onRateLimit(const proxy::AnswerMetadata &answer, TimePoint now)
 {
     if (answer.isOtherServer || (!answer.rateLimit && !answer.isSigned)) {
@@ -504,7 +516,7 @@
         m_admission.finished(outcome, std::chrono::duration_cast<Micros>(now - call.handedOverAt),
                              now);
     }
-    reply.load = m_admission.load(now);
+    reply.load = load(now);
     logGateEnd(call.frame, reply, m_server.id, millisBetween(call.arrivedAt, now),
                call.isRunning ? millisBetween(call.handedOverAt, now) : Millis{0});
     m_metrics
@@ -593,6 +605,13 @@
     m_pool.closeIdle();
 }
 
+proxy::GateLoad BackendGate::load(TimePoint now)
+{
+    auto load = m_admission.load(now);
+    load.isLeaving = m_isServerLeaving;
+    return load;
+}
+
 std::optional<int> BackendGate::medianRunningRank() const
 {
     std::vector<int> ranks;
@@ -662,7 +681,7 @@
             return;
         }
         const auto answeredAt = bootNow();
-        onRateLimit(metadata, answeredAt);
+        onServerState(metadata, answeredAt);
         m_needsProbe = false;
         m_isMismatched = false;
         updateClosed(answeredAt);
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -88,7 +88,8 @@
 
     [[nodiscard]] bool isIdle() const noexcept { return m_calls.empty() && m_bodies.empty(); }
     [[nodiscard]] const std::string &serverId() const noexcept { return m_server.id; }
-    [[nodiscard]] proxy::GateLoad load(TimePoint now) { return m_admission.load(now); }
+    /*! @return Load of the gate and state of the server, for the senders of calls. */
+    [[nodiscard]] proxy::GateLoad load(TimePoint now);
 
     /*! @return Median rank of the running calls, or nothing if no call is running. Calls that the
      * server itself sends get this rank. */
@@ -150,6 +151,8 @@
     void onMismatch(const std::string &requestId);
     /*! @brief Treats the server as cold until a health probe reports its state. */
     void assumeCold(const char *cause);
+    /*! @brief Applies what an answer of the server says of its state. */
+    void onServerState(const proxy::AnswerMetadata &answer, TimePoint now);
     /*! @brief Applies the rate limit that an answer of the server names, or its absence. */
     void onRateLimit(const proxy::AnswerMetadata &answer, TimePoint now);
     /*! @brief Passes the requests that may have crashed the server to the crash handler. */
@@ -184,6 +187,7 @@
     TimePoint m_lastProbeAt;
     bool m_needsProbe = true; /*!< It is unknown whether the server is cold or warm. */
     bool m_isProbing = false;
+    bool m_isServerLeaving = false; /*!< Announced in an answer; the store may not say so yet. */
     bool m_isMismatched = false; /*!< The server rejected the id under which it is published. */
     bool m_isShuttingDown = false;
     bool m_isExpiryTimerArmed = false;
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -256,6 +256,10 @@
             || (mechanisms.evacuation && view.evacuatedZones.count(server->zone) > 0)) {
             continue;
         }
+        if (mechanisms.draining
+            && m_leavingServers.count({server->id, server->startedMillis}) > 0) {
+            continue;
+        }
         const bool isLocal = server->address.host == m_dependencies.settings.links.host;
         const auto &host = server->address.host;
         if (!isLocal
@@ -356,6 +360,9 @@
         return;
     }
     auto &call = it->second;
+    if (reply.load.isLeaving) {
+        onServerLeaving(call);
+    }
     const auto step = call.dispatcher.onReply(reply, dispatchContext(), now);
     if (std::holds_alternative<proxy::OfferStep>(step)) {
         m_dependencies.metrics
@@ -369,6 +376,14 @@
     executeStep(call, step, &reply, now);
 }
 
+void RequestDispatcher::onServerLeaving(const Call &call)
+{
+    const auto &view = m_dependencies.replica.view();
+    if (const auto *server = view->findServer(call.frame.serverId)) {
+        m_leavingServers.insert({server->id, server->startedMillis});
+    }
+}
+
 void RequestDispatcher::beginStream(Call &call, const proxy::ReplyFrame &reply, TimePoint now)
 {
     call.isStreaming = true;
@@ -685,7 +700,13 @@
         it = millisBetween(it->second, now) > internal::kLeavingNodeTtl ? m_leavingNodes.erase(it)
                                                                         : std::next(it);
     }
-    const auto &routing = m_dependencies.replica.view()->routing;
+    const auto &view = m_dependencies.replica.view();
+    for (auto it = m_leavingServers.begin(); it != m_leavingServers.end();) {
+        const auto *server = view->findServer(it->first);
+        const bool isGone = server == nullptr || server->startedMillis != it->second;
+        it = isGone ? m_leavingServers.erase(it) : std::next(it);
+    }
+    const auto &routing = view->routing;
     const auto limits = routing ? routing->limits() : directory::InputLimits{};
     const auto connections = m_connections;
     for (const auto &connection : connections) {
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -113,7 +113,8 @@
     out.push_back(frame.reachedServer);
     out.push_back(Json::array({frame.load.running, frame.load.waiting, frame.load.slots,
                                frame.load.serviceMillis, frame.load.rateWaitMillis,
-                               frame.load.failurePercent, rateLimitToJson(frame.load.rateLimit)}));
+                               frame.load.failurePercent, rateLimitToJson(frame.load.rateLimit),
+                               frame.load.isLeaving}));
     if (frame.kind == ReplyKind::Answer) {
         out.push_back(frame.answer.status);
         out.push_back(binary(frame.answer.reason));
@@ -141,9 +142,10 @@
     frame.reason = static_cast<Reason>(reason);
     frame.reachedServer = json.at(4).get<bool>();
     const auto &load = json.at(5);
-    frame.load = {load.at(0).get<int>(),     load.at(1).get<int>(), load.at(2).get<int>(),
-                  load.at(3).get<int>(),     load.at(4).get<int>(), load.at(5).get<int>(),
-                  rateLimitFromJson(load, 6)};
+    frame.load = {load.at(0).get<int>(),      load.at(1).get<int>(),
+                  load.at(2).get<int>(),      load.at(3).get<int>(),
+                  load.at(4).get<int>(),      load.at(5).get<int>(),
+                  rateLimitFromJson(load, 6), load.size() > 7 && load[7].get<bool>()};
     if (frame.kind == ReplyKind::Answer) {
         frame.answer.status = json.at(6).get<int>();
         frame.answer.reason = bytesOf(json.at(7));
--- a/src/celeryramp/proxy/gate_load.h
+++ b/src/celeryramp/proxy/gate_load.h
@@ -16,6 +16,7 @@
     int failurePercent = 0; /*!< Moving average of the share of failed calls. */
     std::optional<double> rateLimit; /*!< Requests per second that the server names, or
                                         `kNoRateLimit`; empty if the gate has no answer of it. */
+    bool isLeaving = false; /*!< The server has announced in an answer that it leaves. */
 };
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/header_adapter.h
+++ b/src/celeryramp/proxy/header_adapter.h
@@ -30,6 +30,7 @@
     bool isOtherServer = false; /*!< The server at the address is not the intended one. */
     std::optional<double> rateLimit; /*!< Requests per second that the server takes from all nodes
                                         together, for as long as its answers name a limit. */
+    bool isLeaving = false; /*!< The server takes no new requests from now on. */
     std::optional<Millis> coldFor; /*!< Remaining time for which the server is cold. */
 };
 
--- a/test/platform/platform_header_adapter.cpp
+++ b/test/platform/platform_header_adapter.cpp
@@ -95,3 +95,13 @@
     }
     REQUIRE_FALSE(adapter.readAnswer({}).rateLimit);
 }
+
+// Guards against announcements of servers that nothing reads.
+TEST_CASE("A server announces in its answers that it leaves")
+{
+    const PlatformHeaderAdapter adapter;
+    http::Answer answer;
+    REQUIRE_FALSE(adapter.readAnswer(answer).isLeaving);
+    answer.headers = {{"server-leaving", "1"}};
+    REQUIRE(adapter.readAnswer(answer).isLeaving);
+}
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -43,7 +43,7 @@
     ReplyFrame reply;
     reply.id = 9;
     reply.kind = ReplyKind::Answer;
-    reply.load = {3, 4, 12, 110, -1, 0, kNoRateLimit};
+    reply.load = {3, 4, 12, 110, -1, 0, kNoRateLimit, true};
     reply.answer.status = 418;
     reply.answer.body = "tea";
     const auto decodedReply = decodeFrame(encodeFrame(reply));
@@ -52,6 +52,7 @@
     REQUIRE(backReply.load.waiting == 4);
     REQUIRE(backReply.load.rateWaitMillis == -1);
     REQUIRE(backReply.load.rateLimit == kNoRateLimit);
+    REQUIRE(backReply.load.isLeaving);
 }
 
 TEST_CASE("Removed and empty items are distinct after encoding and decoding")
--- a/test/support/test_header_adapter.cpp
+++ b/test/support/test_header_adapter.cpp
@@ -41,6 +41,7 @@
     if (const auto limit = http::findHeader(answer.headers, "T-Limit"); !limit.empty()) {
         metadata.rateLimit = std::stod(std::string{limit});
     }
+    metadata.isLeaving = http::countHeaders(answer.headers, "T-Leaving") > 0;
     metadata.isOtherServer = answer.status == 421;
     return metadata;
 }
