Odd entries: numbers out of range and deep nesting are errors

Reported by other operators: one odd entry among those of the servers ended the machines that read the list. Here none ended, but an entry of 1 MB of brackets cost each node over 34 MB at once, on machines with 110 MB, and numbers that do not fit were cut off to usable ones: slots became 12, and a start of 2^64-1 hid the real server at the same address. Cause: numbers were cast without a check, and a value was parsed whatever it would take.

--- a/test/platform/json_splitter.cpp
+++ b/test/platform/json_splitter.cpp
@@ -89,3 +89,13 @@
         static_cast<void>(splitObject("{" + text + "}"));
     });
 }
+
+TEST_CASE("The depth of a document counts brackets outside of strings")
+{
+    REQUIRE_FALSE(isNestedDeeperThan(R"({"a":[1,[2]]})", 3));
+    REQUIRE(isNestedDeeperThan(R"({"a":[1,[2]]})", 2));
+    REQUIRE_FALSE(isNestedDeeperThan(R"(["[[[[", "\"[[[["])", 1));
+    REQUIRE_FALSE(isNestedDeeperThan("[],[],[],[]", 1));
+    REQUIRE_FALSE(isNestedDeeperThan("\"[[[[", 0));
+    REQUIRE(isNestedDeeperThan("[[[[", 3));
+}
--- a/test/platform/store_item_decoder.cpp
+++ b/test/platform/store_item_decoder.cpp
@@ -1,5 +1,7 @@
 #include "store_item_decoder.h"
 
+#include <sys/resource.h>
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
@@ -61,6 +63,46 @@
     REQUIRE_FALSE(decode("servers/i-1", value));
 }
 
+// Guards against odd entries of other writers whose numbers are cut off to something usable.
+TEST_CASE("A server entry with a number out of range names no server")
+{
+    const auto value = GENERATE(
+            as<std::string>{}, replaced(kServer, "12", "99999999999"),
+            replaced(kServer, "12", "4294967308"), replaced(kServer, "12", "12.5"),
+            replaced(kServer, "12", "1e300"), replaced(kServer, "12", "1e999"),
+            replaced(kServer, "12", "-12"), replaced(kServer, ":4,", ":-4,"),
+            replaced(kServer, ":4,", ":1e30,"), replaced(kServer, ":4,", ":\"4\","),
+            replaced(kServer, "1783980354000", "-1783980354000"),
+            replaced(kServer, "1783980354000", "1783980354000.5"),
+            replaced(kServer, "1783980354000", "1e30"),
+            replaced(kServer, "1783980354000", "18446744073709551615"),
+            replaced(kServer, "2.5s", "999999999999s"), replaced(kServer, ":8080", ":70000"),
+            replaced(kServer, ":8080", ":0"), replaced(kServer, ":8080", ":-1"),
+            replaced(kServer, ":8080", ":18446744073709551696"));
+    CAPTURE(value);
+    REQUIRE_FALSE(decode("servers/i-1", value));
+}
+
+// Guards against processes that exceed their memory, again after each restart, because of one
+// deeply nested entry.
+TEST_CASE("A deeply nested entry names no server and takes little memory")
+{
+    const auto peakKilobytes = [] {
+        rusage usage{};
+        getrusage(RUSAGE_SELF, &usage);
+        return usage.ru_maxrss;
+    };
+    constexpr std::size_t kDepth = 500'000; // the store takes values of 1 MB
+    const std::string opened(kDepth, '[');
+    const std::string closed(kDepth, ']');
+    const auto value = GENERATE_COPY(as<std::string>{}, opened + closed, opened,
+                                     replaced(kServer, "\"v1\"", opened + closed));
+    const auto before = peakKilobytes();
+    REQUIRE_FALSE(decode("servers/i-1", value));
+    REQUIRE_FALSE(decode("op/config", value));
+    REQUIRE(peakKilobytes() - before < 8 * 1024);
+}
+
 TEST_CASE("Configurations are decoded completely")
 {
     const auto item = decode("op/config", kConfiguration);
