Tests of heads that break off and of refusals written once more

A head that ends anywhere counts as a lost answer on both paths to a server. A refusal with the id of an earlier request is skipped, one without id on a used connection is not believed. By reading, one way was open until rejections by 421 became attempts: after a 421 the same request could be offered to the same server again, where a copy of the 421 would have had its id.

--- a/test/engine/late_second_answer.cpp
+++ b/test/engine/late_second_answer.cpp
@@ -1,3 +1,6 @@
+#include <map>
+#include <string>
+
 #include <catch2/catch.hpp>
 
 #include "support/mesh.h"
@@ -73,3 +76,50 @@
     REQUIRE(mesh.runUntil([&] { return outcome->isDone; }, Millis{700}));
     REQUIRE(outcome->answer.status == 502);
 }
+
+// Guards against an earlier refusal, written once more by its server, that is taken for that of the
+// request now running on the connection.
+TEST_CASE("Late second answer: an earlier refusal is not that of the request that runs now")
+{
+    Mesh mesh{2};
+    const auto *status = GENERATE("503 Busy", "421 Misdirected Request", "429 Too Many");
+    std::string refusal;
+    int requests = 0;
+    for (const auto &node : mesh.nodes) {
+        node->server->setRespond([&, status](const http::Request &request) {
+            if (++requests % 3 == 2) {
+                refusal = std::string{"HTTP/1.1 "} + status + "\r\nT-Not-Run: 1\r\nT-Request: "
+                        + std::string{http::findHeader(request.headers, "T-Request")}
+                        + "\r\nContent-Length: 0\r\n\r\n";
+                return Script{refusal};
+            }
+            // The copy comes while this request runs.
+            auto answer = ScriptedServer::good(request, "ok");
+            Script script{refusal.empty() ? answer : refusal};
+            if (!refusal.empty()) {
+                script.more = [answer, n = 0]() mutable { return n++ == 0 ? answer : ""; };
+            }
+            return script;
+        });
+    }
+    for (int i = 0; i < 12; ++i) {
+        const auto outcome = mesh.callAndWait(0, "POST", "/once/", {}, "x");
+        const int answered = outcome.answer.status;
+        CAPTURE(status, i, answered);
+        REQUIRE((answered == 200 || answered == 503));
+    }
+    // No request ran at more than one server: each arrival but the refused ones is another request.
+    std::map<std::string, int> arrivals;
+    int refused = 0;
+    for (const auto &node : mesh.nodes) {
+        for (const auto &request : node->server->seen) {
+            ++arrivals[std::string{http::findHeader(request.headers, "T-Request")}];
+        }
+    }
+    refused = requests / 3 + (requests % 3 == 2 ? 1 : 0);
+    int repeated = 0;
+    for (const auto &[id, n] : arrivals) {
+        repeated += n - 1;
+    }
+    REQUIRE(repeated <= refused);
+}
--- a/test/engine/truncated_answer.cpp
+++ b/test/engine/truncated_answer.cpp
@@ -107,3 +107,25 @@
     REQUIRE(mesh.runUntil([&] { return outcome->isDone; }, Millis{500}));
     REQUIRE(outcome->answer.status == 502);
 }
+
+// Guards against answers that break off in their head and reach the caller as empty or short ones.
+TEST_CASE("Truncated answer: a head that breaks off anywhere is no answer")
+{
+    Mesh mesh{1};
+    mesh.run(Millis{1100}); // so long a gate keeps off a cold server after its start
+    const bool resets = GENERATE(false, true);
+    std::size_t cut = 0;
+    std::size_t headSize = 0;
+    mesh.nodes[0]->server->setRespond([&](const http::Request &request) {
+        const auto head = ScriptedServer::head(request) + "Content-Length: 2\r\n\r\n";
+        headSize = head.size();
+        return inParts({head.substr(0, cut / 2), head.substr(cut / 2, cut - cut / 2)}, resets);
+    });
+    for (cut = 2; cut < std::max<std::size_t>(headSize, 3); cut += 5) {
+        CAPTURE(cut, resets);
+        const auto outcome = mesh.callAndWait(0, "POST", "/once/", {}, "x");
+        REQUIRE(outcome.answer.status == 502);
+        REQUIRE(outcome.answer.body.empty());
+    }
+    REQUIRE(mesh.nodes[0]->server->seen.size() >= headSize / 5);
+}
--- a/test/proxy/call_dispatcher.cpp
+++ b/test/proxy/call_dispatcher.cpp
@@ -169,6 +169,23 @@
     REQUIRE(further == 10); // all of the balance of this service
 }
 
+// Guards against a rejection, written once more by its server, that is taken for that of the same
+// request when it comes there again.
+TEST_CASE("A server that rejected a request itself is not offered it again")
+{
+    for (const auto reason : {Reason::WrongServer, Reason::Shed}) {
+        TestService service{"near-1", "near-2", "near-3"};
+        CallDispatcher dispatcher{policy(false, 3)};
+        auto step = dispatcher.begin(service.dispatchContext(), kStart);
+        const auto rejecting = std::get<OfferStep>(step).server->id;
+        step = dispatcher.onReply(refusal(reason, true), service.dispatchContext(), kStart);
+        while (std::holds_alternative<OfferStep>(step)) {
+            REQUIRE(std::get<OfferStep>(step).server->id != rejecting);
+            step = dispatcher.onReply(refusal(Reason::Busy), service.dispatchContext(), kStart);
+        }
+    }
+}
+
 TEST_CASE("Pattern: a large zone is full - other zones are tried before the offers are used up")
 {
     TestService service{"near-1", "near-2", "near-3", "near-4", "near-5",
--- a/test/transport/dying_server.cpp
+++ b/test/transport/dying_server.cpp
@@ -86,3 +86,19 @@
             })
             == BackendEnd::Broken);
 }
+
+// Guards against answers that break off in their head and count as whole ones with an empty body.
+TEST_CASE("dying server: a head that breaks off is no answer")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nServer: s1\r\nContent-Length: 2\r\n";
+    const auto cut = GENERATE(std::size_t{5}, std::size_t{12}, std::size_t{15}, std::size_t{17},
+                              std::size_t{22}, std::size_t{29}, std::size_t{40}, std::size_t{48});
+    CAPTURE(cut);
+    REQUIRE(callAndEnd([&head, cut](tcp::acceptor &acceptor, tcp::socket &socket) {
+                boost::system::error_code ignored;
+                boost::asio::write(socket, boost::asio::buffer(head.data(), cut), ignored);
+                acceptor.close();
+                socket.close();
+            })
+            == BackendEnd::Crashed);
+}
