--- a/src/celeryramp/proxy/fwd.h
+++ b/src/celeryramp/proxy/fwd.h
@@ -16,6 +16,7 @@
 class IdleReuse;
 struct GateLoad;
 class FleetLimiter;
+class RequestRateLimiter;
 class ServerGate;
 class ServerPicker;
 class SplitChooser;
--- a/src/celeryramp/proxy/request_rate_limiter.cpp
+++ b/src/celeryramp/proxy/request_rate_limiter.cpp
@@ -15,7 +15,10 @@
 
 double RequestRateLimiter::enforcedRate() const
 {
-    return isLimited() ? std::max(*m_perSecond, internal::kMinPerSecond) : kNoRateLimit;
+    if (!isLimited()) {
+        return kNoRateLimit;
+    }
+    return std::max(*m_perSecond, internal::kMinPerSecond);
 }
 
 double RequestRateLimiter::capacity() const
--- a/test/engine/limited_server.cpp
+++ b/test/engine/limited_server.cpp
@@ -111,6 +111,7 @@
     Mesh mesh{3};
     constexpr double kPerSecond = 8.0;
     std::vector<std::unique_ptr<LimitedServer>> servers;
+    servers.reserve(mesh.nodes.size());
     for (int i = 0; i < 3; ++i) {
         servers.push_back(std::make_unique<LimitedServer>(mesh, i, kPerSecond, Millis{0}));
     }
