Test of a restart with a stale peer: the link that it needs is opened for certain

Its log shows that no peer opened a link to the restarted node: the four calls that should do so were all offered to the other gate, which the choice of servers prefers while it is idle and has reported last.

--- a/test/engine/restart_with_stale_peer.cpp
+++ b/test/engine/restart_with_stale_peer.cpp
@@ -1,9 +1,35 @@
+#include <memory>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "support/mesh.h"
 
 using namespace celeryramp;
 using test::Mesh;
+using test::Outcome;
+using test::ScriptedServer;
+using Script = test::ScriptedServer::Script;
+
+namespace {
+
+/*! Lets node 0 offer calls to the gate of node 1, which opens a link to it: more calls at a time
+ * than the server of node 0 has slots. */
+void openLinkToNode1(Mesh &mesh)
+{
+    mesh.nodes[0]->server->setRespond([](const http::Request &request) {
+        return Script{ScriptedServer::good(request, "ok"), false, false, {}, Millis{100}};
+    });
+    std::vector<std::shared_ptr<Outcome>> outcomes;
+    std::vector<http::ClientConnectionPtr> callers;
+    for (int i = 0; i < 3 * mesh.serverSlots; ++i) {
+        outcomes.push_back(std::make_shared<Outcome>());
+        callers.push_back(mesh.call(0, "GET", "/safe/", outcomes.back()));
+    }
+    mesh.run(Millis{600});
+}
+
+} // namespace
 
 TEST_CASE("Restart with a stale peer: keys that nobody can confirm are not accepted")
 {
@@ -12,10 +38,7 @@
     mesh.run(Millis{4800}); // no node reads the source meanwhile
     mesh.restartNode(1);
     mesh.run(Millis{50});
-    // A call that node 0 offers to the gate of node 1 opens a link, over which node 1 asks.
-    for (int i = 0; i < 4; ++i) {
-        mesh.callAndWait(0, "GET", "/safe/");
-    }
+    openLinkToNode1(mesh); // over which node 1 asks
     REQUIRE(mesh.runUntil([&] { return mesh.callAndWait(1, "GET", "/safe/").answer.status == 200; },
                           Millis{2000}));
     REQUIRE(mesh.callAndWait(1, "GET", "/keyed/", {{"T-Key", "k1"}}).answer.status == 503);
@@ -33,9 +56,7 @@
         node->server->seen.clear();
     }
     mesh.restartNode(1);
-    for (int i = 0; i < 4; ++i) {
-        mesh.callAndWait(0, "GET", "/safe/");
-    }
+    openLinkToNode1(mesh);
     REQUIRE(mesh.runUntil([&] { return mesh.callAndWait(1, "GET", "/safe/").answer.status == 200; },
                           Millis{2000}));
     for (int i = 0; i < 20; ++i) {
