A gate closes as soon as an answer says why, also a long one

The state that an answer of the server tells was applied to the gate at the end of the answer. Now where it is read; found in review.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -409,7 +409,7 @@
             reply.reachedServer = true;
             handover = proxy::HandoverOutcome::NotSent;
             if (it->second.frame.serverId == m_server.id) {
-                onMismatch(it->second.frame.requestId);
+                onMismatch(it->second.frame.requestId, now);
             }
         } else if (metadata.isNotRun) {
             reply.kind = proxy::ReplyKind::NotRun;
@@ -452,9 +452,6 @@
         break;
     }
     finish(ticket, std::move(reply), handover, now);
-    if (m_isMismatched || m_isServerLeaving) {
-        updateClosed(now);
-    }
     dispatchWaiting(now);
 }
 
@@ -463,6 +460,7 @@
     onRateLimit(answer, now);
     if (answer.isLeaving && !answer.isOtherServer && !std::exchange(m_isServerLeaving, true)) {
         logEvent(LogLevel::Info, "gate", "server-leaving", {{"server", m_server.id}});
+        updateClosed(now);
     }
 }
 
@@ -481,7 +479,7 @@
     }
 }
 
-void BackendGate::onMismatch(const std::string &requestId)
+void BackendGate::onMismatch(const std::string &requestId, TimePoint now)
 {
     logEvent(LogLevel::Warn, "gate", "server-mismatch",
              {{"request", requestId}, {"server", m_server.id}});
@@ -490,6 +488,7 @@
     }
     m_isMismatched = true;
     assumeCold("mismatch");
+    updateClosed(now);
 }
 
 void BackendGate::refuse(std::uint64_t ticket, proxy::Reason reason, TimePoint now)
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -148,7 +148,7 @@
     void reportHungCalls(TimePoint now);
     /*! @brief Closes the gate, since the server at the address is not the published one. It reopens
      * with the next published incarnation, or when a health probe finds the published one. */
-    void onMismatch(const std::string &requestId);
+    void onMismatch(const std::string &requestId, TimePoint now);
     /*! @brief Treats the server as cold until a health probe reports its state. */
     void assumeCold(const char *cause);
     /*! @brief Applies what an answer of the server says of its state. */
