--- a/review/standin/site.cpp
+++ b/review/standin/site.cpp
@@ -28,7 +28,7 @@
 constexpr Millis kRestartPause{300};
 /*! Interval at which the memory of processes is looked at. */
 constexpr Millis kWatchInterval{2};
-constexpr int kBytesPerMb = 1'048'576;
+constexpr int kKilobytesPerMb = 1024;
 constexpr Millis kStartTime{10'000};
 constexpr Millis kIdleTime{10'000}; /*!< After which a server closes a connection. */
 constexpr int kSlots = 12;
@@ -87,6 +87,19 @@
     return isFree;
 }
 
+/*! @return The largest resident memory that a process has had, in MB; 0 if it has ended. */
+int largestMemoryMb(pid_t pid)
+{
+    std::ifstream file{"/proc/" + std::to_string(pid) + "/status"};
+    std::string text;
+    while (std::getline(file, text)) {
+        if (text.rfind("VmHWM:", 0) == 0) {
+            return std::atoi(text.c_str() + text.find_first_of("0123456789")) / kKilobytesPerMb;
+        }
+    }
+    return 0;
+}
+
 std::string target(const Message &request)
 {
     const auto begin = request.firstLine.find(' ') + 1;
@@ -480,11 +493,7 @@
         bool hasEnded = false;
         {
             const std::lock_guard lock{m_mutex};
-            std::ifstream file{"/proc/" + std::to_string(m_pid) + "/statm"};
-            std::int64_t pages = 0;
-            std::int64_t resident = 0;
-            file >> pages >> resident;
-            const auto mb = static_cast<int>(resident * sysconf(_SC_PAGESIZE) / kBytesPerMb);
+            const auto mb = largestMemoryMb(m_pid);
             m_peakMb = std::max(m_peakMb.load(), mb);
             if (mb > m_memoryMb && !isOverLimit) {
                 isOverLimit = true;
