A health answer without end no longer fills the memory of a node

Cause: the gate's health probe takes its answer whole, and the limit of a whole body was the connection's default of 64 MiB, kept in a string that doubles. Answers to requests are passed on in pieces and never met that default.

Evidence: the case's record has one endless answer to a probe, and no request at that server, between each start of the node and its kill at 113 MB. The tests of endless answers to requests pass on the same code, so the request path is not it.

Change: a connection holds at most 256 KiB of a body that is not passed on in pieces; a longer one ends the exchange and the connection. That bounds each exchange of a gate, not only the probe. How probes end is logged (`probe-failed`) and counted (`health_probes_total`), which the log did not show before.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
 /*! With less time left, the server would start a request that it cannot finish. */
 constexpr Millis kMinServerTime{5};
+constexpr int kOk = 200;
 constexpr int kServerError = 500;
 
 /*! @return How the server dealt with a call that was sent to it, for metrics. */
@@ -40,6 +41,30 @@
     return answer.isNotRun ? "rejected" : "answered";
 }
 
+constexpr std::string_view kHealthy = "healthy";
+
+/*! @return Result of a health probe, for logs and metrics. */
+[[nodiscard]] std::string_view probeOutcome(http::ExchangeEnd end, const http::Answer &answer,
+                                            bool isPublishedServer)
+{
+    switch (end) {
+    case http::ExchangeEnd::NotSent:
+        return "not-sent";
+    case http::ExchangeEnd::Lost:
+        return "lost";
+    case http::ExchangeEnd::Malformed:
+        return "malformed";
+    case http::ExchangeEnd::Cancelled:
+        return "cancelled";
+    case http::ExchangeEnd::Answered:
+        break;
+    }
+    if (answer.status != kOk) {
+        return "unhealthy";
+    }
+    return isPublishedServer ? kHealthy : "other-server";
+}
+
 } // namespace internal
 
 BackendGate::BackendGate(boost::asio::io_context &context, const EngineSettings &settings,
@@ -672,31 +697,39 @@
     exchange.wire = http::serialize(m_headerAdapter.healthProbe(m_service));
     exchange.done = [this](http::ExchangeEnd end, const http::Answer &answer) {
         m_isProbing = false;
-        if (end != http::ExchangeEnd::Answered) {
-            return;
-        }
-        const auto metadata = m_headerAdapter.readAnswer(answer);
-        if (answer.status != 200 || metadata.serverId != m_server.id) {
-            return;
-        }
-        const auto answeredAt = bootNow();
-        onServerState(metadata, answeredAt);
-        m_needsProbe = false;
-        m_isMismatched = false;
-        updateClosed(answeredAt);
-        const auto cold = metadata.coldFor.value_or(Millis{0});
-        if (cold.count() > 0) {
-            m_admission.cold().markCold(answeredAt + cold);
-        } else {
-            m_admission.cold().markWarm(answeredAt);
-        }
-        logEvent(LogLevel::Info, "gate", "server-probed",
-                 {{"server", m_server.id}, {"cold_ms", std::to_string(cold.count())}});
-        dispatchWaiting(answeredAt);
+        onProbeEnd(end, answer, bootNow());
     };
     m_pool.send(std::move(exchange), Millis::max(), now);
 }
 
+void BackendGate::onProbeEnd(http::ExchangeEnd end, const http::Answer &answer, TimePoint now)
+{
+    const auto metadata = m_headerAdapter.readAnswer(answer);
+    const auto outcome = internal::probeOutcome(end, answer, metadata.serverId == m_server.id);
+    m_metrics.counter("health_probes_total{outcome=\"" + std::string{outcome} + "\"}").add();
+    if (outcome != internal::kHealthy) {
+        logEvent(LogLevel::Info, "gate", "probe-failed",
+                 {{"server", m_server.id},
+                  {"outcome", std::string{outcome}},
+                  {"status", std::to_string(answer.status)},
+                  {"spent_ms", std::to_string(millisBetween(m_lastProbeAt, now).count())}});
+        return;
+    }
+    onServerState(metadata, now);
+    m_needsProbe = false;
+    m_isMismatched = false;
+    updateClosed(now);
+    const auto cold = metadata.coldFor.value_or(Millis{0});
+    if (cold.count() > 0) {
+        m_admission.cold().markCold(now + cold);
+    } else {
+        m_admission.cold().markWarm(now);
+    }
+    logEvent(LogLevel::Info, "gate", "server-probed",
+             {{"server", m_server.id}, {"cold_ms", std::to_string(cold.count())}});
+    dispatchWaiting(now);
+}
+
 void BackendGate::sweep(TimePoint now)
 {
     m_pool.sweep(now);
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -158,6 +158,7 @@
     /*! @brief Passes the requests that may have crashed the server to the crash handler. */
     void reportCrash(TimePoint now);
     void probeIfNeeded(TimePoint now);
+    void onProbeEnd(http::ExchangeEnd end, const http::Answer &answer, TimePoint now);
     [[nodiscard]] proxy::Reason reasonToClose() const;
     void updateClosed(TimePoint now);
 
--- a/src/celeryramp/http/client_pool.h
+++ b/src/celeryramp/http/client_pool.h
@@ -12,7 +12,8 @@
 {
     Millis connectTimeout{500};
     Millis idleLimit{4000}; /*!< Longest idle time of a reused connection. */
-    std::size_t bodyLimit = 64 * 1024 * 1024; /*!< Largest accepted response body, in bytes. */
+    std::size_t bodyLimit = 256 * 1024; /*!< Largest response body that is held, in bytes. What was
+                                           passed on in pieces does not count. */
 };
 
 /*! @brief Pool of persistent connections to one server. */
--- a/src/celeryramp/http/exchange.h
+++ b/src/celeryramp/http/exchange.h
@@ -42,7 +42,8 @@
     Match match;
     /*! Receives the head of a response whose body is longer than `wholeBytes`; `length` is empty if
      * the server does not announce it. The body follows in pieces through `onBytes`, and `done`
-     * then gets an answer without body. Without it, responses are passed whole. */
+     * then gets an answer without body. Without it, responses are passed whole, and one that is
+     * longer than the connection's body limit ends the exchange as `ExchangeEnd::Malformed`. */
     Head onHead;
     std::function<void(std::string)> onBytes; /*!< Set together with `onHead`. */
     std::size_t wholeBytes = std::numeric_limits<std::size_t>::max();
--- a/test/engine/endless_answer.cpp
+++ b/test/engine/endless_answer.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "observe/process_usage.h"
@@ -13,6 +15,8 @@
 
 /*! What all nodes of the test may hold more than before, in bytes. */
 constexpr std::uint64_t kMaxGrowth = 4U << 20U;
+/*! The gate probes its server at most this often. */
+constexpr Millis kProbeInterval{300};
 /*! Well before the deadline of the calls, which is 1500 ms. */
 constexpr Millis kAtOnce{700};
 
@@ -106,3 +110,28 @@
     REQUIRE(caller->count("\r\n0\r\n\r\n") == 0);
     REQUIRE(mesh->runUntil([&] { return mesh->nodes[1]->server->openConnections <= 1; }, kAtOnce));
 }
+
+// Guards against a node that the server beside it takes over its memory limit by a health answer.
+TEST_CASE("Endless answer: a health answer without end does not fill the memory of a node")
+{
+    Mesh mesh{1};
+    const auto *const head
+            = GENERATE("", "Content-Length: 1000000000000\r\n", "Transfer-Encoding: chunked\r\n");
+    CAPTURE(head);
+    auto &server = *mesh.nodes[0]->server;
+    server.setRespondHealth([head](const http::Request &) {
+        return endless("HTTP/1.1 200 OK\r\nT-Server: s1\r\n" + std::string{head} + "\r\n",
+                       "8\r\nhealthy!\r\n");
+    });
+    mesh.run(kProbeInterval);
+    const auto before = processUsage().residentBytes;
+    mesh.restartServer(0, "s1");
+    mesh.publish();
+    auto peak = before;
+    const auto isCutOff = [&] {
+        peak = std::max(peak, processUsage().residentBytes);
+        return server.bytesSent > 0 && server.openConnections == 0;
+    };
+    REQUIRE(mesh.runUntil(isCutOff, kAtOnce));
+    REQUIRE(peak < before + kMaxGrowth);
+}
--- a/test/support/scripted_server.cpp
+++ b/test/support/scripted_server.cpp
@@ -113,6 +113,9 @@
 ScriptedServer::Script ScriptedServer::respond(const http::Request &request)
 {
     if (request.target == "/health") {
+        if (m_respondHealth) {
+            return m_respondHealth(request);
+        }
         return {"HTTP/1.1 200 OK\r\nT-Server: " + m_id + "\r\nContent-Length: 0\r\n\r\n", false};
     }
     seen.push_back(request);
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -38,6 +38,9 @@
     /*! @brief Replaces the default behaviour, which is a complete signed answer. */
     void setRespond(Respond respond) { m_respond = std::move(respond); }
 
+    /*! @brief Replaces the answers to health probes, which are good ones. */
+    void setRespondHealth(Respond respond) { m_respondHealth = std::move(respond); }
+
     /*! @brief Gives the server another id, as after a restart. Requests for any other one are
      * rejected from now on. */
     void restartAs(std::string id);
@@ -65,6 +68,7 @@
     std::string m_id;
     bool m_checksId = false;
     Respond m_respond;
+    Respond m_respondHealth;
     http::Listener m_listener;
 };
 
