A health probe that gets no answer is ended and followed by another one

Callers saw: 503 from a gate that stayed closed although its server was back, when the server had rejected a request for another id and then left one health probe without a whole answer.

Cause: a probe had no time limit. While it is under way no other one is sent, and nothing else opens a gate that a mismatch has closed.

Change: a probe ends after 2 s, its connection is closed, and the next reason to probe sends another one.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -20,6 +20,8 @@
 constexpr Millis kExpiryInterval{25};
 /*! Minimum time between two health probes of the server. */
 constexpr Millis kProbeInterval{300};
+/*! Time limit of a health probe, which may wait for a slot of the server. */
+constexpr Millis kProbeTimeout{2000};
 /*! Time for which a server is treated as cold when its service configures no cold start time. */
 constexpr Millis kDefaultColdDuration{3000};
 /*! Bytes of a body that are read from the server ahead of what can be sent. */
@@ -75,7 +77,7 @@
               std::chrono::duration_cast<Millis>(
                       std::chrono::system_clock::now().time_since_epoch())
                       .count())},
-      m_expiryTimer{context}, m_settings{settings}, m_headerAdapter{headerAdapter},
+      m_expiryTimer{context}, m_probeTimer{context}, m_settings{settings}, m_headerAdapter{headerAdapter},
       m_crashes{crashes}, m_metrics{metrics}, m_pool{context, settings.backend,
                                                      http::PoolSettings{internal::kConnectTimeout}}
 { }
@@ -626,6 +628,7 @@
         cancel(key.first, key.second, now);
     }
     m_expiryTimer.cancel();
+    m_probeTimer.cancel();
     m_pool.closeIdle();
 }
 
@@ -697,9 +700,17 @@
     exchange.wire = http::serialize(m_headerAdapter.healthProbe(m_service));
     exchange.done = [this](http::ExchangeEnd end, const http::Answer &answer) {
         m_isProbing = false;
+        m_probeConnection.reset();
+        m_probeTimer.cancel();
         onProbeEnd(end, answer, bootNow());
     };
-    m_pool.send(std::move(exchange), Millis::max(), now);
+    m_probeTimer.expires_after(internal::kProbeTimeout);
+    m_probeTimer.async_wait([this](const boost::system::error_code &ec) {
+        if (!ec && m_isProbing && m_probeConnection) {
+            m_probeConnection->cancel();
+        }
+    });
+    m_probeConnection = m_pool.send(std::move(exchange), Millis::max(), now);
 }
 
 void BackendGate::onProbeEnd(http::ExchangeEnd end, const http::Answer &answer, TimePoint now)
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -166,6 +166,7 @@
     TimePoint m_startedAt; /*!< An earlier process on this host may have run until then. */
     std::uint64_t m_startedUnixMillis; /*!< The same as Unix time in milliseconds. */
     boost::asio::steady_timer m_expiryTimer;
+    boost::asio::steady_timer m_probeTimer;
     const EngineSettings &m_settings;
     const proxy::HeaderAdapter &m_headerAdapter;
     proxy::CrashRegistry &m_crashes;
@@ -187,6 +188,7 @@
     std::uint64_t m_nextTicket = 1;
     TimePoint m_lastProbeAt;
     bool m_needsProbe = true; /*!< It is unknown whether the server is cold or warm. */
+    http::ClientConnectionPtr m_probeConnection;
     bool m_isProbing = false;
     bool m_isServerLeaving = false; /*!< Announced in an answer; the store may not say so yet. */
     bool m_isMismatched = false; /*!< The server rejected the id under which it is published. */
--- a/test/engine/hanging_server.cpp
+++ b/test/engine/hanging_server.cpp
@@ -109,3 +109,25 @@
     REQUIRE(calls.count(200) == 4);
     REQUIRE(mesh.nodes[0]->server->seen.size() + mesh.nodes[1]->server->seen.size() == 4);
 }
+
+// Guards against a gate that stays closed, since a health probe that gets no answer is the last one.
+TEST_CASE("Hanging server: a health probe without an answer is followed by another one")
+{
+    Mesh mesh{1};
+    auto &server = *mesh.nodes[0]->server;
+    server.restartAs("other");
+    REQUIRE(mesh.callAndWait(0, "GET", "/safe/").answer.status == 503); // closes the gate
+    server.restartAs("s0");
+    int probes = 0;
+    server.setRespondHealth([&probes](const http::Request &) {
+        const bool isAnswered = ++probes > 1;
+        return Script{isAnswered ? "HTTP/1.1 200 OK\r\nT-Server: s0\r\nContent-Length: 0\r\n\r\n"
+                                 : "HTTP/1.1 200 OK\r\n"};
+    });
+    const auto isServed = [&mesh] {
+        mesh.run(Millis{100});
+        return mesh.callAndWait(0, "GET", "/safe/").answer.status == 200;
+    };
+    REQUIRE(mesh.runUntil(isServed, Millis{4000}));
+    REQUIRE(probes == 2);
+}
