A server that leaves after an outage of the store is given up at once

Work on a server that exits then is lost.

Cause: any removal that a node learnt within 4 s of its last failed read counted as an entry that had expired in the outage, and its server was kept for 1.5 s from that moment. Reads fail up to 1.1 s after the end of an outage, so both together reached past the time after which a missing entry means that its server has left. One failed read in calm was enough, and nodes judged by their own failures what another node had read.

Change: `directory::SourceOutage` tells for how long a missing entry may still be renewed. Only an outage that was long enough for entries to expire counts, and the time counts from the request of the last failed read, which the end of the outage follows; so it is over before a removal binds. The node that reads decides, and its changes and lists carry the time that is left; earlier releases ignore that field.

Ruled out: a shorter time from the moment of learning, which still adds up with late reads.

--- a/src/celeryramp/directory/fwd.h
+++ b/src/celeryramp/directory/fwd.h
@@ -20,5 +20,6 @@
 struct Route;
 class RoutingTable;
 struct Service;
+class SourceOutage;
 
 } // namespace celeryramp::directory
--- a/src/celeryramp/directory/item_sink.h
+++ b/src/celeryramp/directory/item_sink.h
@@ -35,8 +35,9 @@
     virtual void onChanges(const std::vector<ItemChange> &changes, std::int64_t revision,
                            TimePoint requestedAt)
             = 0;
-    /*! @brief Reports that the platform sent no usable response. */
-    virtual void onSourceFailed(const std::string &reason) = 0;
+    /*! @brief Reports that the platform sent no usable response to a read that was requested then.
+     */
+    virtual void onSourceFailed(const std::string &reason, TimePoint requestedAt) = 0;
     /*! @return Revision after which to read changes; 0 if a complete list is needed. */
     [[nodiscard]] virtual std::int64_t heldRevision() const = 0;
     /*!
--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -17,7 +17,7 @@
 
 std::vector<ReplicaEvent> Replica::applyList(const std::vector<ItemChange> &items,
                                              std::int64_t revision, TimePoint requestedAt,
-                                             bool wasSourceUnavailable, TimePoint now)
+                                             Millis renewalTime, TimePoint now)
 {
     std::vector<ReplicaEvent> events;
     if (m_isComplete && revision < m_revision) {
@@ -28,7 +28,7 @@
     std::set<std::string> listed;
     for (const auto &item : items) {
         listed.insert(item.key);
-        applyItem(item, wasSourceUnavailable, now, events);
+        applyItem(item, renewalTime, now, events);
     }
     std::vector<std::string> missing;
     for (const auto &[key, held] : m_items) {
@@ -37,18 +37,18 @@
         }
     }
     for (const auto &key : missing) {
-        removeItem(key, wasSourceUnavailable, now, events);
+        removeItem(key, renewalTime, now, events);
     }
     m_revision = revision;
     m_isComplete = true;
-    m_freshAsOf = std::max(m_freshAsOf, requestedAt);
+    confirm(requestedAt);
     rebuildView();
     return events;
 }
 
 std::vector<ReplicaEvent> Replica::applyChanges(const std::vector<ItemChange> &changes,
                                                 std::int64_t revision, TimePoint requestedAt,
-                                                bool wasSourceUnavailable, TimePoint now)
+                                                Millis renewalTime, TimePoint now)
 {
     std::vector<ReplicaEvent> events;
     if (revision < m_revision) {
@@ -60,13 +60,13 @@
             continue;
         }
         if (change.isRemoved) {
-            removeItem(change.key, wasSourceUnavailable, now, events);
+            removeItem(change.key, renewalTime, now, events);
         } else {
-            applyItem(change, wasSourceUnavailable, now, events);
+            applyItem(change, renewalTime, now, events);
         }
     }
     m_revision = revision;
-    m_freshAsOf = std::max(m_freshAsOf, requestedAt);
+    confirm(requestedAt);
     rebuildView();
     return events;
 }
@@ -138,7 +138,7 @@
     return items;
 }
 
-void Replica::applyItem(const ItemChange &change, bool wasSourceUnavailable, TimePoint now,
+void Replica::applyItem(const ItemChange &change, Millis renewalTime, TimePoint now,
                         std::vector<ReplicaEvent> &events)
 {
     const bool wasLapsed = m_lapsedUntil.erase(change.key) > 0;
@@ -162,7 +162,7 @@
         events.push_back({"item-unreadable", change.key,
                           decoded.error().place + ": " + decoded.error().reason});
         if (m_servers.count(change.key) > 0) {
-            removeItem(change.key, wasSourceUnavailable, now, events);
+            removeItem(change.key, renewalTime, now, events);
             m_items[change.key] = {change.value, change.revision};
         }
         return;
@@ -187,14 +187,16 @@
     }
 }
 
-void Replica::removeItem(const std::string &key, bool wasSourceUnavailable, TimePoint now,
+void Replica::removeItem(const std::string &key, Millis renewalTime, TimePoint now,
                          std::vector<ReplicaEvent> &events)
 {
     m_items.erase(key);
     m_previousItems.erase(key);
-    if (wasSourceUnavailable && m_servers.count(key) > 0 && !m_servers[key].isDraining) {
-        events.push_back({"server-lapsed", m_servers[key].id, "kept for the grace period"});
-        m_lapsedUntil.emplace(key, now + m_gracePeriod);
+    const auto keptFor = std::min(renewalTime, m_gracePeriod);
+    if (keptFor.count() > 0 && m_servers.count(key) > 0 && !m_servers[key].isDraining) {
+        events.push_back({"server-lapsed", m_servers[key].id,
+                          "kept for " + std::to_string(keptFor.count()) + " ms"});
+        m_lapsedUntil.emplace(key, now + keptFor);
         return;
     }
     removeDecoded(key, events);
--- a/src/celeryramp/directory/replica.h
+++ b/src/celeryramp/directory/replica.h
@@ -11,6 +11,7 @@
 #include "core/time.h"
 #include "directory/directory.h"
 #include "directory/item_decoder.h"
+#include "directory/source_outage.h"
 
 namespace celeryramp::directory {
 
@@ -35,16 +36,17 @@
  * @brief This node's copy of the published items, with its revision and age.
  *
  * The replica never goes back: changes older than the held items are ignored, and a configuration
- * replaces only an older version. If the entry of a server expires while the source is unavailable,
- * the server stays usable for a grace period, since it may merely have been unable to renew the
- * entry.
+ * replaces only an older version. If the entry of a server expires in an outage of the source, the
+ * server stays usable for a grace period, since it may merely have been unable to renew the entry.
+ * The node that reads the source decides whether a missing entry may have expired so, and tells its
+ * peers.
  */
 class Replica
 {
 public:
     /*!
      * @param decoder Must outlive the replica.
-     * @param gracePeriod Use of a server after its entry expired while the source was unavailable.
+     * @param gracePeriod Longest use of a server whose entry expired in an outage of the source.
      */
     Replica(const ItemDecoder &decoder, Millis gracePeriod)
         : m_decoder{decoder}, m_gracePeriod{gracePeriod}
@@ -56,12 +58,11 @@
      * @param revision Of the source when it produced the first page. A list older than the replica
      * is ignored.
      * @param requestedAt When the first page was requested; determines the age of the replica.
-     * @param wasSourceUnavailable The source was unavailable until shortly before.
+     * @param renewalTime `renewalTimeLeft` of the node that has read the items from the source.
      * @return The effects on the replica.
      */
     std::vector<ReplicaEvent> applyList(const std::vector<ItemChange> &items, std::int64_t revision,
-                                        TimePoint requestedAt, bool wasSourceUnavailable,
-                                        TimePoint now);
+                                        TimePoint requestedAt, Millis renewalTime, TimePoint now);
 
     /*!
      * @brief Applies changes to the held items. Other parameters and result as for `applyList`.
@@ -69,10 +70,27 @@
      */
     std::vector<ReplicaEvent> applyChanges(const std::vector<ItemChange> &changes,
                                            std::int64_t revision, TimePoint requestedAt,
-                                           bool wasSourceUnavailable, TimePoint now);
+                                           Millis renewalTime, TimePoint now);
+
+    /*! @name Reads of the source by this node. @param requestedAt When the read was requested. */
+    /*!@{*/
+    void onReadAnswered(TimePoint requestedAt) noexcept { m_outage.onReplicaComplete(requestedAt); }
+    void onReadFailed(TimePoint requestedAt) noexcept { m_outage.onReadFailed(requestedAt); }
+    /*!@}*/
+
+    /*! @return Time that servers have left to renew entries that expired in the last outage of the
+     * source; zero if a missing entry means that its server has left. */
+    [[nodiscard]] Millis renewalTimeLeft(TimePoint now) const noexcept
+    {
+        return m_outage.renewalTimeLeft(now);
+    }
 
     /*! @brief Records that a reader confirmed the replica to be complete at this time. */
-    void confirm(TimePoint asOf) noexcept { m_freshAsOf = std::max(m_freshAsOf, asOf); }
+    void confirm(TimePoint asOf) noexcept
+    {
+        m_freshAsOf = std::max(m_freshAsOf, asOf);
+        m_outage.onReplicaComplete(asOf);
+    }
 
     /*! @brief Removes servers whose grace period has ended. @return The effects on the replica. */
     std::vector<ReplicaEvent> expire(TimePoint now);
@@ -119,9 +137,9 @@
         std::int64_t revision = 0;
     };
 
-    void applyItem(const ItemChange &change, bool wasSourceUnavailable, TimePoint now,
+    void applyItem(const ItemChange &change, Millis renewalTime, TimePoint now,
                    std::vector<ReplicaEvent> &events);
-    void removeItem(const std::string &key, bool wasSourceUnavailable, TimePoint now,
+    void removeItem(const std::string &key, Millis renewalTime, TimePoint now,
                     std::vector<ReplicaEvent> &events);
     void removeDecoded(const std::string &key, std::vector<ReplicaEvent> &events);
     void applyConfiguration(Configuration configuration, std::vector<ReplicaEvent> &events);
@@ -139,6 +157,7 @@
     DirectoryPtr m_view = std::make_shared<Directory>();
     std::int64_t m_revision = 0;
     TimePoint m_freshAsOf;
+    SourceOutage m_outage;
     bool m_isComplete = false;
     bool m_isViewOutdated = false;
 };
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -14,10 +14,6 @@
 constexpr Millis kListenDuringShutdown{2600};
 /*! The process exits this long before the grace period ends. */
 constexpr Millis kShutdownMargin{600};
-/*! Time after an outage of the source within which servers renew entries that expired during it. */
-constexpr Millis kSourceSettleTime{4000};
-/*! The source counts as having been unavailable when the replica is older than this. */
-constexpr Millis kSourceAwayAge{2500};
 
 [[nodiscard]] std::uint64_t randomSeed(const std::string &name)
 {
@@ -336,15 +332,9 @@
     return m_dispatcher.isAwaiting(peer);
 }
 
-bool Engine::wasSourceUnavailable(TimePoint now) const
-{
-    return m_replica.age(now) > internal::kSourceAwayAge
-            || (m_hasSourceFailed
-                && millisBetween(m_sourceFailedAt, now) < internal::kSourceSettleTime);
-}
-
-void Engine::onSourceAnswered(TimePoint now)
+void Engine::onSourceAnswered(TimePoint requestedAt, TimePoint now)
 {
+    m_replica.onReadAnswered(requestedAt);
     m_coordinator.setCanRead(true, now);
     if (std::exchange(m_isSourceDown, false)) {
         logEvent(LogLevel::Info, "engine", "source-regained",
@@ -357,41 +347,41 @@
                     TimePoint askedAt)
 {
     const auto now = bootNow();
-    const bool wasUnavailable = m_replica.isComplete() && wasSourceUnavailable(now);
-    onSourceAnswered(now);
-    onDirectoryChanged(m_replica.applyList(items, revision, askedAt, wasUnavailable, now), "list",
-                       now);
+    onSourceAnswered(askedAt, now);
+    onDirectoryChanged(
+            m_replica.applyList(items, revision, askedAt, m_replica.renewalTimeLeft(now), now),
+            "list", now);
 }
 
 void Engine::onChanges(const std::vector<directory::ItemChange> &changes, std::int64_t revision,
                        TimePoint askedAt)
 {
     const auto now = bootNow();
-    const bool wasUnavailable = wasSourceUnavailable(now);
-    proxy::ChangesFrame changesFrame{m_replica.revision(), revision, {}, {}};
+    onSourceAnswered(askedAt, now);
+    const auto renewalTime = m_replica.renewalTimeLeft(now);
+    proxy::ChangesFrame changesFrame{m_replica.revision(), revision, {}, {}, renewalTime};
     for (const auto &change : changes) {
         auto [delta, base] = m_replica.asDelta(change);
         changesFrame.changes.push_back(std::move(delta));
         changesFrame.bases.push_back(base);
     }
-    onSourceAnswered(now);
     if (!changes.empty()) {
         m_coordinator.forwardChanges(changesFrame, now);
     }
-    onDirectoryChanged(m_replica.applyChanges(changes, revision, askedAt, wasUnavailable, now),
+    onDirectoryChanged(m_replica.applyChanges(changes, revision, askedAt, renewalTime, now),
                        "watch", now);
 }
 
-void Engine::onSourceFailed(const std::string &reason)
+void Engine::onSourceFailed(const std::string &reason, TimePoint requestedAt)
 {
-    m_hasSourceFailed = true;
-    m_sourceFailedAt = bootNow();
-    m_coordinator.setCanRead(false, m_sourceFailedAt);
+    const auto now = bootNow();
+    m_replica.onReadFailed(requestedAt);
+    m_coordinator.setCanRead(false, now);
     if (!std::exchange(m_isSourceDown, true)) {
         logEvent(LogLevel::Warn, "engine", "source-lost",
                  {{"reason", reason},
                   {"revision", std::to_string(m_replica.revision())},
-                  {"age_ms", std::to_string(m_replica.age(m_sourceFailedAt).count())}});
+                  {"age_ms", std::to_string(m_replica.age(now).count())}});
     }
 }
 
@@ -436,7 +426,7 @@
     }
     // The frame may have been delayed on the link, so it does not show how fresh the replica is.
     onDirectoryChanged(m_replica.applyChanges(changes, changesFrame.revision, TimePoint{},
-                                              wasSourceUnavailable(now), now),
+                                              changesFrame.renewalTimeLeft, now),
                        "reader", now);
 }
 
@@ -448,7 +438,7 @@
         return;
     }
     onDirectoryChanged(
-            m_replica.applyList(reply.items, reply.revision, asOf, wasSourceUnavailable(now), now),
+            m_replica.applyList(reply.items, reply.revision, asOf, reply.renewalTimeLeft, now),
             "peer", now);
 }
 
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -74,7 +74,7 @@
                 TimePoint askedAt) override;
     void onChanges(const std::vector<directory::ItemChange> &changes, std::int64_t revision,
                    TimePoint askedAt) override;
-    void onSourceFailed(const std::string &reason) override;
+    void onSourceFailed(const std::string &reason, TimePoint requestedAt) override;
     [[nodiscard]] std::int64_t heldRevision() const override;
     [[nodiscard]] std::optional<Millis> readPause() const override;
 
@@ -86,13 +86,12 @@
     /*! @brief Logs changes of the replica and passes a new view to the gate. */
     void onDirectoryChanged(const std::vector<directory::ReplicaEvent> &beliefs, const char *source,
                             TimePoint now);
-    void onSourceAnswered(TimePoint now);
+    void onSourceAnswered(TimePoint requestedAt, TimePoint now);
     /*! @return True once the node has stopped. */
     [[nodiscard]] bool continueShutdown(TimePoint now);
     /*! @brief Tells a peer how far the shutdown has come. */
     void sendShutdownState(const Address &peer, TimePoint now);
     void onCallFrame(const Address &peer, proxy::CallFrame call, TimePoint now);
-    [[nodiscard]] bool wasSourceUnavailable(TimePoint now) const;
     [[nodiscard]] http::Answer respondReadiness(std::string_view path) const;
     [[nodiscard]] http::Answer respondMetrics(std::string_view path) const;
 
@@ -113,8 +112,6 @@
     StatusEndpoint m_metricsEndpoint;
     boost::asio::steady_timer m_tickTimer;
     directory::DirectoryPtr m_gateView; /*!< View last passed to the gate. */
-    TimePoint m_sourceFailedAt;
-    bool m_hasSourceFailed = false;
     bool m_isSourceDown = false;
     TimePoint m_shutdownStartedAt;
     bool m_isShuttingDown = false;
--- a/src/celeryramp/engine/peer_coordinator.cpp
+++ b/src/celeryramp/engine/peer_coordinator.cpp
@@ -155,7 +155,7 @@
     auto frame = proxy::encodeFrame(changesFrame);
     if (frame.size() > internal::kMaxForwardedBytes) {
         frame = proxy::encodeFrame(
-                proxy::ChangesFrame{changesFrame.after, changesFrame.revision, {}, {}});
+                proxy::ChangesFrame{changesFrame.after, changesFrame.revision, {}, {}, {}});
     }
     for (const auto &node : nodesInZone(m_settings.zone)) {
         // Failed nodes are tried by `probeFailedNodes` and catch up when they are back.
@@ -350,6 +350,7 @@
     reply.revision = m_replica.revision();
     reply.askedAt = frame.askedAt;
     reply.age = m_replica.age(now);
+    reply.renewalTimeLeft = m_replica.renewalTimeLeft(now);
     reply.items = m_replica.items();
     for (auto &item : reply.items) {
         if (item.revision <= frame.revision) {
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -240,6 +240,12 @@
     return SyncRequestFrame{json.at(1).get<std::int64_t>(), json.at(2).get<std::int64_t>()};
 }
 
+/*! @return Time in the last field, which earlier releases do not send. */
+[[nodiscard]] Millis lastMillis(const Json &json, std::size_t index)
+{
+    return Millis{index < json.size() ? json[index].get<std::int64_t>() : 0};
+}
+
 void append(Json &out, const SyncReplyFrame &frame)
 {
     out.push_back(frame.revision);
@@ -250,6 +256,7 @@
         out.push_back(item.revision);
         out.push_back(binary(item.value));
     }
+    out.push_back(frame.renewalTimeLeft.count());
 }
 
 [[nodiscard]] Frame readSyncReply(const Json &json)
@@ -258,10 +265,12 @@
     frame.revision = json.at(1).get<std::int64_t>();
     frame.askedAt = json.at(2).get<std::int64_t>();
     frame.age = Millis{json.at(3).get<std::int64_t>()};
-    for (std::size_t i = 4; i + 2 < json.size(); i += 3) {
+    std::size_t i = 4;
+    for (; i + 2 < json.size(); i += 3) {
         frame.items.push_back({json[i].get<std::string>(), bytesOf(json[i + 2]),
                                json[i + 1].get<std::int64_t>(), false});
     }
+    frame.renewalTimeLeft = lastMillis(json, i);
     return frame;
 }
 
@@ -289,6 +298,7 @@
         out.push_back(i < frame.bases.size() ? frame.bases[i] : 0);
         out.push_back(change.isRemoved ? Json{} : binary(change.value));
     }
+    out.push_back(frame.renewalTimeLeft.count());
 }
 
 [[nodiscard]] Frame readNews(const Json &json)
@@ -296,13 +306,15 @@
     ChangesFrame frame;
     frame.after = json.at(1).get<std::int64_t>();
     frame.revision = json.at(2).get<std::int64_t>();
-    for (std::size_t i = 3; i + 3 < json.size(); i += 4) {
+    std::size_t i = 3;
+    for (; i + 3 < json.size(); i += 4) {
         const bool isRemoved = json[i + 3].is_null();
         frame.changes.push_back({json[i].get<std::string>(),
                                  isRemoved ? std::string{} : bytesOf(json[i + 3]),
                                  json[i + 1].get<std::int64_t>(), isRemoved});
         frame.bases.push_back(json[i + 2].get<std::int64_t>());
     }
+    frame.renewalTimeLeft = lastMillis(json, i);
     return frame;
 }
 
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -176,6 +176,7 @@
     Millis age{0}; /*!< Time since the peer's revision was last confirmed. */
     std::vector<directory::ItemChange>
             items; /*!< All keys; values only of items newer than requested. */
+    Millis renewalTimeLeft{0}; /*!< `directory::Replica::renewalTimeLeft` at the peer. */
 };
 
 /*! @brief Directory changes that a node has read from the platform, for the nodes of its zone.
@@ -187,6 +188,7 @@
     std::vector<directory::ItemChange>
             changes; /*!< A value is a delta if its entry in `bases` is not 0. */
     std::vector<std::int64_t> bases; /*!< Base revision of each change's delta, or 0. */
+    Millis renewalTimeLeft{0}; /*!< `directory::Replica::renewalTimeLeft` at the reader. */
 };
 
 /*! @brief Reports a request that was running when a server crashed. */
--- a/test/directory/replica.cpp
+++ b/test/directory/replica.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Millis kGracePeriod{1500};
+/*! Renewal time when a missing entry means that its server has left. */
+constexpr Millis kLeft{0};
 const TimePoint kStart{std::chrono::hours{1}};
 
 ItemChange server(const char *id, std::int64_t revision, const char *state = "ready")
@@ -37,11 +39,11 @@
     Replica replica{decoder, kGracePeriod};
     REQUIRE(replica.age(kStart) == Millis::max());
     static_cast<void>(replica.applyList({version(1, 2), server("a", 3), server("b", 4)}, 4, kStart,
-                                        false, kStart));
+                                        kLeft, kStart));
     REQUIRE(replica.view()->servers.size() == 2);
     REQUIRE(replica.view()->routing->version() == 1);
     const auto events
-            = replica.applyList({version(1, 2), server("b", 4)}, 9, kStart, false, kStart);
+            = replica.applyList({version(1, 2), server("b", 4)}, 9, kStart, kLeft, kStart);
     REQUIRE(has(events, "server-gone"));
     REQUIRE(replica.view()->findServer("a") == nullptr);
     REQUIRE(replica.view()->findServer("b") != nullptr);
@@ -52,20 +54,20 @@
     const test::TextDecoder decoder;
     Replica replica{decoder, kGracePeriod};
     static_cast<void>(replica.applyList({version(7, 10), server("a", 11, "draining")}, 11, kStart,
-                                        false, kStart));
+                                        kLeft, kStart));
     SECTION("a list with an older revision")
     {
         const auto events
-                = replica.applyList({version(6, 5), server("a", 6)}, 8, kStart, false, kStart);
+                = replica.applyList({version(6, 5), server("a", 6)}, 8, kStart, kLeft, kStart);
         REQUIRE(has(events, "list-ignored"));
     }
     SECTION("a change with an older revision")
     {
-        static_cast<void>(replica.applyChanges({server("a", 6)}, 12, kStart, false, kStart));
+        static_cast<void>(replica.applyChanges({server("a", 6)}, 12, kStart, kLeft, kStart));
     }
     SECTION("a newer item with an older configuration version")
     {
-        const auto events = replica.applyChanges({version(6, 12)}, 12, kStart, false, kStart);
+        const auto events = replica.applyChanges({version(6, 12)}, 12, kStart, kLeft, kStart);
         REQUIRE(has(events, "configuration-ignored"));
     }
     REQUIRE(replica.view()->routing->version() == 7);
@@ -77,13 +79,13 @@
     const test::TextDecoder decoder;
     Replica replica{decoder, kGracePeriod};
     static_cast<void>(
-            replica.applyList({server("a", 3), server("b", 4)}, 4, kStart, false, kStart));
+            replica.applyList({server("a", 3), server("b", 4)}, 4, kStart, kLeft, kStart));
     const auto events
-            = replica.applyChanges({{"server/a", "nonsense", 5, false}}, 5, kStart, false, kStart);
+            = replica.applyChanges({{"server/a", "nonsense", 5, false}}, 5, kStart, kLeft, kStart);
     REQUIRE(has(events, "item-unreadable"));
     REQUIRE(replica.view()->findServer("a") == nullptr);
     REQUIRE(replica.view()->findServer("b") != nullptr);
-    static_cast<void>(replica.applyChanges({server("a", 6)}, 6, kStart, false, kStart));
+    static_cast<void>(replica.applyChanges({server("a", 6)}, 6, kStart, kLeft, kStart));
     REQUIRE(replica.view()->findServer("a") != nullptr);
 }
 
@@ -92,14 +94,14 @@
 {
     const test::TextDecoder decoder;
     Replica replica{decoder, kGracePeriod};
-    static_cast<void>(replica.applyList({server("a", 3)}, 3, kStart, false, kStart));
+    static_cast<void>(replica.applyList({server("a", 3)}, 3, kStart, kLeft, kStart));
     const auto back = kStart + Millis{10'000};
-    static_cast<void>(replica.applyList({}, 9, back, true, back));
+    static_cast<void>(replica.applyList({}, 9, back, kGracePeriod, back));
     REQUIRE(replica.view()->findServer("a") != nullptr);
     SECTION("the entry is published again")
     {
-        static_cast<void>(
-                replica.applyChanges({server("a", 12)}, 12, back, true, back + Millis{1000}));
+        static_cast<void>(replica.applyChanges({server("a", 12)}, 12, back, kGracePeriod,
+                                               back + Millis{1000}));
         static_cast<void>(replica.expire(back + kGracePeriod * 2));
         REQUIRE(replica.view()->findServer("a") != nullptr);
     }
@@ -112,18 +114,37 @@
     }
 }
 
+TEST_CASE("A missing entry is kept no longer than servers have time to renew it")
+{
+    const test::TextDecoder decoder;
+    Replica replica{decoder, kGracePeriod};
+    static_cast<void>(replica.applyList({server("a", 3)}, 3, kStart, kLeft, kStart));
+    SECTION("time is left")
+    {
+        const Millis left{400};
+        static_cast<void>(replica.applyList({}, 9, kStart, left, kStart));
+        REQUIRE_FALSE(has(replica.expire(kStart + left - Millis{1}), "server-gone"));
+        REQUIRE(has(replica.expire(kStart + left), "server-gone"));
+    }
+    SECTION("none is left")
+    {
+        REQUIRE(has(replica.applyList({}, 9, kStart, Millis{0}, kStart), "server-gone"));
+    }
+    REQUIRE(replica.view()->findServer("a") == nullptr);
+}
+
 TEST_CASE("The age of the replica counts from the request rather than the response")
 {
     const test::TextDecoder decoder;
     Replica replica{decoder, kGracePeriod};
-    static_cast<void>(replica.applyList({}, 3, kStart, false, kStart + Millis{900}));
+    static_cast<void>(replica.applyList({}, 3, kStart, kLeft, kStart + Millis{900}));
     REQUIRE(replica.age(kStart + Millis{1000}) == Millis{1000});
     static_cast<void>(
-            replica.applyChanges({}, 3, kStart + Millis{500}, false, kStart + Millis{2500}));
+            replica.applyChanges({}, 3, kStart + Millis{500}, kLeft, kStart + Millis{2500}));
     REQUIRE(replica.age(kStart + Millis{2500}) == Millis{2000});
     // Changes of unknown age are applied but do not make the replica younger.
     static_cast<void>(
-            replica.applyChanges({server("a", 4)}, 4, TimePoint{}, false, kStart + Millis{3000}));
+            replica.applyChanges({server("a", 4)}, 4, TimePoint{}, kLeft, kStart + Millis{3000}));
     REQUIRE(replica.age(kStart + Millis{3000}) == Millis{2500});
     REQUIRE(replica.view()->findServer("a") != nullptr);
 }
@@ -132,10 +153,10 @@
 {
     const test::TextDecoder decoder;
     Replica replica{decoder, kGracePeriod};
-    static_cast<void>(replica.applyList({version(1, 2), server("a", 3)}, 3, kStart, false, kStart));
+    static_cast<void>(replica.applyList({version(1, 2), server("a", 3)}, 3, kStart, kLeft, kStart));
     auto withoutValue = server("a", 3);
     withoutValue.value.clear();
-    static_cast<void>(replica.applyList({withoutValue, version(2, 5)}, 5, kStart, false, kStart));
+    static_cast<void>(replica.applyList({withoutValue, version(2, 5)}, 5, kStart, kLeft, kStart));
     REQUIRE(replica.view()->findServer("a") != nullptr);
     REQUIRE(replica.view()->routing->version() == 2);
 }
@@ -151,15 +172,15 @@
                           number + 1, false};
     };
     for (auto *replica : {&reader, &other, &node}) {
-        static_cast<void>(replica->applyList({item(1)}, 2, kStart, false, kStart));
+        static_cast<void>(replica->applyList({item(1)}, 2, kStart, kLeft, kStart));
     }
     const auto apply = [&](Replica &from, int number) {
         auto [delta, base] = from.asDelta(item(number));
         REQUIRE(base > 0);
-        static_cast<void>(from.applyChanges({item(number)}, number + 1, kStart, false, kStart));
+        static_cast<void>(from.applyChanges({item(number)}, number + 1, kStart, kLeft, kStart));
         const auto change = node.fromDelta(std::move(delta), base);
         REQUIRE(change);
-        static_cast<void>(node.applyChanges({*change}, number + 1, kStart, false, kStart));
+        static_cast<void>(node.applyChanges({*change}, number + 1, kStart, kLeft, kStart));
     };
     apply(reader, 2);
     apply(other, 3);
@@ -178,7 +199,7 @@
     const ItemChange other{"server/other", "other stock north 10.0.0.2:80 4 ready 0 1000", 5,
                            false};
     static_cast<void>(
-            replica.applyList({version(1, 2), before, after, other}, 5, kStart, false, kStart));
+            replica.applyList({version(1, 2), before, after, other}, 5, kStart, kLeft, kStart));
     const auto &servers = replica.view()->byService.at("stock");
     REQUIRE(servers.size() == 2);
     REQUIRE(servers.front()->id == "new");
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -57,13 +57,31 @@
 
 TEST_CASE("Removed and empty items are distinct after encoding and decoding")
 {
-    ChangesFrame changesFrame{4, 6, {{"a", "", 5, true}, {"b", "x", 6, false}}, {}};
+    ChangesFrame changesFrame{4, 6, {{"a", "", 5, true}, {"b", "x", 6, false}}, {}, Millis{900}};
     const auto decoded = decodeFrame(encodeFrame(changesFrame));
     const auto &back = std::get<ChangesFrame>(decoded.value());
     REQUIRE(back.after == 4);
     REQUIRE(back.changes.at(0).isRemoved);
     REQUIRE_FALSE(back.changes.at(1).isRemoved);
     REQUIRE(back.changes.at(1).value == "x");
+    REQUIRE(back.renewalTimeLeft == Millis{900});
+}
+
+TEST_CASE("The time for renewals follows the items of a list and may be missing")
+{
+    const SyncReplyFrame reply{7, 1, Millis{20}, {{"a", "x", 5, false}}, Millis{800}};
+    auto bytes = encodeFrame(reply);
+    const auto decoded = decodeFrame(bytes);
+    const auto &back = std::get<SyncReplyFrame>(decoded.value());
+    REQUIRE(back.items.size() == 1);
+    REQUIRE(back.renewalTimeLeft == Millis{800});
+    // As sent by earlier releases: one array element less, without the 3 bytes of the time.
+    REQUIRE(bytes.substr(bytes.size() - 3) == std::string{"\x19\x03\x20"});
+    bytes.resize(bytes.size() - 3);
+    --bytes[0];
+    const auto earlier = decodeFrame(bytes);
+    REQUIRE(std::get<SyncReplyFrame>(earlier.value()).items.size() == 1);
+    REQUIRE(std::get<SyncReplyFrame>(earlier.value()).renewalTimeLeft == Millis{0});
 }
 
 TEST_CASE("Malformed frames are rejected without a crash")
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -100,6 +100,13 @@
     }
 }
 
+void Mesh::failSource()
+{
+    for (const auto &node : nodes) {
+        node->source.sink->onSourceFailed("no response", bootNow());
+    }
+}
+
 std::shared_ptr<RawCaller> Mesh::connect(int node)
 {
     auto caller = std::make_shared<RawCaller>(context);
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -61,6 +61,9 @@
      */
     void publish(const std::set<int> &draining = {}, const std::set<int> &missing = {});
 
+    /*! @brief Lets a read of all nodes fail that was sent just now. */
+    void failSource();
+
     /*! @brief Opens a connection of a caller that sends and receives raw bytes. */
     [[nodiscard]] std::shared_ptr<RawCaller> connect(int node);
     /*! @return The bytes of a request, with a new id. */
