A stopping node refuses late requests that could outlast it

Callers saw: requests that a node took late in the grace period of a planned stop were passed on to a server and cut off without an answer when the node ended, also requests that may not be repeated. Reported by operators of another system.

Cause: the end of intake was the closing of the listener, 2.6 s after the stop. Requests come from connections, which stay while they are busy: with a body that arrives slowly, or with a request behind one that is still served. What became complete there later was taken, whatever its deadline.

Evidence: "Planned stop: a request that cannot end in time is refused late in the grace period" failed in both sections before the change: the request reached the server, and the connection ended at 5.4 s without an answer. New and idle connections are closed in time (the other cases of the file passed), and a closed gate refuses its own node.

Change: `proxy::ShutdownSchedule` knows when the node listens and when it ends. A request taken after the listener has closed must have its deadline before that end; any other one gets 503 at once, before anything is sent, and the time until the node ends. Requests that can end in time are still served, with a test that passed before and after.

Ruled out: closing busy connections with the listener (cuts requests that are being received), and a shorter deadline for the server (its work would be broken off).

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -77,9 +77,9 @@
               std::chrono::duration_cast<Millis>(
                       std::chrono::system_clock::now().time_since_epoch())
                       .count())},
-      m_expiryTimer{context}, m_probeTimer{context}, m_settings{settings}, m_headerAdapter{headerAdapter},
-      m_crashes{crashes}, m_metrics{metrics}, m_pool{context, settings.backend,
-                                                     http::PoolSettings{internal::kConnectTimeout}}
+      m_expiryTimer{context}, m_probeTimer{context}, m_settings{settings},
+      m_headerAdapter{headerAdapter}, m_crashes{crashes}, m_metrics{metrics},
+      m_pool{context, settings.backend, http::PoolSettings{internal::kConnectTimeout}}
 { }
 
 proxy::Reason BackendGate::reasonToClose() const
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -10,11 +10,6 @@
 
 namespace internal {
 
-/*! Callers poll readiness once a second and may keep sending until they have polled twice. */
-constexpr Millis kListenDuringShutdown{2600};
-/*! The process exits this long before the grace period ends. */
-constexpr Millis kShutdownMargin{600};
-
 [[nodiscard]] std::uint64_t randomSeed(const std::string &name)
 {
     return stableHash({name, randomHex(8)});
@@ -100,7 +95,7 @@
     m_crashes.sweep(now);
     m_readinessEndpoint.sweep(now);
     m_metricsEndpoint.sweep(now);
-    if (m_isShuttingDown && continueShutdown(now)) {
+    if (m_shutdown && continueShutdown(now)) {
         return;
     }
     m_tickTimer.expires_after(PeerCoordinator::kTickInterval);
@@ -113,18 +108,17 @@
 
 void Engine::beginShutdown(TimePoint now)
 {
-    if (m_isShuttingDown) {
+    if (m_shutdown) {
         return;
     }
     if (!m_settings.mechanisms.gracefulStop) {
         stop(now);
         return;
     }
-    m_isShuttingDown = true;
-    m_shutdownStartedAt = now;
+    m_shutdown.emplace(now, m_settings.grace);
     logEvent(LogLevel::Info, "engine", "leaving",
              {{"connections", std::to_string(m_dispatcher.connectionCount())}});
-    m_dispatcher.beginShutdown();
+    m_dispatcher.beginShutdown(*m_shutdown);
     for (const auto &node : m_peers.openPeers()) {
         sendShutdownState(node, now);
     }
@@ -139,8 +133,7 @@
 
 bool Engine::continueShutdown(TimePoint now)
 {
-    const auto elapsed = millisBetween(m_shutdownStartedAt, now);
-    if (elapsed >= internal::kListenDuringShutdown && !m_hasStoppedListening) {
+    if (!m_shutdown->isListening(now) && !m_hasStoppedListening) {
         m_hasStoppedListening = true;
         m_callerListener.acceptWaitingAndClose();
         m_gate.stopAdmitting(now);
@@ -150,7 +143,7 @@
     }
     const bool isIdle = m_hasStoppedListening && m_dispatcher.isIdle() && m_gate.isIdle()
             && m_dispatcher.connectionCount() == 0;
-    const bool isOverdue = elapsed >= m_settings.grace - internal::kShutdownMargin;
+    const bool isOverdue = m_shutdown->isOverdue(now);
     if (isIdle && !m_stopNotice.hasClosed() && !isOverdue) {
         // All replies precede this frame on the links. It lets peers send the calls elsewhere that
         // are under way to this node. The links stay open until the next tick at least.
@@ -164,7 +157,8 @@
     const bool ends = isDone || isOverdue;
     if (ends) {
         logEvent(LogLevel::Info, "engine", "stopped",
-                 {{"spent_ms", std::to_string(elapsed.count())}, {"cut", isDone ? "0" : "1"}});
+                 {{"spent_ms", std::to_string(m_shutdown->elapsed(now).count())},
+                  {"cut", isDone ? "0" : "1"}});
         stop(now);
     }
     return ends;
@@ -186,7 +180,7 @@
 http::Answer Engine::respondReadiness(std::string_view path) const
 {
     http::Answer answer;
-    const bool isReady = !m_isShuttingDown && m_replica.view()->routing != nullptr;
+    const bool isReady = !m_shutdown && m_replica.view()->routing != nullptr;
     answer.status = path != m_bindings.readinessPath ? 404 : isReady ? 200 : 503;
     return answer;
 }
@@ -299,7 +293,7 @@
         // After a restart while the platform cannot be read, peers are the only source.
         m_coordinator.requestSync(peer, bootNow());
     }
-    if (m_isShuttingDown) {
+    if (m_shutdown) {
         sendShutdownState(peer, bootNow());
     }
 }
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -17,6 +18,7 @@
 #include "http/listener.h"
 #include "links/peer_links.h"
 #include "observe/metrics_registry.h"
+#include "proxy/shutdown_schedule.h"
 #include "proxy/stop_notice.h"
 #include "proxy/transit_delay.h"
 
@@ -113,8 +115,7 @@
     boost::asio::steady_timer m_tickTimer;
     directory::DirectoryPtr m_gateView; /*!< View last passed to the gate. */
     bool m_isSourceDown = false;
-    TimePoint m_shutdownStartedAt;
-    bool m_isShuttingDown = false;
+    std::optional<proxy::ShutdownSchedule> m_shutdown;
     bool m_hasStoppedListening = false;
     proxy::StopNotice m_stopNotice; /*!< By `Address::text` of the peers. */
 };
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -70,7 +70,7 @@
 {
     auto connection = std::make_shared<http::CallerConnection>(std::move(socket), *this, now);
     m_connections.insert(connection);
-    if (m_isShuttingDown) {
+    if (m_shutdown) {
         connection->closeAfterResponse();
     }
     connection->start();
@@ -147,6 +147,13 @@
             return;
         }
     }
+    const auto callerDeadline = now + metadata.deadline.value_or(internal::kDefaultDeadline);
+    const auto deadline = std::min(callerDeadline, now + route->timeout);
+    if (m_shutdown && !m_shutdown->mayTake(deadline, now)) {
+        refuseRequest(response, metadata.requestId, 503, proxy::Reason::Draining,
+                      m_shutdown->timeLeft(now));
+        return;
+    }
     if (account != nullptr && m_dependencies.settings.mechanisms.rateLimits
         && !m_dependencies.limiter.admit(*account, m_dependencies.coordinator.nodeCount(),
                                          m_random.unit(), now)) {
@@ -169,8 +176,7 @@
     policy.maxAttempts = route->maxAttempts;
     policy.target
             = now + (route->targetLatency.count() > 0 ? route->targetLatency : route->timeout);
-    policy.deadline = now
-            + std::min(metadata.deadline.value_or(internal::kDefaultDeadline), route->timeout);
+    policy.deadline = deadline;
     policy.answerBytes = m_answerSizes.expected(route->name);
     policy.maySpill
             = request.body.size() + policy.answerBytes <= proxy::spillAllowance(route->priority);
@@ -181,7 +187,7 @@
     call.route = route;
     call.dispatcher = proxy::CallDispatcher{std::move(policy)};
     call.arrivedAt = now;
-    call.callerDeadline = now + metadata.deadline.value_or(internal::kDefaultDeadline);
+    call.callerDeadline = callerDeadline;
     call.frame.id = id;
     call.frame.requestId = metadata.requestId;
     call.frame.service = call.dispatcher.policy().service;
@@ -650,7 +656,7 @@
 {
     const auto it = m_calls.find(id);
     if (it == m_calls.end() || !isExpecting(it->second, peer) || it->second.isStreaming
-        || m_isShuttingDown) {
+        || m_shutdown) {
         return;
     }
     auto &call = it->second;
@@ -708,9 +714,9 @@
     }
 }
 
-void RequestDispatcher::beginShutdown()
+void RequestDispatcher::beginShutdown(const proxy::ShutdownSchedule &shutdown)
 {
-    m_isShuttingDown = true;
+    m_shutdown = shutdown;
     for (const auto &connection : m_connections) {
         connection->closeAfterResponse();
     }
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,6 +20,7 @@
 #include "proxy/call_dispatcher.h"
 #include "proxy/fleet_limiter.h"
 #include "proxy/server_picker.h"
+#include "proxy/shutdown_schedule.h"
 #include "proxy/split_chooser.h"
 #include "routing/retry_budget.h"
 
@@ -91,8 +93,9 @@
 
     /*! @brief Closes connections that are idle or slow beyond the limits, and drops old state. */
     void sweep(TimePoint now);
-    /*! @brief Closes each connection, present or new, after its pending answer. */
-    void beginShutdown();
+    /*! @brief Closes each connection, present or new, after its pending answer. Requests that could
+     * outlast the shutdown are refused. */
+    void beginShutdown(const proxy::ShutdownSchedule &shutdown);
     /*! @brief Closes connections that have carried no request for a moment. */
     void closeIdleConnections(TimePoint now);
     /*! @brief Closes all connections and forgets their calls. */
@@ -184,7 +187,7 @@
     std::map<std::pair<std::string, std::uint64_t>, TimePoint> m_leavingServers;
     std::set<std::string> m_closedNodes; /*!< Nodes that have shut down, by host. */
     std::uint64_t m_nextId = 1;
-    bool m_isShuttingDown = false;
+    std::optional<proxy::ShutdownSchedule> m_shutdown;
 };
 
 } // namespace celeryramp::engine
--- a/src/celeryramp/proxy/fwd.h
+++ b/src/celeryramp/proxy/fwd.h
@@ -19,6 +19,7 @@
 class RequestRateLimiter;
 class ServerGate;
 class ServerPicker;
+class ShutdownSchedule;
 class SplitChooser;
 class StopNotice;
 class TransitDelay;
--- a/test/engine/hanging_server.cpp
+++ b/test/engine/hanging_server.cpp
@@ -110,7 +110,8 @@
     REQUIRE(mesh.nodes[0]->server->seen.size() + mesh.nodes[1]->server->seen.size() == 4);
 }
 
-// Guards against a gate that stays closed, since a health probe that gets no answer is the last one.
+// Guards against a gate that stays closed, since a health probe that gets no answer is the last
+// one.
 TEST_CASE("Hanging server: a health probe without an answer is followed by another one")
 {
     Mesh mesh{1};
--- a/test/engine/planned_stop.cpp
+++ b/test/engine/planned_stop.cpp
@@ -16,6 +16,10 @@
 constexpr Millis kBeforeClosing{2400};
 /*! Time after the begin of a shutdown at which peers know that the node has closed. */
 constexpr Millis kUntilClosed{3000};
+/*! Late in the grace period, which is 6 s. Callers have long been told that the node leaves. */
+constexpr Millis kLate{4000};
+/*! The node has ended, or closed the connection. */
+constexpr Millis kUntilEnded{3000};
 /*! A server that is listed again has been probed after this time. */
 constexpr Millis kProbeTime{50};
 
@@ -185,3 +189,49 @@
     REQUIRE(mesh->runUntil([&] { return caller->count("done") == 1; }, Millis{300}));
     REQUIRE(mesh->nodes[0]->server->seen.size() == 1);
 }
+
+// Guards against a request, taken late in the grace period, that is cut off with the node.
+TEST_CASE("Planned stop: a request that cannot end in time is refused late in the grace period")
+{
+    Mesh mesh{2};
+    mesh.publish({}, {0});
+    auto &server = *mesh.nodes[1]->server;
+    server.setRespond(answerAfter(Millis{1800}, "done"));
+    const auto caller = mesh.connect(0);
+    SECTION("its body arrives slowly")
+    {
+        const auto bytes = mesh.request("POST", "/slow/", "slowly", Millis{5000});
+        caller->send(bytes.substr(0, bytes.size() - 1));
+        mesh.run(Millis{50});
+        mesh.nodes[0]->engine->beginShutdown(bootNow());
+        mesh.run(kLate);
+        caller->send(bytes.substr(bytes.size() - 1));
+    }
+    SECTION("it follows a request that is still served")
+    {
+        mesh.nodes[0]->engine->beginShutdown(bootNow());
+        mesh.run(kBeforeClosing);
+        caller->send(mesh.request("GET", "/safe/", {}, Millis{2000}));
+        mesh.run(kLate - kBeforeClosing);
+        caller->send(mesh.request("GET", "/safe/", {}, Millis{2000}));
+        REQUIRE(mesh.runUntil([&] { return caller->count("done") == 1; }, Millis{500}));
+    }
+    REQUIRE(mesh.runUntil([&] { return caller->isEnded; }, kUntilEnded));
+    REQUIRE(caller->count("HTTP/1.1 503") == 1);
+    REQUIRE(server.seen.size() == static_cast<std::size_t>(caller->count("HTTP/1.1 200")));
+}
+
+// Guards against refusals of requests that would have been answered before the node ends.
+TEST_CASE("Planned stop: a request that ends in time is served late in the grace period")
+{
+    Mesh mesh{2};
+    const auto caller = mesh.connect(0);
+    const auto bytes = mesh.request("POST", "/slow/", "slowly", Millis{1000});
+    caller->send(bytes.substr(0, bytes.size() - 1));
+    mesh.run(Millis{50});
+    mesh.nodes[0]->engine->beginShutdown(bootNow());
+    mesh.run(kLate);
+    caller->send(bytes.substr(bytes.size() - 1));
+    REQUIRE(mesh.runUntil([&] { return caller->isEnded; }, kUntilEnded));
+    REQUIRE(caller->count("HTTP/1.1 200") == 1);
+}
