Requests that still run at the end of a planned stop get an answer

Callers saw: a closed connection for a request that had run since before the stop and was left at the end of the grace period, which does not tell whether it was read; the log had `request-cancelled`, as if the caller had left.

Cause: a node that had to end closed the connections of its callers and forgot the calls on them.

Evidence: "Planned stop: requests that still run at the end of the grace period are answered" failed before the change: the connection ended without any answer.

Change: at its end the node answers each call that is left, 502 if a server may have run it, else 503, and stops 50 ms later. Answers in parts are reset as before, so that they do not look complete. `request-end` has `reason=draining`.

--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -10,6 +10,9 @@
 
 namespace internal {
 
+/*! Time in which the last answers are sent before the node ends. */
+constexpr Millis kFlushTime{50};
+
 [[nodiscard]] std::uint64_t randomSeed(const std::string &name)
 {
     return stableHash({name, randomHex(8)});
@@ -98,7 +101,8 @@
     if (m_shutdown && continueShutdown(now)) {
         return;
     }
-    m_tickTimer.expires_after(PeerCoordinator::kTickInterval);
+    m_tickTimer.expires_after(m_hasEndedCalls ? internal::kFlushTime
+                                              : PeerCoordinator::kTickInterval);
     m_tickTimer.async_wait([this](const boost::system::error_code &ec) {
         if (!ec) {
             tick();
@@ -154,11 +158,15 @@
         return false;
     }
     const bool isDone = isIdle && m_stopNotice.hasClosed() && m_peers.unsentBytes() == 0;
+    if (isOverdue && !isDone && !std::exchange(m_hasEndedCalls, true)) {
+        m_dispatcher.endCalls(now);
+        return false;
+    }
     const bool ends = isDone || isOverdue;
     if (ends) {
         logEvent(LogLevel::Info, "engine", "stopped",
                  {{"spent_ms", std::to_string(m_shutdown->elapsed(now).count())},
-                  {"cut", isDone ? "0" : "1"}});
+                  {"cut", m_hasEndedCalls ? "1" : "0"}});
         stop(now);
     }
     return ends;
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -56,8 +56,8 @@
 
     /*!
      * @brief Begins a graceful shutdown of the node: stops admitting work, finishes running calls,
-     * then stops the context. Stops it shortly before the grace period of the settings ends at the
-     * latest.
+     * then stops the context. Shortly before the grace period of the settings ends, the calls that
+     * are left get an answer of the node, and the context is stopped.
      */
     void beginShutdown(TimePoint now);
 
@@ -117,6 +117,7 @@
     bool m_isSourceDown = false;
     std::optional<proxy::ShutdownSchedule> m_shutdown;
     bool m_hasStoppedListening = false;
+    bool m_hasEndedCalls = false; /*!< Those that were left at the end of the shutdown. */
     proxy::StopNotice m_stopNotice; /*!< By `Address::text` of the peers. */
 };
 
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -722,6 +722,19 @@
     }
 }
 
+void RequestDispatcher::endCalls(TimePoint now)
+{
+    while (!m_calls.empty()) {
+        auto &call = m_calls.begin()->second;
+        cancelAtGate(call, now);
+        if (call.isStreaming) {
+            abortStream(call, proxy::Reason::Draining, now);
+        } else {
+            giveUp(call, call.dispatcher.onShutdown(dispatchContext()), now);
+        }
+    }
+}
+
 void RequestDispatcher::closeIdleConnections(TimePoint now)
 {
     const auto connections = m_connections;
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -96,6 +96,8 @@
     /*! @brief Closes each connection, present or new, after its pending answer. Requests that could
      * outlast the shutdown are refused. */
     void beginShutdown(const proxy::ShutdownSchedule &shutdown);
+    /*! @brief Ends all calls with an answer that says whether a server may have run them. */
+    void endCalls(TimePoint now);
     /*! @brief Closes connections that have carried no request for a moment. */
     void closeIdleConnections(TimePoint now);
     /*! @brief Closes all connections and forgets their calls. */
--- a/src/celeryramp/proxy/call_dispatcher.cpp
+++ b/src/celeryramp/proxy/call_dispatcher.cpp
@@ -161,6 +161,14 @@
     return giveUp();
 }
 
+GiveUpStep CallDispatcher::onShutdown(const DispatchContext &context)
+{
+    m_mayHaveRun = m_mayHaveRun || !m_pendingServer.empty();
+    onCallerLeft(context);
+    m_lastReason = Reason::Draining;
+    return giveUp();
+}
+
 void CallDispatcher::onCallerLeft(const DispatchContext &context)
 {
     if (!m_pendingServer.empty()) {
--- a/src/celeryramp/proxy/call_dispatcher.h
+++ b/src/celeryramp/proxy/call_dispatcher.h
@@ -91,6 +91,8 @@
     [[nodiscard]] bool canLeaveServer(const DispatchContext &context, TimePoint now) const;
     /*! @brief Ends the call when its deadline or the timeout of its route is reached. */
     [[nodiscard]] GiveUpStep onTimeout(const DispatchContext &context, TimePoint now);
+    /*! @brief Ends the call because its node ends before a reply can arrive. */
+    [[nodiscard]] GiveUpStep onShutdown(const DispatchContext &context);
     /*! @brief Handles that the caller closed its connection or cancelled the call. */
     void onCallerLeft(const DispatchContext &context);
 
--- a/test/engine/planned_stop.cpp
+++ b/test/engine/planned_stop.cpp
@@ -235,3 +235,17 @@
     REQUIRE(mesh.runUntil([&] { return caller->isEnded; }, kUntilEnded));
     REQUIRE(caller->count("HTTP/1.1 200") == 1);
 }
+
+// Guards against callers that learn nothing of the request that a stopping node gives up.
+TEST_CASE("Planned stop: requests that still run at the end of the grace period are answered")
+{
+    Mesh mesh{2};
+    mesh.publish({}, {0});
+    mesh.nodes[1]->server->setRespond(answerAfter(Millis{7000}, "never"));
+    const auto caller = mesh.connect(0);
+    caller->send(mesh.request("POST", "/slow/", "x", Millis{6000}));
+    mesh.run(Millis{50});
+    mesh.nodes[0]->engine->beginShutdown(bootNow());
+    REQUIRE(mesh.runUntil([&] { return caller->isEnded; }, Millis{6000}));
+    REQUIRE(caller->count("HTTP/1.1 502") == 1);
+}
