--- a/src/celeryramp/directory/source_outage.h
+++ b/src/celeryramp/directory/source_outage.h
@@ -9,8 +9,9 @@
  *
  * Servers cannot renew their entries while the source is unavailable. Entries that expire in an
  * outage are back soon after its end; one that is missing later belongs to a server that has left.
- * The end itself is not observed: it follows the request of the last read that failed. The time for
- * renewals counts from that request, so it is never longer than the servers need it.
+ * The end itself is not observed, but the last read that failed was requested before it. The time
+ * for renewals counts from that request, so it is over when a missing entry means that its server
+ * has left.
  */
 class SourceOutage
 {
