A node that has missed changes asks the peer that has them

Cause: changes of a peer that do not apply, since earlier ones were missed, were logged and dropped. The node waited for its own read, which hung, or until its replica was 2.7 s old.

Test "Missed changes: a node that cannot apply the changes of a peer asks it for its state" failed before the change.

Change: such a node asks that peer for its state, if its replica is over a second old; a younger one is brought up to date by reads, with fewer bytes.

--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -424,6 +424,7 @@
                  {{"peer", peer.text()},
                   {"after", std::to_string(changesFrame.after)},
                   {"held", std::to_string(m_replica.revision())}});
+        m_coordinator.onMissedChanges(peer, now);
         return;
     }
     // The frame may have been delayed on the link, so it does not show how fresh the replica is.
--- a/src/celeryramp/engine/peer_coordinator.cpp
+++ b/src/celeryramp/engine/peer_coordinator.cpp
@@ -36,6 +36,9 @@
 /*! Age of the replica from which peers are asked for newer state; above the usual time between
  *  reads. */
 constexpr Millis kStaleAfter{2700};
+/*! Age of the replica from which a peer that has newer changes is asked for its state. Readers
+ *  usually bring them before, with fewer bytes. */
+constexpr Millis kMissedAfter{1000};
 /*! Maximum age of a peer's replica for it to confirm the replica of this node. */
 constexpr Millis kMaxConfirmingAge{3000};
 /*! Minimum time between two sync requests to peers. */
@@ -183,6 +186,13 @@
     send(peer, proxy::SyncRequestFrame{m_replica.revision(), now.time_since_epoch().count()}, now);
 }
 
+void PeerCoordinator::onMissedChanges(const Address &peer, TimePoint now)
+{
+    if (m_replica.age(now) > internal::kMissedAfter) {
+        requestSync(peer, now);
+    }
+}
+
 bool PeerCoordinator::isReliable(const Address &peer, TimePoint now) const
 {
     return m_peers.isReachable(peer, now) && !m_peers.hasFailed(peer);
--- a/src/celeryramp/engine/peer_coordinator.h
+++ b/src/celeryramp/engine/peer_coordinator.h
@@ -62,6 +62,10 @@
     /*! @brief Requests the state after this node's revision from a peer. */
     void requestSync(const Address &peer, TimePoint now);
 
+    /*! @brief Handles that a peer has changes which this node cannot apply, since it has missed
+     * earlier ones. Requests the state of the peer unless a read is likely to bring it at once. */
+    void onMissedChanges(const Address &peer, TimePoint now);
+
     /*! @return Addresses of the other nodes of a zone, ordered by host. Includes nodes whose server
      * was published recently. */
     [[nodiscard]] std::vector<Address> nodesInZone(const std::string &zone) const;
--- /dev/null
+++ b/test/engine/missed_changes.cpp
@@ -0,0 +1,41 @@
+#include <catch2/catch.hpp>
+
+#include "core/boot_clock.h"
+#include "support/mesh.h"
+
+using namespace celeryramp;
+using test::Mesh;
+
+namespace {
+
+/*! Time without a read of the source after which nodes rely on peers. */
+constexpr Millis kSilence{1000};
+/*! Well before a replica counts as stale, so that peers are asked anyway. */
+constexpr Millis kSoon{1000};
+
+std::int64_t heldRevision(const Mesh &mesh, std::size_t node)
+{
+    return mesh.nodes[node]->source.sink->heldRevision();
+}
+
+} // namespace
+
+// Guards against a node that hears of newer changes, cannot apply them and serves an old
+// configuration until its replica is stale.
+TEST_CASE("Missed changes: a node that cannot apply the changes of a peer asks it for its state")
+{
+    Mesh mesh{3};
+    REQUIRE(mesh.callAndWait(1, "GET", "/safe/").answer.status == 200);
+    const auto before = heldRevision(mesh, 1);
+    const auto newest = before + 6;
+    mesh.run(kSilence);
+    auto &reader = *mesh.nodes[1]->source.sink;
+    // Peers hear of the second change only.
+    reader.onChanges({}, before + 5, bootNow());
+    reader.onChanges({{"configuration", "2", newest, false}}, newest, bootNow());
+    const auto areCurrent = [&] {
+        return heldRevision(mesh, 0) == newest && heldRevision(mesh, 2) == newest;
+    };
+    REQUIRE_FALSE(areCurrent());
+    REQUIRE(mesh.runUntil(areCurrent, kSoon));
+}
