--- a/test/engine/missed_changes.cpp
+++ b/test/engine/missed_changes.cpp
@@ -33,9 +33,8 @@
     // Peers hear of the second change only.
     reader.onChanges({}, before + 5, bootNow());
     reader.onChanges({{"configuration", "2", newest, false}}, newest, bootNow());
-    const auto areCurrent = [&] {
-        return heldRevision(mesh, 0) == newest && heldRevision(mesh, 2) == newest;
-    };
+    const auto areCurrent
+            = [&] { return heldRevision(mesh, 0) == newest && heldRevision(mesh, 2) == newest; };
     REQUIRE_FALSE(areCurrent());
     REQUIRE(mesh.runUntil(areCurrent, kSoon));
 }
