--- a/test/directory/replica.cpp
+++ b/test/directory/replica.cpp
@@ -96,7 +96,7 @@
     Replica replica{decoder, kGracePeriod};
     static_cast<void>(replica.applyList({server("a", 3)}, 3, kStart, kLeft, kStart));
     const auto back = kStart + Millis{10'000};
-    static_cast<void>(replica.applyList({}, 9, back, kGracePeriod, back));
+    static_cast<void>(replica.applyList({}, 9, back, kGracePeriod * 2, back));
     REQUIRE(replica.view()->findServer("a") != nullptr);
     SECTION("the entry is published again")
     {
