--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -27,8 +27,8 @@
       m_peers{context, m_settings.links, *this}, m_gate{context, m_settings,
                                                         m_bindings.headerAdapter, m_crashes,
                                                         m_metrics},
-      m_coordinator{m_settings, m_peers, m_replica, m_limiter,
-                    internal::randomSeed(m_settings.name)},
+      m_coordinator{m_settings, m_peers,   m_replica,
+                    m_limiter,  m_metrics, internal::randomSeed(m_settings.name)},
       m_dispatcher{context,
                    DispatcherDependencies{m_settings, m_bindings.headerAdapter, m_replica, m_peers,
                                           m_gate, m_coordinator, m_limiter, m_crashes, m_metrics},
@@ -211,6 +211,7 @@
         gauge("directory_evacuated_zones", view.evacuatedZones.size());
         gauge("caller_connections", m_dispatcher.connectionCount());
         gauge("link_frame_bytes_total", m_peers.frameBytes());
+        gauge("link_unsent_bytes", m_peers.unsentBytes());
         const auto usage = processUsage();
         gauge("process_cpu_seconds_total", usage.cpuSeconds);
         gauge("process_resident_bytes", usage.residentBytes);
--- a/src/celeryramp/engine/peer_coordinator.cpp
+++ b/src/celeryramp/engine/peer_coordinator.cpp
@@ -48,9 +48,9 @@
 
 PeerCoordinator::PeerCoordinator(const EngineSettings &settings, links::PeerLinks &peers,
                                  directory::Replica &replica, proxy::FleetLimiter &limiter,
-                                 std::uint64_t seed)
+                                 MetricsRegistry &metrics, std::uint64_t seed)
     : m_settings{settings}, m_peers{peers}, m_replica{replica}, m_limiter{limiter},
-      m_usageAggregator{settings.zone}, m_random{seed}
+      m_metrics{metrics}, m_usageAggregator{settings.zone}, m_random{seed}
 { }
 
 std::vector<Address> PeerCoordinator::nodesInZone(const std::string &zone) const
@@ -162,7 +162,11 @@
     }
     for (const auto &node : nodesInZone(m_settings.zone)) {
         // Failed nodes are tried by `probeFailedNodes` and catch up when they are back.
-        if (!m_peers.hasFailed(node) && !m_peers.send(node, frame, now)) {
+        if (m_peers.hasFailed(node)) {
+            continue;
+        }
+        countStateFrame("changes", frame.size());
+        if (!m_peers.send(node, frame, now)) {
             logEvent(LogLevel::Debug, "fleet", "news-not-sent", {{"peer", node.text()}});
         }
     }
@@ -183,7 +187,10 @@
         return;
     }
     m_lastSyncRequestAt = now;
-    send(peer, proxy::SyncRequestFrame{m_replica.revision(), now.time_since_epoch().count()}, now);
+    auto frame = proxy::encodeFrame(
+            proxy::SyncRequestFrame{m_replica.revision(), now.time_since_epoch().count()});
+    countStateFrame("sync-request", frame.size());
+    send(peer, std::move(frame), now);
 }
 
 void PeerCoordinator::onMissedChanges(const Address &peer, TimePoint now)
@@ -220,11 +227,23 @@
 
 void PeerCoordinator::send(const Address &peer, const proxy::Frame &frame, TimePoint now)
 {
-    if (!m_peers.send(peer, proxy::encodeFrame(frame), now)) {
+    send(peer, proxy::encodeFrame(frame), now);
+}
+
+void PeerCoordinator::send(const Address &peer, std::string frame, TimePoint now)
+{
+    if (!m_peers.send(peer, std::move(frame), now)) {
         logEvent(LogLevel::Debug, "fleet", "frame-not-sent", {{"peer", peer.text()}});
     }
 }
 
+void PeerCoordinator::countStateFrame(const char *kind, std::size_t bytes)
+{
+    const auto labels = "{kind=\"" + std::string{kind} + "\"}";
+    m_metrics.counter("state_frames_total" + labels).add();
+    m_metrics.counter("state_bytes_total" + labels).add(bytes);
+}
+
 void PeerCoordinator::updateKnownNodes(TimePoint now)
 {
     for (const auto &[id, server] : m_replica.view()->servers) {
@@ -367,7 +386,9 @@
             item.value.clear();
         }
     }
-    send(peer, reply, now);
+    auto bytes = proxy::encodeFrame(reply);
+    countStateFrame("sync-reply", bytes.size());
+    send(peer, std::move(bytes), now);
 }
 
 } // namespace celeryramp::engine
--- a/src/celeryramp/engine/peer_coordinator.h
+++ b/src/celeryramp/engine/peer_coordinator.h
@@ -11,6 +11,7 @@
 #include "directory/replica.h"
 #include "engine/engine_settings.h"
 #include "links/peer_links.h"
+#include "observe/metrics_registry.h"
 #include "proxy/fleet_limiter.h"
 #include "proxy/frames.h"
 #include "proxy/usage_aggregator.h"
@@ -28,7 +29,8 @@
 {
 public:
     PeerCoordinator(const EngineSettings &settings, links::PeerLinks &peers,
-                    directory::Replica &replica, proxy::FleetLimiter &limiter, std::uint64_t seed);
+                    directory::Replica &replica, proxy::FleetLimiter &limiter,
+                    MetricsRegistry &metrics, std::uint64_t seed);
 
     /*! @brief Sends the reports, probes and sync requests that are due. Called every
      * `kTickInterval`. */
@@ -86,6 +88,9 @@
     /*! @brief Tries to open links to failed nodes, in order to detect that they are back. */
     void probeFailedNodes(TimePoint now);
     void send(const Address &peer, const proxy::Frame &frame, TimePoint now);
+    void send(const Address &peer, std::string frame, TimePoint now); /*!< An encoded frame. */
+    /*! @brief Counts an encoded frame with published state. @param kind Label of the metrics. */
+    void countStateFrame(const char *kind, std::size_t bytes);
     void reportUsage(TimePoint now);
     /*! @brief Adds the nodes of published servers and drops nodes that are no longer published. */
     void updateKnownNodes(TimePoint now);
@@ -95,6 +100,7 @@
     links::PeerLinks &m_peers;
     directory::Replica &m_replica;
     proxy::FleetLimiter &m_limiter;
+    MetricsRegistry &m_metrics;
     proxy::UsageAggregator m_usageAggregator;
     RandomEngine m_random;
     TimePoint m_lastDemandAt; /*!< Last demand of accounts at this node. */
