Test: a node that is not published gets a series of configurations too late

A link of 125 KB/s carries one whole configuration of 150 KB in 1.2 s, and the next is asked for only then.

--- a/standin/soak/link_proxy.cpp
+++ b/standin/soak/link_proxy.cpp
@@ -22,6 +22,27 @@
 /*! Bounds what the kernel holds for a direction on the way in. */
 constexpr int kReceiveBufferBytes = 1024 * 1024;
 
+/*! Bytes forwarded at a time on a link with a limited rate. */
+constexpr std::size_t kRatedPieceBytes = 4096;
+
+/*! @return Most bytes that are forwarded at a time. */
+std::size_t pieceBytes(const LinkState &state)
+{
+    if (state.isDripping) {
+        return kDripBytes;
+    }
+    return state.bytesPerSecond > 0 ? kRatedPieceBytes : kMaxPendingBytes * 2;
+}
+
+/*! @return Time to wait after bytes were forwarded. */
+Millis pauseAfter(const LinkState &state, std::size_t bytes)
+{
+    if (state.isDripping) {
+        return kDripPause;
+    }
+    return state.bytesPerSecond > 0 ? Millis{bytes * 1000 / state.bytesPerSecond} : state.delay;
+}
+
 } // namespace
 
 struct LinkProxy::Direction
@@ -141,23 +162,21 @@
         }
         return;
     }
-    const auto n = pair->state.isDripping ? std::min(kDripBytes, direction.pending.size())
-                                          : direction.pending.size();
+    const auto n = std::min(pieceBytes(pair->state), direction.pending.size());
     direction.output = direction.pending.substr(0, n);
     direction.pending.erase(0, n);
     boost::asio::async_write(
             direction.to, boost::asio::buffer(direction.output),
-            [this, pair, &direction](const boost::system::error_code &ec, std::size_t /*n*/) {
+            [this, pair, &direction](const boost::system::error_code &ec, std::size_t sent) {
                 if (ec) {
                     pair->close();
                     return;
                 }
                 read(pair, direction);
-                if (direction.pending.empty()) {
+                if (direction.pending.empty() && pair->state.bytesPerSecond == 0) {
                     forward(pair, direction);
                 } else {
-                    forwardAfter(pair, direction,
-                                 pair->state.isDripping ? kDripPause : pair->state.delay);
+                    forwardAfter(pair, direction, pauseAfter(pair->state, sent));
                 }
             });
 }
--- a/standin/soak/link_proxy.h
+++ b/standin/soak/link_proxy.h
@@ -19,6 +19,7 @@
     bool isInboundHeld = false; /*!< Bytes to the target wait until the hold ends. */
     bool isOutboundHeld = false; /*!< Bytes from the target wait. */
     bool isDripping = false; /*!< A few bytes at a time. */
+    std::size_t bytesPerSecond = 0; /*!< In each direction of a connection; 0 means no limit. */
 
     /*! @return A state in which bytes wait in both directions. */
     [[nodiscard]] static LinkState held()
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -27,12 +27,12 @@
 
 } // namespace
 
-std::unique_ptr<Mesh> Mesh::withProxy()
+std::unique_ptr<Mesh> Mesh::withProxy(const std::string &proxyHost)
 {
-    return std::unique_ptr<Mesh>{new Mesh{2, 0, true}};
+    return std::unique_ptr<Mesh>{new Mesh{2, 0, proxyHost}};
 }
 
-Mesh::Mesh(int count, int south, bool isProxied)
+Mesh::Mesh(int count, int south, const std::string &proxyHost)
 {
     m_decoder.base.services = {{"stock", "/health", 0, Millis{3000}, 15.0}};
     m_decoder.base.routes
@@ -44,9 +44,9 @@
         auto node = std::make_unique<Node>();
         node->host = "127.0.0." + std::to_string(11 + i);
         node->backendHost = node->host;
-        if (isProxied && i == count - 1) {
+        if (!proxyHost.empty() && i == count - 1) {
             // Peers take the host of the server for that of its node.
-            node->backendHost = "127.0.0.51";
+            node->backendHost = proxyHost;
             proxy = std::make_unique<standin::soak::LinkProxy>(
                     context, Address{node->backendHost, kLinkPort}, Address{node->host, kLinkPort});
         }
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -49,10 +49,14 @@
 public:
     /*! @param count Number of nodes. @param south Number of nodes in zone `south`, the last ones.
      */
-    explicit Mesh(int count, int south = 0) : Mesh{count, south, false} { }
+    explicit Mesh(int count, int south = 0) : Mesh{count, south, std::string{}} { }
 
-    /*! @return A mesh of two nodes. The links that node 0 opens to node 1 lead through `proxy`. */
-    [[nodiscard]] static std::unique_ptr<Mesh> withProxy();
+    /*!
+     * @return A mesh of two nodes. The links that node 0 opens to node 1 lead through `proxy`.
+     * @param proxyHost Under which node 0 knows node 1; the lowest host of a zone reads for it.
+     */
+    [[nodiscard]] static std::unique_ptr<Mesh> withProxy(const std::string &proxyHost
+                                                         = "127.0.0.51");
 
     /*!
      * @brief Sends a complete list of items to all nodes.
@@ -111,7 +115,7 @@
     std::unique_ptr<standin::soak::LinkProxy> proxy;
 
 private:
-    Mesh(int count, int south, bool isProxied);
+    Mesh(int count, int south, const std::string &proxyHost);
 
     TestHeaderAdapter m_headerAdapter;
     TextDecoder m_decoder;
