Nodes that peers do not know get changes, and states of peers as deltas

What callers saw: a node of a joining or leaving server answered 404 by a configuration that had been replaced more than 2.5 s before (CONFIG, 2 requests in the users' record). Cause: changes are pushed to nodes of published servers only. The others ask the aggregator of their zone for its state, which holds the configuration whole (150 KB), and six of them fill its link of 10 Mbit/s. Change: a node that reports its usage is pushed changes like a published one. The state for a peer has deltas against what the peer held at its revision, if it reads them and the value is kept; else the whole one. A peer that may still answer is not asked again for 1 s.

--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -128,16 +128,41 @@
     return change;
 }
 
-std::vector<ItemChange> Replica::items() const
+std::vector<Replica::SyncItem> Replica::itemsSince(std::int64_t revision, bool takesDeltas) const
 {
-    std::vector<ItemChange> items;
+    std::vector<SyncItem> items;
     items.reserve(m_items.size());
     for (const auto &[key, held] : m_items) {
-        items.push_back({key, held.value, held.revision, false});
+        SyncItem it{{key, {}, held.revision, false}, 0};
+        if (held.revision > revision) {
+            const auto *base = takesDeltas ? previousAt(key, revision) : nullptr;
+            auto delta = base != nullptr ? makeDelta(base->value, held.value) : std::string{};
+            const bool isSmaller = base != nullptr && delta.size() < held.value.size();
+            it.item.value = isSmaller ? std::move(delta) : held.value;
+            it.base = isSmaller ? base->revision : 0;
+        }
+        items.push_back(std::move(it));
     }
     return items;
 }
 
+const Replica::HeldItem *Replica::previousAt(const std::string &key, std::int64_t revision) const
+{
+    const auto previous = m_previousItems.find(key);
+    if (previous == m_previousItems.end()) {
+        return nullptr;
+    }
+    const auto it = std::find_if(previous->second.rbegin(), previous->second.rend(),
+                                 [&](const HeldItem &held) { return held.revision <= revision; });
+    return it == previous->second.rend() ? nullptr : &*it;
+}
+
+bool Replica::holds(const std::string &key, std::int64_t revision) const
+{
+    const auto it = m_items.find(key);
+    return it != m_items.end() && it->second.revision >= revision;
+}
+
 void Replica::applyItem(const ItemChange &change, Millis renewalTime, TimePoint now,
                         std::vector<ReplicaEvent> &events)
 {
--- a/src/celeryramp/directory/replica.h
+++ b/src/celeryramp/directory/replica.h
@@ -124,8 +124,20 @@
      *  therefore encode their deltas against different revisions. */
     static constexpr std::size_t kMaxPreviousItems = 3;
 
-    /*! @return All items with their revisions, to send to a peer whose replica is behind. */
-    [[nodiscard]] std::vector<ItemChange> items() const;
+    /*! @brief An item for a peer whose replica is behind. */
+    struct SyncItem
+    {
+        ItemChange item; /*!< Without its value if the peer holds it. */
+        std::int64_t base = 0; /*!< Revision that the value is a delta against, or 0. */
+    };
+    /*!
+     * @return All items, for a peer whose replica was complete at a revision.
+     * @param takesDeltas False if the peer reads whole values only.
+     */
+    [[nodiscard]] std::vector<SyncItem> itemsSince(std::int64_t revision, bool takesDeltas) const;
+
+    /*! @return True if this revision of an item, or a later one, is held. */
+    [[nodiscard]] bool holds(const std::string &key, std::int64_t revision) const;
 
     /*! @return Latest time at which the replica is known to have been complete. */
     [[nodiscard]] TimePoint freshAsOf() const noexcept { return m_freshAsOf; }
@@ -137,6 +149,8 @@
         std::int64_t revision = 0;
     };
 
+    /*! @return The replaced value that was held at a revision, or null if it is not kept. */
+    [[nodiscard]] const HeldItem *previousAt(const std::string &key, std::int64_t revision) const;
     void applyItem(const ItemChange &change, Millis renewalTime, TimePoint now,
                    std::vector<ReplicaEvent> &events);
     void removeItem(const std::string &key, Millis renewalTime, TimePoint now,
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -255,7 +255,7 @@
     } else if (const auto *request = std::get_if<proxy::SyncRequestFrame>(&frame)) {
         m_coordinator.onSyncRequest(peer, *request, now);
     } else if (const auto *sync = std::get_if<proxy::SyncReplyFrame>(&frame)) {
-        onSyncReply(*sync, now);
+        onSyncReply(peer, *sync, now);
     } else if (const auto *changesFrame = std::get_if<proxy::ChangesFrame>(&frame)) {
         onChangesFrame(peer, *changesFrame, now);
     } else if (const auto *readerStatus = std::get_if<proxy::ReaderStatusFrame>(&frame)) {
@@ -317,6 +317,7 @@
         m_transitDelay.forget(peer.text());
         m_gate.cancelAll(peer.text(), now);
     }
+    m_coordinator.onLinkLost(peer);
     m_dispatcher.onLinkLost(peer, loss, now);
 }
 
@@ -434,16 +435,17 @@
                        "reader", now);
 }
 
-void Engine::onSyncReply(const proxy::SyncReplyFrame &reply, TimePoint now)
+void Engine::onSyncReply(const Address &peer, const proxy::SyncReplyFrame &reply, TimePoint now)
 {
+    const auto items = m_coordinator.onSyncReply(peer, reply, now);
     const TimePoint askedAt{TimePoint::duration{reply.askedAt}};
     const auto asOf = askedAt - reply.age;
-    if (asOf <= m_replica.freshAsOf() && m_replica.isComplete()) {
+    if (!items || (asOf <= m_replica.freshAsOf() && m_replica.isComplete())) {
         return;
     }
     onDirectoryChanged(
-            m_replica.applyList(reply.items, reply.revision, asOf, reply.renewalTimeLeft, now),
-            "peer", now);
+            m_replica.applyList(*items, reply.revision, asOf, reply.renewalTimeLeft, now), "peer",
+            now);
 }
 
 void Engine::onDirectoryChanged(const std::vector<directory::ReplicaEvent> &beliefs,
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -84,7 +84,7 @@
     void tick();
     void onChangesFrame(const Address &peer, const proxy::ChangesFrame &changesFrame,
                         TimePoint now);
-    void onSyncReply(const proxy::SyncReplyFrame &reply, TimePoint now);
+    void onSyncReply(const Address &peer, const proxy::SyncReplyFrame &reply, TimePoint now);
     /*! @brief Logs changes of the replica and passes a new view to the gate. */
     void onDirectoryChanged(const std::vector<directory::ReplicaEvent> &beliefs, const char *source,
                             TimePoint now);
--- a/src/celeryramp/engine/peer_coordinator.cpp
+++ b/src/celeryramp/engine/peer_coordinator.cpp
@@ -43,6 +43,12 @@
 constexpr Millis kMaxConfirmingAge{3000};
 /*! Minimum time between two sync requests to peers. */
 constexpr Millis kSyncRequestInterval{500};
+/*! Time for which a peer is not asked again while it may still answer. Replies with whole values
+ *  take long on its link, and a second one would only queue behind the first. */
+constexpr Millis kSyncReplyTimeout{1000};
+/*! Time after its last usage report for which a node is pushed changes; idle nodes report every
+ *  500 ms. */
+constexpr Millis kSubscriptionTtl{2000};
 
 } // namespace internal
 
@@ -160,7 +166,7 @@
         frame = proxy::encodeFrame(
                 proxy::ChangesFrame{changesFrame.after, changesFrame.revision, {}, {}, {}});
     }
-    for (const auto &node : nodesInZone(m_settings.zone)) {
+    for (const auto &node : subscribers(now)) {
         // Failed nodes are tried by `probeFailedNodes` and catch up when they are back.
         if (m_peers.hasFailed(node)) {
             continue;
@@ -183,12 +189,22 @@
 
 void PeerCoordinator::requestSync(const Address &peer, TimePoint now)
 {
-    if (millisBetween(m_lastSyncRequestAt, now) < internal::kSyncRequestInterval) {
+    const auto unanswered = m_unansweredSyncs.find(peer.host);
+    if (millisBetween(m_lastSyncRequestAt, now) < internal::kSyncRequestInterval
+        || (unanswered != m_unansweredSyncs.end()
+            && millisBetween(unanswered->second, now) < internal::kSyncReplyTimeout)) {
         return;
     }
+    sendSyncRequest(peer, m_replica.isComplete() ? m_replica.revision() : 0, true, now);
+}
+
+void PeerCoordinator::sendSyncRequest(const Address &peer, std::int64_t revision, bool takesDeltas,
+                                      TimePoint now)
+{
     m_lastSyncRequestAt = now;
+    m_unansweredSyncs[peer.host] = now;
     auto frame = proxy::encodeFrame(
-            proxy::SyncRequestFrame{m_replica.revision(), now.time_since_epoch().count()});
+            proxy::SyncRequestFrame{revision, now.time_since_epoch().count(), takesDeltas});
     countStateFrame("sync-request", frame.size());
     send(peer, std::move(frame), now);
 }
@@ -338,12 +354,28 @@
     syncIfStale(now);
 }
 
+std::vector<Address> PeerCoordinator::subscribers(TimePoint now) const
+{
+    auto nodes = nodesInZone(m_settings.zone);
+    std::set<std::string> hosts;
+    for (const auto &node : nodes) {
+        hosts.insert(node.host);
+    }
+    for (const auto &[host, at] : m_reportedAt) {
+        if (hosts.count(host) == 0 && millisBetween(at, now) < internal::kSubscriptionTtl) {
+            nodes.push_back({host, m_settings.links.port});
+        }
+    }
+    return nodes;
+}
+
 void PeerCoordinator::onUsage(const Address &peer, const proxy::UsageFrame &frame, TimePoint now)
 {
     if (!frame.zone.empty()) {
         m_usageAggregator.addZoneReport(frame, now);
         return;
     }
+    m_reportedAt[peer.host] = now;
     if (!frame.accounts.empty()) {
         m_lastZoneDemandAt = now;
     }
@@ -380,15 +412,43 @@
     reply.askedAt = frame.askedAt;
     reply.age = m_replica.age(now);
     reply.renewalTimeLeft = m_replica.renewalTimeLeft(now);
-    reply.items = m_replica.items();
-    for (auto &item : reply.items) {
-        if (item.revision <= frame.revision) {
-            item.value.clear();
+    for (auto &[item, base] : m_replica.itemsSince(frame.revision, frame.takesDeltas)) {
+        if (base != 0) {
+            reply.bases[reply.items.size()] = base;
         }
+        reply.items.push_back(std::move(item));
     }
     auto bytes = proxy::encodeFrame(reply);
     countStateFrame("sync-reply", bytes.size());
     send(peer, std::move(bytes), now);
 }
 
+std::optional<std::vector<directory::ItemChange>>
+PeerCoordinator::onSyncReply(const Address &peer, const proxy::SyncReplyFrame &frame, TimePoint now)
+{
+    m_unansweredSyncs.erase(peer.host);
+    if (m_replica.isComplete() && frame.revision < m_replica.revision()) {
+        return std::nullopt;
+    }
+    auto items = frame.items;
+    for (const auto &[index, base] : frame.bases) {
+        if (index >= items.size()) {
+            return std::nullopt;
+        }
+        auto &item = items[index];
+        if (m_replica.holds(item.key, item.revision)) {
+            continue;
+        }
+        auto whole = m_replica.fromDelta(item, base);
+        if (!whole) {
+            logEvent(LogLevel::Info, "fleet", "sync-not-applicable",
+                     {{"peer", peer.text()}, {"item", item.key}, {"base", std::to_string(base)}});
+            sendSyncRequest(peer, 0, false, now);
+            return std::nullopt;
+        }
+        item = std::move(*whole);
+    }
+    return items;
+}
+
 } // namespace celeryramp::engine
--- a/src/celeryramp/engine/peer_coordinator.h
+++ b/src/celeryramp/engine/peer_coordinator.h
@@ -39,6 +39,14 @@
     void onUsage(const Address &peer, const proxy::UsageFrame &frame, TimePoint now);
     void onLevels(const Address &peer, const proxy::LevelsFrame &frame, TimePoint now);
     void onSyncRequest(const Address &peer, const proxy::SyncRequestFrame &frame, TimePoint now);
+    /*!
+     * @brief Restores the items of a reply from its deltas.
+     * @return The items for `Replica::applyList`; nothing if the reply is no news, or if this node
+     * lacks what it is based on. The peer is then asked for whole values.
+     */
+    [[nodiscard]] std::optional<std::vector<directory::ItemChange>>
+    onSyncReply(const Address &peer, const proxy::SyncReplyFrame &frame, TimePoint now);
+    void onLinkLost(const Address &peer) { m_unansweredSyncs.erase(peer.host); }
 
     /*!
      * @brief Decides whether this node reads the platform. The first reachable node of a zone reads
@@ -61,7 +69,8 @@
     void forwardChanges(const proxy::ChangesFrame &changesFrame, TimePoint now);
     /*! @brief Sends a frame to all nodes of all zones. */
     void broadcast(const proxy::Frame &frame, TimePoint now);
-    /*! @brief Requests the state after this node's revision from a peer. */
+    /*! @brief Requests the state after this node's revision from a peer, unless an earlier request
+     * to it may still be answered. */
     void requestSync(const Address &peer, TimePoint now);
 
     /*! @brief Handles that a peer has changes which this node cannot apply, since it has missed
@@ -95,6 +104,11 @@
     /*! @brief Adds the nodes of published servers and drops nodes that are no longer published. */
     void updateKnownNodes(TimePoint now);
     void syncIfStale(TimePoint now);
+    void sendSyncRequest(const Address &peer, std::int64_t revision, bool takesDeltas,
+                         TimePoint now);
+    /*! @return Nodes to which changes are pushed: those of the zone, and those that report usage to
+     * this node although no server of theirs is published yet or any more. */
+    [[nodiscard]] std::vector<Address> subscribers(TimePoint now) const;
 
     const EngineSettings &m_settings;
     links::PeerLinks &m_peers;
@@ -115,6 +129,8 @@
     std::map<std::string, KnownNode> m_knownNodes; /*!< Other nodes published recently, by host. */
     TimePoint m_lastReportAt;
     TimePoint m_lastProbeAt;
+    std::map<std::string, TimePoint> m_reportedAt; /*!< Last usage report of nodes, by host. */
+    std::map<std::string, TimePoint> m_unansweredSyncs; /*!< Time of sync requests, by host. */
     TimePoint m_lastSyncRequestAt;
     std::int64_t m_requiredRevision = 0; /*!< Revision up to which this node reads by itself. */
     std::map<std::string, TimePoint>
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -233,11 +233,13 @@
 {
     out.push_back(frame.revision);
     out.push_back(frame.askedAt);
+    out.push_back(frame.takesDeltas);
 }
 
 [[nodiscard]] Frame readSyncRequest(const Json &json)
 {
-    return SyncRequestFrame{json.at(1).get<std::int64_t>(), json.at(2).get<std::int64_t>()};
+    return SyncRequestFrame{json.at(1).get<std::int64_t>(), json.at(2).get<std::int64_t>(),
+                            json.size() > 3 && json[3].get<bool>()};
 }
 
 /*! @return Time in the last field, which earlier releases do not send. */
@@ -257,6 +259,14 @@
         out.push_back(binary(item.value));
     }
     out.push_back(frame.renewalTimeLeft.count());
+    if (!frame.bases.empty()) {
+        auto bases = Json::array();
+        for (const auto &[index, base] : frame.bases) {
+            bases.push_back(index);
+            bases.push_back(base);
+        }
+        out.push_back(std::move(bases));
+    }
 }
 
 [[nodiscard]] Frame readSyncReply(const Json &json)
@@ -271,6 +281,12 @@
                                json[i + 1].get<std::int64_t>(), false});
     }
     frame.renewalTimeLeft = lastMillis(json, i);
+    if (++i < json.size()) {
+        const auto &bases = json[i];
+        for (std::size_t k = 0; k + 1 < bases.size(); k += 2) {
+            frame.bases[bases[k].get<std::size_t>()] = bases[k + 1].get<std::int64_t>();
+        }
+    }
     return frame;
 }
 
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -166,6 +166,7 @@
 {
     std::int64_t revision = 0;
     std::int64_t askedAt = 0; /*!< Nanoseconds on the sender's clock; echoed in the reply. */
+    bool takesDeltas = false; /*!< Nodes of earlier releases read whole values only. */
 };
 
 /*! @brief The directory items known to a peer. */
@@ -177,6 +178,8 @@
     std::vector<directory::ItemChange>
             items; /*!< All keys; values only of items newer than requested. */
     Millis renewalTimeLeft{0}; /*!< `directory::Replica::renewalTimeLeft` at the peer. */
+    std::map<std::size_t, std::int64_t>
+            bases; /*!< Base revisions of the values that are deltas, by index of the item. */
 };
 
 /*! @brief Directory changes that a node has read from the platform, for the nodes of its zone.
--- a/test/directory/replica.cpp
+++ b/test/directory/replica.cpp
@@ -205,3 +205,43 @@
     REQUIRE(servers.front()->id == "new");
     REQUIRE(servers.back()->id == "other");
 }
+
+TEST_CASE("The state for a peer has deltas against what the peer holds")
+{
+    const test::TextDecoder decoder;
+    Replica replica{decoder, kGracePeriod};
+    Replica peer{decoder, kGracePeriod};
+    const auto item = [](int number) {
+        return ItemChange{"configuration", std::to_string(number) + std::string(200, '{'), number,
+                          false};
+    };
+    for (auto *it : {&replica, &peer}) {
+        static_cast<void>(it->applyList({item(1), server("a", 1)}, 1, kStart, kLeft, kStart));
+    }
+    for (int number = 2; number <= 4; ++number) {
+        static_cast<void>(replica.applyChanges({item(number)}, number, kStart, kLeft, kStart));
+    }
+    const auto valueOf = [&](std::int64_t revision, bool takesDeltas) {
+        const auto items = replica.itemsSince(revision, takesDeltas);
+        const auto it = std::find_if(items.begin(), items.end(), [](const auto &entry) {
+            return entry.item.key == "configuration";
+        });
+        REQUIRE(it != items.end());
+        return *it;
+    };
+    // Only the peer's revision decides; versions between were never at the peer.
+    const auto delta = valueOf(1, true);
+    REQUIRE(delta.base == 1);
+    REQUIRE(delta.item.value.size() < 100);
+    REQUIRE(peer.fromDelta(delta.item, delta.base)->value == item(4).value);
+    REQUIRE_FALSE(replica.holds("configuration", 5));
+    REQUIRE(replica.holds("configuration", 4));
+    REQUIRE(valueOf(1, false).item.value == item(4).value);
+    REQUIRE(valueOf(4, true).item.value.empty());
+    // A peer that holds nothing, or a value that is no longer kept, gets the whole one.
+    REQUIRE(valueOf(0, true).base == 0);
+    static_cast<void>(replica.applyChanges({item(5)}, 5, kStart, kLeft, kStart));
+    REQUIRE(valueOf(1, true).base == 0);
+    REQUIRE(valueOf(1, true).item.value == item(5).value);
+    REQUIRE(valueOf(2, true).base == 2);
+}
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -84,6 +84,25 @@
     REQUIRE(std::get<SyncReplyFrame>(earlier.value()).renewalTimeLeft == Millis{0});
 }
 
+TEST_CASE("The bases of deltas follow a list and are asked for by nodes that read them")
+{
+    SyncReplyFrame reply{7, 1, Millis{20}, {{"a", "x", 5, false}, {"b", "y", 6, false}}, Millis{0}};
+    reply.bases[1] = 4;
+    const auto decoded = decodeFrame(encodeFrame(reply));
+    const auto &back = std::get<SyncReplyFrame>(decoded.value());
+    REQUIRE(back.items.size() == 2);
+    REQUIRE(back.bases == reply.bases);
+    const auto request = decodeFrame(encodeFrame(SyncRequestFrame{3, 1, true}));
+    REQUIRE(std::get<SyncRequestFrame>(request.value()).takesDeltas);
+    // As sent by earlier releases: one array element less.
+    auto bytes = encodeFrame(SyncRequestFrame{3, 1, true});
+    bytes.pop_back();
+    --bytes[0];
+    const auto earlier = decodeFrame(bytes);
+    REQUIRE(std::get<SyncRequestFrame>(earlier.value()).revision == 3);
+    REQUIRE_FALSE(std::get<SyncRequestFrame>(earlier.value()).takesDeltas);
+}
+
 TEST_CASE("Malformed frames are rejected without a crash")
 {
     rc::prop("random bytes",
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -27,9 +27,9 @@
 
 } // namespace
 
-std::unique_ptr<Mesh> Mesh::withProxy(const std::string &proxyHost)
+std::unique_ptr<Mesh> Mesh::withProxy(const std::string &proxyHost, int count)
 {
-    return std::unique_ptr<Mesh>{new Mesh{2, 0, proxyHost}};
+    return std::unique_ptr<Mesh>{new Mesh{count, 0, proxyHost}};
 }
 
 Mesh::Mesh(int count, int south, const std::string &proxyHost)
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -21,10 +21,11 @@
 {
 public:
     void start(directory::ItemSink &it) override { sink = &it; }
-    void resume() override { }
+    void resume() override { ++resumes; }
     void stop() override { }
 
     directory::ItemSink *sink = nullptr;
+    int resumes = 0; /*!< Times at which the node wanted to read. */
 };
 
 /*! @brief Result of a call to the mesh: an answer, or how the exchange ended. */
@@ -52,11 +53,11 @@
     explicit Mesh(int count, int south = 0) : Mesh{count, south, std::string{}} { }
 
     /*!
-     * @return A mesh of two nodes. The links that node 0 opens to node 1 lead through `proxy`.
-     * @param proxyHost Under which node 0 knows node 1; the lowest host of a zone reads for it.
+     * @return A mesh in which the links that others open to the last node lead through `proxy`.
+     * @param proxyHost Under which the others know it; the lowest host of a zone reads for it.
      */
-    [[nodiscard]] static std::unique_ptr<Mesh> withProxy(const std::string &proxyHost
-                                                         = "127.0.0.51");
+    [[nodiscard]] static std::unique_ptr<Mesh>
+    withProxy(const std::string &proxyHost = "127.0.0.51", int count = 2);
 
     /*!
      * @brief Sends a complete list of items to all nodes.
