Steps that repair a late configuration begin within its bound

Change: bounds.configuration in the settings; a node asks peers at 0.6 of it and reads at 0.8 of it. One that has lacked an announced revision for a third of it reads by itself. Event replica-lags.

--- a/src/celeryramp/directory/reader_selection.cpp
+++ b/src/celeryramp/directory/reader_selection.cpp
@@ -12,8 +12,6 @@
  *  replica of a node that receives updates from a reader is up to 1 s old. */
 constexpr Millis kTakeOverAge{1300};
 constexpr Millis kTakeOverAgeStep{200};
-/*! Replica age above which every node reads, whatever its rank. */
-constexpr Millis kSelfReadAge{3000};
 
 } // namespace internal
 
@@ -23,7 +21,7 @@
     const bool isTakeOverDue
             = position.age > internal::kTakeOverAge + ranksAfterFirst * internal::kTakeOverAgeStep;
     if (position.rank == 0 || position.isBehind || isTakeOverDue
-        || position.age > internal::kSelfReadAge) {
+        || position.age > position.selfReadAge) {
         return internal::kReadPause;
     }
     return std::nullopt;
--- a/src/celeryramp/directory/reader_selection.h
+++ b/src/celeryramp/directory/reader_selection.h
@@ -13,6 +13,7 @@
     std::size_t rank = 0; /*!< Number of candidates in the zone that precede this node. */
     Millis age{0}; /*!< Age of the node's replica. */
     bool isBehind = false; /*!< The replica is empty or misses an announced revision. */
+    Millis selfReadAge{1600}; /*!< `FreshnessSchedule::selfReadAge` of the deployment. */
 };
 
 /*!
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -402,6 +402,7 @@
 void Engine::onChangesFrame(const Address &peer, const proxy::ChangesFrame &changesFrame,
                             TimePoint now)
 {
+    m_coordinator.onRevisionAnnounced(changesFrame.revision, now);
     if (!m_replica.isComplete() || changesFrame.revision <= m_replica.revision()) {
         return;
     }
--- a/src/celeryramp/engine/engine_settings.h
+++ b/src/celeryramp/engine/engine_settings.h
@@ -24,6 +24,8 @@
                                            through something in between. */
     Mechanisms mechanisms;
 
+    /*! Time within which a published configuration must be in force on every node. */
+    Millis configurationBound{2000};
     Millis keyFreshness{4500}; /*!< Maximum age of the replica for checking API keys. */
     Millis lapseGrace{1500}; /*!< Use of server entries that expired while the source was down. */
     Millis grace{6000}; /*!< Time from the stop request until the process is killed. */
--- a/src/celeryramp/engine/peer_coordinator.cpp
+++ b/src/celeryramp/engine/peer_coordinator.cpp
@@ -33,9 +33,6 @@
 constexpr Millis kProbeInterval{1000};
 /*! Time for which a node that could not read the platform ranks behind the others as a reader. */
 constexpr Millis kReadFailureTtl{2500};
-/*! Age of the replica from which peers are asked for newer state; above the usual time between
- *  reads. */
-constexpr Millis kStaleAfter{2700};
 /*! Age of the replica from which a peer that has newer changes is asked for its state. Readers
  *  usually bring them before, with fewer bytes. */
 constexpr Millis kMissedAfter{1000};
@@ -56,7 +53,8 @@
                                  directory::Replica &replica, proxy::FleetLimiter &limiter,
                                  MetricsRegistry &metrics, std::uint64_t seed)
     : m_settings{settings}, m_peers{peers}, m_replica{replica}, m_limiter{limiter},
-      m_metrics{metrics}, m_usageAggregator{settings.zone}, m_random{seed}
+      m_metrics{metrics}, m_usageAggregator{settings.zone}, m_random{seed},
+      m_schedule{settings.configurationBound}
 { }
 
 std::vector<Address> PeerCoordinator::nodesInZone(const std::string &zone) const
@@ -123,6 +121,7 @@
     const auto own = readingOrder(m_settings.links.host);
     directory::ReaderPosition position;
     position.age = m_replica.age(now);
+    position.selfReadAge = m_schedule.selfReadAge;
     position.isBehind = !m_replica.isComplete() || m_replica.revision() < m_requiredRevision;
     for (const auto &node : nodesInZone(m_settings.zone)) {
         if (readingOrder(node.host) < own && isReliable(node, now)) {
@@ -328,7 +327,7 @@
 
 void PeerCoordinator::syncIfStale(TimePoint now)
 {
-    if (m_replica.age(now) < internal::kStaleAfter
+    if (m_replica.age(now) < m_schedule.askPeerAge
         || millisBetween(m_lastSyncRequestAt, now) < internal::kSyncRequestInterval) {
         return;
     }
@@ -352,6 +351,19 @@
     reportUsage(now);
     probeFailedNodes(now);
     syncIfStale(now);
+    readIfLagging(now);
+}
+
+void PeerCoordinator::readIfLagging(TimePoint now)
+{
+    m_lag.onHeld(m_replica.revision());
+    if (m_lag.lag(now) > m_schedule.maxLag && m_requiredRevision < m_lag.latest()) {
+        logEvent(LogLevel::Info, "fleet", "replica-lags",
+                 {{"held", std::to_string(m_replica.revision())},
+                  {"announced", std::to_string(m_lag.latest())},
+                  {"lag_ms", std::to_string(m_lag.lag(now).count())}});
+        requireRead(m_lag.latest());
+    }
 }
 
 std::vector<Address> PeerCoordinator::subscribers(TimePoint now) const
@@ -392,6 +404,7 @@
 void PeerCoordinator::onLevels(const Address &peer, const proxy::LevelsFrame &frame, TimePoint now)
 {
     m_limiter.onLevels(frame, now);
+    onRevisionAnnounced(frame.revision, now);
     if (frame.revision > m_replica.revision()) {
         requestSync(peer, now);
     } else if (frame.revision == m_replica.revision() && frame.age < internal::kMaxConfirmingAge) {
--- a/src/celeryramp/engine/peer_coordinator.h
+++ b/src/celeryramp/engine/peer_coordinator.h
@@ -8,7 +8,9 @@
 
 #include "core/address.h"
 #include "core/random.h"
+#include "directory/freshness_schedule.h"
 #include "directory/replica.h"
+#include "directory/revision_lag.h"
 #include "engine/engine_settings.h"
 #include "links/peer_links.h"
 #include "observe/metrics_registry.h"
@@ -47,6 +49,11 @@
     [[nodiscard]] std::optional<std::vector<directory::ItemChange>>
     onSyncReply(const Address &peer, const proxy::SyncReplyFrame &frame, TimePoint now);
     void onLinkLost(const Address &peer) { m_unansweredSyncs.erase(peer.host); }
+    /*! @brief A peer has announced that a revision of the source exists. */
+    void onRevisionAnnounced(std::int64_t revision, TimePoint now)
+    {
+        m_lag.onAnnounced(revision, now);
+    }
 
     /*!
      * @brief Decides whether this node reads the platform. The first reachable node of a zone reads
@@ -104,6 +111,8 @@
     /*! @brief Adds the nodes of published servers and drops nodes that are no longer published. */
     void updateKnownNodes(TimePoint now);
     void syncIfStale(TimePoint now);
+    /*! @brief Makes this node read if it has lacked an announced revision for too long. */
+    void readIfLagging(TimePoint now);
     void sendSyncRequest(const Address &peer, std::int64_t revision, bool takesDeltas,
                          TimePoint now);
     /*! @return Nodes to which changes are pushed: those of the zone, and those that report usage to
@@ -129,6 +138,8 @@
     std::map<std::string, KnownNode> m_knownNodes; /*!< Other nodes published recently, by host. */
     TimePoint m_lastReportAt;
     TimePoint m_lastProbeAt;
+    directory::FreshnessSchedule m_schedule;
+    directory::RevisionLag m_lag;
     std::map<std::string, TimePoint> m_reportedAt; /*!< Last usage report of nodes, by host. */
     std::map<std::string, TimePoint> m_unansweredSyncs; /*!< Time of sync requests, by host. */
     TimePoint m_lastSyncRequestAt;
--- a/src/celeryramp/engine/settings_reader.cpp
+++ b/src/celeryramp/engine/settings_reader.cpp
@@ -15,6 +15,8 @@
 
 /*! API keys are rejected this long before the revocation bound is reached. */
 constexpr Millis kKeyFreshnessMargin{500};
+/*! Shortest time in which a configuration can be in force: readers wait for changes up to 0.5 s. */
+constexpr Millis kMinConfigurationBound{1000};
 
 struct TextKey
 {
@@ -47,6 +49,8 @@
         const auto number = node.value<double>();
         if (name == "revocation" && millis) {
             settings.keyFreshness = *millis - kKeyFreshnessMargin;
+        } else if (name == "configuration" && millis && *millis >= kMinConfigurationBound) {
+            settings.configurationBound = *millis;
         } else if (name == "grace" && millis) {
             settings.grace = *millis;
         } else if (name == "retry_ratio" && number && *number >= 0.0 && *number <= 1.0) {
--- a/test/directory/reader_selection.cpp
+++ b/test/directory/reader_selection.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "directory/freshness_schedule.h"
+
 using celeryramp::Millis;
 using celeryramp::directory::readPause;
 
@@ -47,3 +49,16 @@
 {
     CHECK(readPause({50, Millis{3001}, false}));
 }
+
+// Guards against steps that begin only after a configuration has to be in force.
+TEST_CASE("Freshness schedule: each step leaves time for a read within the bound")
+{
+    const auto bound = GENERATE(Millis{2000}, Millis{2500}, Millis{3000});
+    const celeryramp::directory::FreshnessSchedule schedule{bound};
+    // A change published right after the replica was confirmed is noticed by its age only.
+    CHECK(schedule.askPeerAge + kCheckInterval < schedule.selfReadAge + kCheckInterval);
+    CHECK(schedule.selfReadAge + kCheckInterval < bound);
+    CHECK(schedule.maxLag + kCheckInterval < bound / 2);
+    CHECK(readPause({50, schedule.selfReadAge + Millis{1}, false, schedule.selfReadAge}));
+    CHECK_FALSE(readPause({50, schedule.selfReadAge, false, schedule.selfReadAge}));
+}
--- a/test/engine/settings_reader.cpp
+++ b/test/engine/settings_reader.cpp
@@ -19,6 +19,7 @@
 metrics_port = 8006
 [bounds]
 revocation = "5000ms"
+configuration = "2500ms"
 grace = "6s"
 retry_ratio = 0.2
 )";
@@ -39,6 +40,7 @@
     REQUIRE(settings.value().source.port == 8005);
     REQUIRE(settings.value().engine.metrics->port == 8006);
     REQUIRE(settings.value().engine.grace == Millis{6000});
+    REQUIRE(settings.value().engine.configurationBound == Millis{2500});
     REQUIRE(settings.value().engine.keyFreshness < Millis{5000});
     REQUIRE(settings.value().engine.retryRatio == Approx(0.2));
 }
@@ -51,6 +53,7 @@
              {replaced("127.0.0.1:8005", "127.0.0.1"), "source"},
              {replaced("8006", "80060"), "metrics_port"},
              {replaced("\"6s\"", "\"6\""), "bounds.grace"},
+             {replaced("\"2500ms\"", "\"900ms\""), "bounds.configuration"},
              {replaced("0.2", "2.0"), "bounds.retry_ratio"},
              {replaced("retry_ratio", "retry_ration"), "bounds.retry_ration"},
              {replaced("service", "links_listen = \"here\"\nservice"), "links_listen"},
--- a/test/engine/unpublished_node.cpp
+++ b/test/engine/unpublished_node.cpp
@@ -75,3 +75,24 @@
     }
     REQUIRE(mesh->runUntil(check, kApplyBound));
 }
+
+// Guards against a node that knows of newer state and waits for a peer until the bound has passed.
+TEST_CASE("Unpublished node: it reads the source in time if the reply of its peer is slow")
+{
+    constexpr int kNodes = 8;
+    constexpr int kReader = kNodes - 1;
+    constexpr int kNode = kReader - 1;
+    const auto mesh = Mesh::withProxy("127.0.0.10", kNodes);
+    mesh->restartNode(kReader);
+    mesh->publish({}, {kNode});
+    standin::soak::LinkState slow;
+    slow.bytesPerSecond = kLinkShare / 6;
+    mesh->proxy->setState(slow);
+    const auto revision = heldRevision(*mesh, kReader) + 1;
+    mesh->nodes[kNode]->source.resumes = 0;
+    mesh->nodes[kReader]->source.sink->onChanges(
+            {{"configuration", configuration(2), revision, false}}, revision, bootNow());
+    const auto &source = mesh->nodes[kNode]->source;
+    REQUIRE(mesh->runUntil([&] { return source.resumes > 0; }, kApplyBound));
+    REQUIRE(heldRevision(*mesh, kNode) < revision);
+}
