The state of a peer counts by its revision, not by its age

What callers saw: a node that asked a peer since that had newer state could go on serving the old one. Cause: the reply was dropped if the peer had confirmed its replica longer ago than the node. Pushed changes do not confirm a replica, so a peer can hold more and be 'older'. Measured: the new case in test/engine/missed_changes.cpp fails before and passes.

--- a/src/celeryramp/directory/replica.h
+++ b/src/celeryramp/directory/replica.h
@@ -139,9 +139,6 @@
     /*! @return True if this revision of an item, or a later one, is held. */
     [[nodiscard]] bool holds(const std::string &key, std::int64_t revision) const;
 
-    /*! @return Latest time at which the replica is known to have been complete. */
-    [[nodiscard]] TimePoint freshAsOf() const noexcept { return m_freshAsOf; }
-
 private:
     struct HeldItem
     {
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -439,11 +439,12 @@
 void Engine::onSyncReply(const Address &peer, const proxy::SyncReplyFrame &reply, TimePoint now)
 {
     const auto items = m_coordinator.onSyncReply(peer, reply, now);
-    const TimePoint askedAt{TimePoint::duration{reply.askedAt}};
-    const auto asOf = askedAt - reply.age;
-    if (!items || (asOf <= m_replica.freshAsOf() && m_replica.isComplete())) {
+    if (!items) {
         return;
     }
+    // The peer may have confirmed its state longer ago than this node its own, and still hold more:
+    // pushed changes do not confirm a replica. The revision decides.
+    const auto asOf = TimePoint{TimePoint::duration{reply.askedAt}} - reply.age;
     onDirectoryChanged(
             m_replica.applyList(*items, reply.revision, asOf, reply.renewalTimeLeft, now), "peer",
             now);
--- a/test/engine/missed_changes.cpp
+++ b/test/engine/missed_changes.cpp
@@ -38,3 +38,20 @@
     REQUIRE_FALSE(areCurrent());
     REQUIRE(mesh.runUntil(areCurrent, kSoon));
 }
+
+// Guards against a node that drops newer state of a peer since the peer confirmed it longer ago.
+TEST_CASE("Missed changes: the state of a peer counts by its revision and not by its age")
+{
+    Mesh mesh{2};
+    REQUIRE(mesh.callAndWait(1, "GET", "/safe/").answer.status == 200);
+    const auto before = heldRevision(mesh, 0);
+    const auto newest = before + 6;
+    mesh.run(kSilence);
+    // Node 1 has read the source since, but before the changes that node 0 gets to know.
+    mesh.nodes[1]->source.sink->onChanges({}, before, bootNow());
+    auto &reader = *mesh.nodes[0]->source.sink;
+    reader.onChanges({}, newest - 1, TimePoint{});
+    reader.onChanges({{"configuration", "2", newest, false}}, newest, TimePoint{});
+    REQUIRE_FALSE(heldRevision(mesh, 1) == newest);
+    REQUIRE(mesh.runUntil([&] { return heldRevision(mesh, 1) == newest; }, kSoon));
+}
