--- a/src/celeryramp/http/client_connection.cpp
+++ b/src/celeryramp/http/client_connection.cpp
@@ -130,6 +130,7 @@
         return;
     }
     m_hasReceived = true;
+    m_lastReceivedAt = bootNow();
     m_reader.feed(bytes);
     if (processAnswer()) {
         read();
@@ -227,6 +228,13 @@
     }
 }
 
+std::optional<std::uint64_t> ClientConnection::bytesToCome() const
+{
+    const auto length = m_reader.hasHead() ? m_reader.announcedLength() : std::nullopt;
+    return length ? std::optional{*length - std::min<std::uint64_t>(*length, m_reader.bodySize())}
+                  : std::nullopt;
+}
+
 void ClientConnection::setReadingPaused(bool isPaused)
 {
     if (std::exchange(m_isReadingPaused, isPaused) && !isPaused && m_connected) {
--- a/src/celeryramp/http/client_connection.h
+++ b/src/celeryramp/http/client_connection.h
@@ -52,6 +52,12 @@
     /*! @return True if any byte was received since the last request was sent. */
     [[nodiscard]] bool hasReceived() const noexcept { return m_hasReceived; }
 
+    /*! @return Time at which bytes were last received; `TimePoint{}` before the first ones. */
+    [[nodiscard]] TimePoint lastReceivedAt() const noexcept { return m_lastReceivedAt; }
+    /*! @return Bytes that are still to come of the response that is being received, by the length
+     * that the server announced; nothing if that is not known. */
+    [[nodiscard]] std::optional<std::uint64_t> bytesToCome() const;
+
     /*! @return Idle timeout that the server announced in `Keep-Alive`; zero without one. */
     [[nodiscard]] Millis announcedIdle() const noexcept { return m_announcedIdle; }
 
@@ -85,6 +91,7 @@
     bool m_closesAfterAnswer = false; /*!< The server has closed its side. */
     Millis m_restBefore{0};
     bool m_hasReceived = false;
+    TimePoint m_lastReceivedAt;
     Millis m_announcedIdle{0};
     bool m_connected = false;
     bool m_sent = false; /*!< Bytes of the current request may have been sent. */
--- /dev/null
+++ b/test/platform/store_source.cpp
@@ -0,0 +1,111 @@
+#include "store_source.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/boot_clock.h"
+#include "soak/link_proxy.h"
+#include "soak/store.h"
+
+using namespace celeryramp;
+using platform::StoreSource;
+using standin::soak::LinkProxy;
+using standin::soak::LinkState;
+using standin::soak::Store;
+
+namespace {
+
+const Address kStore{"127.0.0.61", 17805};
+const Address kLink{"127.0.0.62", 17805};
+/*! A link of 10 Mbit/s that carries 500 KB/s of answers as well. */
+constexpr std::size_t kBytesPerSecond = 750'000;
+/*! Configuration of 2,400 routes. */
+constexpr std::size_t kLargeValue = 430'000;
+
+/*! @brief Sink that reads on at once, as the reader of a zone does. */
+class RecordingSink final : public directory::ItemSink
+{
+public:
+    void onList(const std::vector<directory::ItemChange> &items, std::int64_t revision,
+                TimePoint /*requestedAt*/) override
+    {
+        ++lists;
+        held = revision;
+        itemCount = items.size();
+    }
+    void onChanges(const std::vector<directory::ItemChange> & /*changes*/, std::int64_t revision,
+                   TimePoint /*requestedAt*/) override
+    {
+        held = revision;
+    }
+    void onSourceFailed(const std::string & /*reason*/, TimePoint /*requestedAt*/) override
+    {
+        ++failures;
+    }
+    [[nodiscard]] std::int64_t heldRevision() const override { return held; }
+    [[nodiscard]] std::optional<Millis> readPause() const override { return Millis{0}; }
+
+    std::int64_t held = 0;
+    std::size_t itemCount = 0;
+    int lists = 0;
+    int failures = 0;
+};
+
+struct Fixture
+{
+    Fixture()
+    {
+        store.put("servers/a", "{}");
+        source.start(sink);
+        REQUIRE(runUntil([this] { return sink.held > 0; }, Millis{2000}));
+    }
+    ~Fixture() { source.stop(); }
+
+    bool runUntil(const std::function<bool()> &condition, Millis most)
+    {
+        const auto end = bootNow() + most;
+        while (!condition()) {
+            if (bootNow() >= end) {
+                return false;
+            }
+            context.restart();
+            context.run_one_for(Millis{20});
+        }
+        return true;
+    }
+
+    boost::asio::io_context context;
+    Store store{context, kStore};
+    LinkProxy link{context, kLink, kStore};
+    RecordingSink sink;
+    StoreSource source{context, kLink, 7};
+};
+
+} // namespace
+
+// Guards against a reader that gives up large responses on a slow link and asks for more each time.
+TEST_CASE("Store source: a series of large configurations is read over a slow link")
+{
+    Fixture fixture;
+    LinkState slow;
+    slow.bytesPerSecond = kBytesPerSecond;
+    fixture.link.setState(slow);
+    const auto before = fixture.sink.held;
+    constexpr int kVersions = 4;
+    for (int i = 0; i < kVersions; ++i) {
+        fixture.store.put("op/config", std::string(kLargeValue, static_cast<char>('a' + i)));
+    }
+    // One value takes 0.8 s on the link, and the newest one is all that is needed.
+    REQUIRE(fixture.runUntil([&] { return fixture.sink.held >= before + kVersions; },
+                             Millis{5000}));
+}
+
+TEST_CASE("Store source: a read that gets no bytes is given up and sent again")
+{
+    Fixture fixture;
+    fixture.store.setState({Millis{4}, true, false, false});
+    REQUIRE(fixture.runUntil([&] { return fixture.sink.failures > 0; }, Millis{1800}));
+    fixture.store.setState({});
+    const auto before = fixture.sink.held;
+    fixture.store.put("servers/b", "{}");
+    REQUIRE(fixture.runUntil([&] { return fixture.sink.held > before; }, Millis{3500}));
+}
