What a node holds for all its peers is bounded by its memory limit

Reported by other operators: bytes without end fill the memory of the machine that holds them. Cause here: each peer alone may have 4 MiB unsent, which is 776 MiB for 194 peers on nodes of 160 MB. Class: limits of each that say nothing of the sum. A peer may have as many as are left, so that slow ones share it and leave room for one that reads. Frames for links that are being opened count.

--- /dev/null
+++ b/src/celeryramp/engine/buffer_limits.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstddef>
+
+namespace celeryramp::engine {
+
+/*!
+ * @brief Most bytes that a node holds for others, by purpose. They are parts of its memory limit,
+ * since each peer, caller and server alone may stay within its own limits while all together do
+ * not.
+ */
+struct BufferLimits
+{
+    /*! @param memoryBytes Memory limit of the process. What the limits leave is for the program, the
+     * replica and copies that are being made. */
+    explicit constexpr BufferLimits(std::size_t memoryBytes) noexcept
+        : links{memoryBytes / 8}, callers{memoryBytes / 6}, gate{memoryBytes / 6}
+    { }
+
+    std::size_t links; /*!< Frames that are not sent yet, over all peers. */
+    std::size_t callers; /*!< Responses that callers have not read, over all connections. */
+    std::size_t gate; /*!< Answers of the backend server that are being received or sent on. */
+};
+
+} // namespace celeryramp::engine
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -2,6 +2,7 @@
 
 #include "core/boot_clock.h"
 #include "core/hash.h"
+#include "engine/buffer_limits.h"
 #include "observe/log.h"
 #include "observe/process_usage.h"
 #include "proxy/frame_codec.h"
@@ -55,6 +56,7 @@
 
 Result<void, EngineError> Engine::start()
 {
+    m_peers.setTotalLimit(BufferLimits{m_settings.memoryBytes}.links);
     if (const auto opened = m_peers.listen(m_settings.linksListen.value_or(m_settings.links));
         !opened) {
         return EngineError{opened.error().place, opened.error().reason};
--- a/src/celeryramp/engine/engine_settings.h
+++ b/src/celeryramp/engine/engine_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -29,6 +30,7 @@
     Millis keyFreshness{4500}; /*!< Maximum age of the replica for checking API keys. */
     Millis lapseGrace{1500}; /*!< Use of server entries that expired while the source was down. */
     Millis grace{6000}; /*!< Time from the stop request until the process is killed. */
+    std::size_t memoryBytes = 256U << 20U; /*!< Memory limit of the process. */
     double retryRatio = 0.2; /*!< Retries per request, over all nodes. */
 };
 
--- a/src/celeryramp/engine/settings_reader.cpp
+++ b/src/celeryramp/engine/settings_reader.cpp
@@ -18,6 +18,10 @@
 /*! Shortest time in which a configuration can be in force: readers wait for changes up to 0.5 s. */
 constexpr Millis kMinConfigurationBound{1000};
 
+/*! Range of the memory limit in MB; a node needs about 15 of them for itself. */
+constexpr double kMinMemoryMegabytes = 32.0;
+constexpr double kMaxMemoryMegabytes = 1024.0 * 1024.0;
+
 struct TextKey
 {
     const char *name;
@@ -125,6 +129,14 @@
         settings.engine.metrics
                 = Address{settings.engine.links.host, static_cast<std::uint16_t>(*port)};
     }
+    if (table.contains("memory_mb")) {
+        const auto megabytes = table["memory_mb"].value<double>();
+        if (!megabytes || *megabytes < internal::kMinMemoryMegabytes
+            || *megabytes > internal::kMaxMemoryMegabytes) {
+            return SettingsError{"memory_mb", "not in the range from 32 to 1048576"};
+        }
+        settings.engine.memoryBytes = static_cast<std::size_t>(*megabytes) << 20U;
+    }
     if (const auto level = table["log_level"].value<std::string>();
         level && !parseLogLevel(*level, settings.logLevel)) {
         return SettingsError{"log_level", "not one of debug, info, warn, error"};
--- a/src/celeryramp/links/peer_links.cpp
+++ b/src/celeryramp/links/peer_links.cpp
@@ -62,6 +62,7 @@
     bool isOutgoing = false;
     bool isOpen = false;
     std::vector<std::string> pendingFrames; /*!< Frames to send once the link is open. */
+    std::size_t pendingBytes = 0; /*!< Of `pendingFrames`. */
     TimePoint openingStartedAt; /*!< When opening began; for an incoming link, when it was accepted.
                                  */
     TimePoint lastReceivedAt;
@@ -207,7 +208,7 @@
             events.onLinkLost(*peer, LinkLoss::PeerGone);
         }
         const auto now = bootNow();
-        links[*peer] = {handle, false, true, {}, now, now, {}, peerIncarnation};
+        links[*peer] = {handle, false, true, {}, 0, now, now, {}, peerIncarnation};
         for (const auto &frame : pendingFrames) {
             writeFrame(links[*peer], frame);
         }
@@ -238,6 +239,7 @@
         link.lastReceivedAt = bootNow();
         const auto pendingFrames = std::move(link.pendingFrames);
         link.pendingFrames.clear();
+        link.pendingBytes = 0;
         for (const auto &frame : pendingFrames) {
             writeFrame(link, frame);
         }
@@ -347,7 +349,7 @@
         connection->append_header(internal::kIncarnationHeader, incarnation);
         connection->set_open_handshake_timeout(static_cast<long>(kOpenTimeout.count()));
         outgoingPeers[connection->get_handle()] = peer;
-        links[peer] = {connection->get_handle(), true, false, {}, now, now, {}, {}};
+        links[peer] = {connection->get_handle(), true, false, {}, 0, now, now, {}, {}};
         client.connect(connection);
         return true;
     }
@@ -377,6 +379,40 @@
         return ec ? 0 : connection->get_buffered_amount();
     }
 
+    [[nodiscard]] std::size_t heldBytes(const internal::Link &link)
+    {
+        return link.pendingBytes + (link.isOpen ? bufferedBytes(link) : 0);
+    }
+
+    [[nodiscard]] std::size_t heldBytes()
+    {
+        std::size_t sum = 0;
+        for (const auto &[peer, link] : links) {
+            sum += heldBytes(link);
+        }
+        for (const auto &[peer, link] : silentLinks) {
+            sum += heldBytes(link);
+        }
+        return sum;
+    }
+
+    /*! Counts a frame if there is room for it. */
+    [[nodiscard]] bool takeRoom(const internal::Link &link, std::size_t frameBytes)
+    {
+        const auto held = heldBytes(link);
+        const auto room = [this] {
+            return std::min(kMaxBufferedBytes, maxTotal - std::min(maxTotal, heldAtMost));
+        };
+        if (held > room()) {
+            heldAtMost = heldBytes();
+        }
+        if (held > room()) {
+            return false;
+        }
+        heldAtMost += frameBytes;
+        return true;
+    }
+
     void ping(internal::Link &link, TimePoint now)
     {
         websocketpp::lib::error_code ec;
@@ -399,6 +435,8 @@
     std::map<Handle, Address, std::owner_less<Handle>> incomingPeers;
     std::map<Handle, Address, std::owner_less<Handle>> outgoingPeers;
     std::uint64_t frameByteCount = 0;
+    std::size_t maxTotal = kDefaultMaxTotalBytes;
+    std::size_t heldAtMost = 0; /*!< Upper bound of `heldBytes`, which is costly to sum up. */
 };
 
 PeerLinks::PeerLinks(boost::asio::io_context &context, Address self, LinkEvents &events)
@@ -438,13 +476,14 @@
         }
     }
     auto &link = it->second;
+    if (!m_impl->takeRoom(link, frame.size())) {
+        return false;
+    }
     if (!link.isOpen) {
+        link.pendingBytes += frame.size();
         link.pendingFrames.push_back(std::move(frame));
         return true;
     }
-    if (m_impl->bufferedBytes(link) > kMaxBufferedBytes) {
-        return false;
-    }
     m_impl->writeFrame(link, frame);
     return true;
 }
@@ -455,7 +494,7 @@
     if (silent == m_impl->silentLinks.end() || isOpen(peer)) {
         return send(peer, std::move(frame), now);
     }
-    if (m_impl->bufferedBytes(silent->second) > kMaxBufferedBytes) {
+    if (!m_impl->takeRoom(silent->second, frame.size())) {
         return false;
     }
     m_impl->writeFrame(silent->second, frame);
@@ -471,6 +510,16 @@
     return sum;
 }
 
+std::size_t PeerLinks::heldBytes() const
+{
+    return m_impl->heldBytes();
+}
+
+void PeerLinks::setTotalLimit(std::size_t bytes) noexcept
+{
+    m_impl->maxTotal = bytes;
+}
+
 bool PeerLinks::isOpen(const Address &peer) const
 {
     const auto it = m_impl->links.find(peer);
@@ -535,6 +584,7 @@
         m_impl->detach(peer, now);
     }
     m_impl->closeSilent(now);
+    m_impl->heldAtMost = m_impl->heldBytes();
 }
 
 std::uint64_t PeerLinks::frameBytes() const noexcept
--- a/src/celeryramp/links/peer_links.h
+++ b/src/celeryramp/links/peer_links.h
@@ -27,6 +27,8 @@
 inline constexpr Millis kReopenPause{500};
 /*! Limit of unsent bytes for one peer; further frames are refused. */
 inline constexpr std::size_t kMaxBufferedBytes = 4 * 1024 * 1024;
+/*! Limit of unsent bytes for all peers unless another one is set. */
+inline constexpr std::size_t kDefaultMaxTotalBytes = 32 * 1024 * 1024;
 
 /*!
  * @brief WebSocket links to other nodes, at most one in use per pair of nodes.
@@ -51,6 +53,14 @@
     /*! @brief Starts to accept links. @return Nothing, or why the node cannot listen. */
     [[nodiscard]] Result<void, LinkError> listen(const Address &address);
 
+    /*!
+     * @brief Limits the unsent bytes for all peers.
+     *
+     * A peer may have as many as are left of the limit. Peers that read little thus share it
+     * evenly, and always leave as much for one that reads.
+     */
+    void setTotalLimit(std::size_t bytes) noexcept;
+
     /*!
      * @brief Sends a frame, or queues it while the link is being opened. Opens a link if none
      * exists.
@@ -82,6 +92,8 @@
 
     /*! @return Bytes of frames that are not handed to the operating system yet, over all links. */
     [[nodiscard]] std::size_t unsentBytes() const;
+    /*! @return The same, with silent links and with frames that wait for a link to open. */
+    [[nodiscard]] std::size_t heldBytes() const;
 
     /*! @brief Pings silent peers and detaches silent links; to be called periodically. */
     void sweep(TimePoint now);
--- a/test/engine/settings_reader.cpp
+++ b/test/engine/settings_reader.cpp
@@ -17,6 +17,7 @@
 backend = "127.0.0.1:8004"
 source = "127.0.0.1:8005"
 metrics_port = 8006
+memory_mb = 110
 [bounds]
 revocation = "5000ms"
 configuration = "2500ms"
@@ -40,6 +41,7 @@
     REQUIRE(settings.value().source.port == 8005);
     REQUIRE(settings.value().engine.metrics->port == 8006);
     REQUIRE(settings.value().engine.grace == Millis{6000});
+    REQUIRE(settings.value().engine.memoryBytes == 110U << 20U);
     REQUIRE(settings.value().engine.configurationBound == Millis{2500});
     REQUIRE(settings.value().engine.keyFreshness < Millis{5000});
     REQUIRE(settings.value().engine.retryRatio == Approx(0.2));
@@ -52,6 +54,7 @@
              {replaced("\"127.0.0.1:8002\"", "\"localhost:8002\""), "links"},
              {replaced("127.0.0.1:8005", "127.0.0.1"), "source"},
              {replaced("8006", "80060"), "metrics_port"},
+             {replaced("110", "16"), "memory_mb"},
              {replaced("\"6s\"", "\"6\""), "bounds.grace"},
              {replaced("\"2500ms\"", "\"900ms\""), "bounds.configuration"},
              {replaced("0.2", "2.0"), "bounds.retry_ratio"},
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -86,7 +86,8 @@
 
 TEST_CASE("The bases of deltas follow a list and are asked for by nodes that read them")
 {
-    SyncReplyFrame reply{7, 1, Millis{20}, {{"a", "x", 5, false}, {"b", "y", 6, false}}, Millis{0}, {}};
+    SyncReplyFrame reply{7,         1, Millis{20}, {{"a", "x", 5, false}, {"b", "y", 6, false}},
+                         Millis{0}, {}};
     reply.bases[1] = 4;
     const auto decoded = decodeFrame(encodeFrame(reply));
     const auto &back = std::get<SyncReplyFrame>(decoded.value());
