A gate requests no more answers at a time than its memory limit can hold

Reported by other operators: bytes without end in a body. One answer is bounded (448 KB are read ahead, read whole or under way), the sum of all was not: it has as many as the server's entry names slots, which may be a million. Change: a sixth of the memory limit is for answers of the server; the gate counts no more slots than that holds, and bodies that outlast their calls.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include "core/boot_clock.h"
+#include "engine/buffer_limits.h"
 #include "engine/call_log.h"
 #include "observe/log.h"
 #include "proxy/answer_check.h"
@@ -26,6 +27,9 @@
 constexpr Millis kDefaultColdDuration{3000};
 /*! Bytes of a body that are read from the server ahead of what can be sent. */
 constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
+/*! Most bytes of one answer that are held: read whole, or read ahead and under way. */
+constexpr std::size_t kMaxAnswerBytes
+        = proxy::kWholeBodyBytes + kMaxUnsentBytes + proxy::kBodyWindowBytes;
 /*! With less time left, the server would start a request that it cannot finish. */
 constexpr Millis kMinServerTime{5};
 constexpr int kOk = 200;
@@ -79,7 +83,9 @@
                       .count())},
       m_expiryTimer{context}, m_probeTimer{context}, m_settings{settings},
       m_headerAdapter{headerAdapter}, m_crashes{crashes}, m_metrics{metrics},
-      m_pool{context, settings.backend, http::PoolSettings{internal::kConnectTimeout}}
+      m_pool{context, settings.backend, http::PoolSettings{internal::kConnectTimeout}},
+      m_maxAnswers{
+              static_cast<int>(BufferLimits{settings.memoryBytes}.gate / internal::kMaxAnswerBytes)}
 { }
 
 proxy::Reason BackendGate::reasonToClose() const
@@ -127,7 +133,7 @@
                 m_service = *service;
             }
         }
-        m_admission.setServer(m_server.slots, m_service.coldPerSecond);
+        m_admission.setServer(std::min(m_server.slots, m_maxAnswers), m_service.coldPerSecond);
     }
     updateClosed(now);
     probeIfNeeded(now);
@@ -206,7 +212,11 @@
 
 void BackendGate::dispatchWaiting(TimePoint now)
 {
-    while (const auto ticket = m_admission.next(now)) {
+    while (hasRoomForAnswer()) {
+        const auto ticket = m_admission.next(now);
+        if (!ticket) {
+            break;
+        }
         sendToServer(*ticket, now);
     }
     if (m_admission.waiting() > 0) {
@@ -214,6 +224,12 @@
     }
 }
 
+bool BackendGate::hasRoomForAnswer() const noexcept
+{
+    // A body can outlast its call, whose slot at the server is free again.
+    return m_admission.running() + static_cast<int>(m_bodies.size()) < m_maxAnswers;
+}
+
 void BackendGate::armExpiryTimer()
 {
     if (m_isExpiryTimerArmed) {
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -142,6 +142,8 @@
     void refuse(std::uint64_t ticket, proxy::Reason reason, TimePoint now);
     void finish(std::uint64_t ticket, proxy::ReplyFrame reply, proxy::HandoverOutcome outcome,
                 TimePoint now);
+    /*! @return True if the memory limit allows one more answer to be received. */
+    [[nodiscard]] bool hasRoomForAnswer() const noexcept;
     void armExpiryTimer();
     /*! @brief Reports repeatable calls that wait at a server that hangs, so that they can be tried
      * elsewhere. */
@@ -173,6 +175,7 @@
     MetricsRegistry &m_metrics;
     CrashHandler m_crashHandler;
     http::ClientPool m_pool;
+    int m_maxAnswers; /*!< Answers that may be received or sent on at a time. */
     proxy::ServerGate m_admission;
     proxy::HangDetector m_hangs;
     proxy::IdleReuse m_idleReuse;
--- /dev/null
+++ b/test/engine/endless_answers.cpp
@@ -0,0 +1,66 @@
+#include <algorithm>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include "engine/buffer_limits.h"
+#include "observe/process_usage.h"
+#include "support/mesh.h"
+
+using namespace celeryramp;
+using test::Mesh;
+using test::RawCaller;
+using test::ScriptedServer;
+using Script = test::ScriptedServer::Script;
+
+namespace {
+
+constexpr std::size_t kMemory = 32U << 20U;
+constexpr int kReceiveBuffer = 4096;
+/*! Callers are checked several times a second. */
+constexpr Millis kSoon{1000};
+
+Script endless(const http::Request &request)
+{
+    static const std::string kBlock(65'536, 'x');
+    return {ScriptedServer::head(request) + "\r\n", true, false, [] { return kBlock; }};
+}
+
+/*! @return Callers that send some requests each and do not read. */
+std::vector<std::shared_ptr<RawCaller>> pausedCallers(Mesh &mesh, int count, const char *target,
+                                                      int requests = 1)
+{
+    std::vector<std::shared_ptr<RawCaller>> callers;
+    for (int i = 0; i < count; ++i) {
+        callers.push_back(mesh.connect(0, kReceiveBuffer));
+        callers.back()->setReadingPaused(true);
+        for (int k = 0; k < requests; ++k) {
+            callers.back()->send(mesh.request("GET", target, {}, Millis{5000}));
+        }
+    }
+    return callers;
+}
+
+} // namespace
+
+// Guards against a node that its server takes over its memory limit with many answers at a time.
+TEST_CASE("Endless answers: a gate requests no more answers at a time than it can hold")
+{
+    constexpr int kCalls = 60;
+    Mesh mesh{1};
+    mesh.limitMemory(0, kMemory);
+    mesh.serverSlots = 1000;
+    mesh.publish();
+    mesh.nodes[0]->server->setRespond(endless);
+    const auto before = processUsage().residentBytes;
+    const auto callers = pausedCallers(mesh, kCalls, "/slow/");
+    mesh.run(kSoon);
+    const auto &server = *mesh.nodes[0]->server;
+    // Each answer may have 192 KB under way and a part that is not sent yet.
+    const auto most = engine::BufferLimits{kMemory}.gate / (192 * 1024);
+    REQUIRE(server.seen.size() > 5);
+    REQUIRE(server.seen.size() <= most);
+    REQUIRE(processUsage().residentBytes < before + kMemory / 2);
+}
--- a/test/engine/paused_peers.cpp
+++ b/test/engine/paused_peers.cpp
@@ -22,7 +22,10 @@
 class IgnoredEvents final : public links::LinkEvents
 {
 public:
-    void onFrame(const Address & /*peer*/, std::string_view bytes) override { received += bytes.size(); }
+    void onFrame(const Address & /*peer*/, std::string_view bytes) override
+    {
+        received += bytes.size();
+    }
     void onLinkOpen(const Address & /*peer*/) override { }
     void onLinkLost(const Address & /*peer*/, links::LinkLoss /*loss*/) override { }
     void onLinkSilent(const Address & /*peer*/) override { }
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -107,10 +107,10 @@
     }
 }
 
-std::shared_ptr<RawCaller> Mesh::connect(int node)
+std::shared_ptr<RawCaller> Mesh::connect(int node, int receiveBuffer)
 {
     auto caller = std::make_shared<RawCaller>(context);
-    caller->connect({nodes[static_cast<std::size_t>(node)]->host, kCallerPort});
+    caller->connect({nodes[static_cast<std::size_t>(node)]->host, kCallerPort}, receiveBuffer);
     return caller;
 }
 
@@ -185,6 +185,12 @@
     }
 }
 
+void Mesh::limitMemory(int index, std::size_t bytes)
+{
+    m_settings[static_cast<std::size_t>(index)].memoryBytes = bytes;
+    restartNode(index);
+}
+
 void Mesh::run(Millis time)
 {
     context.restart();
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -70,7 +70,7 @@
     void failSource();
 
     /*! @brief Opens a connection of a caller that sends and receives raw bytes. */
-    [[nodiscard]] std::shared_ptr<RawCaller> connect(int node);
+    [[nodiscard]] std::shared_ptr<RawCaller> connect(int node, int receiveBuffer = 0);
     /*! @return The bytes of a request, with a new id. */
     [[nodiscard]] std::string request(const std::string &method, const std::string &target,
                                       const std::string &body = {}, Millis deadline = Millis{1500});
@@ -79,6 +79,9 @@
     /*! @brief Replaces the engine of a node by a new one that has received nothing yet. */
     void restartNode(int index);
 
+    /*! @brief Restarts a node with another memory limit. `publish` informs it. */
+    void limitMemory(int index, std::size_t bytes);
+
     /*! @brief Sends a request to a node as a caller. */
     http::ClientConnectionPtr call(int node, const std::string &method, const std::string &target,
                                    const std::shared_ptr<Outcome> &outcome,
--- a/test/support/raw_caller.cpp
+++ b/test/support/raw_caller.cpp
@@ -4,8 +4,12 @@
 
 namespace celeryramp::test {
 
-void RawCaller::connect(const Address &address)
+void RawCaller::connect(const Address &address, int receiveBuffer)
 {
+    m_socket.open(boost::asio::ip::tcp::v4());
+    if (receiveBuffer > 0) {
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size{receiveBuffer});
+    }
     m_socket.connect({boost::asio::ip::make_address(address.host), address.port});
     read();
 }
--- a/test/support/raw_caller.h
+++ b/test/support/raw_caller.h
@@ -17,8 +17,9 @@
 public:
     explicit RawCaller(boost::asio::io_context &context) : m_socket{context} { }
 
-    /*! @brief Connects and starts reading into `received`. */
-    void connect(const Address &address);
+    /*! @brief Connects and starts reading into `received`. @param receiveBuffer Bytes that the
+     * operating system keeps; 0 for its default. */
+    void connect(const Address &address, int receiveBuffer = 0);
     /*! @brief Sends bytes; blocks until they are handed to the operating system. */
     void send(const std::string &bytes);
     /*! @brief Stops or resumes reading. */
