Callers that do not read are reset before the node runs out of memory

Measured: the new case in test/engine/endless_answers.cpp fails without the resets (over the limit after 1 s) and passes.

--- a/src/celeryramp/engine/buffer_limits.h
+++ b/src/celeryramp/engine/buffer_limits.h
@@ -11,8 +11,8 @@
  */
 struct BufferLimits
 {
-    /*! @param memoryBytes Memory limit of the process. What the limits leave is for the program, the
-     * replica and copies that are being made. */
+    /*! @param memoryBytes Memory limit of the process. What the limits leave is for the program,
+     * the replica and copies that are being made. */
     explicit constexpr BufferLimits(std::size_t memoryBytes) noexcept
         : links{memoryBytes / 8}, callers{memoryBytes / 6}, gate{memoryBytes / 6}
     { }
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -213,6 +213,7 @@
         gauge("directory_evacuated_zones", view.evacuatedZones.size());
         gauge("caller_connections", m_dispatcher.connectionCount());
         gauge("link_frame_bytes_total", m_peers.frameBytes());
+        gauge("caller_unsent_bytes", callerBytes());
         gauge("link_unsent_bytes", m_peers.unsentBytes());
         const auto usage = processUsage();
         gauge("process_cpu_seconds_total", usage.cpuSeconds);
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -65,6 +65,9 @@
      * are cut off. */
     void stop(TimePoint now);
 
+    /*! @return Bytes of responses that callers have not taken yet. */
+    [[nodiscard]] std::size_t callerBytes() const { return m_dispatcher.unsentBytes(); }
+
     void onFrame(const Address &peer, std::string_view bytes) override;
     void onLinkOpen(const Address &peer) override;
     void onLinkLost(const Address &peer, links::LinkLoss loss) override;
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -93,6 +93,9 @@
 
     /*! @brief Closes connections that are idle or slow beyond the limits, and drops old state. */
     void sweep(TimePoint now);
+
+    /*! @return Bytes of responses that callers have not taken yet, over all connections. */
+    [[nodiscard]] std::size_t unsentBytes() const;
     /*! @brief Closes each connection, present or new, after its pending answer. Requests that could
      * outlast the shutdown are refused. */
     void beginShutdown(const proxy::ShutdownSchedule &shutdown);
@@ -152,6 +155,9 @@
     /*! @brief Begins the answer to the caller with the first part of a long body. */
     void beginStream(Call &call, const proxy::ReplyFrame &reply, TimePoint now);
     void sendCredit(Call &call, std::uint64_t bytes, TimePoint now);
+    /*! @brief Resets connections of callers that take little, until what the others leave unread is
+     * within the limit. */
+    void resetStalledConnections(TimePoint now);
     /*! @brief Fails an answer of which the body cannot be completed. */
     void abortStream(Call &call, proxy::Reason reason, TimePoint now);
     /*! @brief Counts and logs the end of a call. */
--- a/src/celeryramp/http/caller_connection.cpp
+++ b/src/celeryramp/http/caller_connection.cpp
@@ -64,8 +64,7 @@
     if (m_reader.takeExpectContinue()) {
         // Sent in its turn, as an interim response before that to the request itself.
         Pending interim;
-        interim.output.emplace_back(internal::kContinue);
-        interim.bodyBytes.push_back(0);
+        addOutput(interim, std::string{internal::kContinue}, 0);
         interim.isComplete = true;
         m_pending.push_back(std::move(interim));
         write();
@@ -171,8 +170,7 @@
         return;
     }
     decideClose(*pending);
-    pending->output.push_back(serialize(answer, pending->closes, pending->isHead));
-    pending->bodyBytes.push_back(0);
+    addOutput(*pending, serialize(answer, pending->closes, pending->isHead), 0);
     pending->isComplete = true;
     m_lastChange = bootNow();
     write();
@@ -191,8 +189,7 @@
         pending->keepsAlive = false; // the end of the connection ends the body
     }
     decideClose(*pending);
-    pending->output.push_back(serializeHead(head, pending->closes, {length, pending->isChunked}));
-    pending->bodyBytes.push_back(0);
+    addOutput(*pending, serializeHead(head, pending->closes, {length, pending->isChunked}), 0);
     m_lastChange = bootNow();
     write();
 }
@@ -211,8 +208,7 @@
         bytes.append(internal::kLastChunk);
     }
     if (!bytes.empty()) {
-        pending->output.push_back(std::move(bytes));
-        pending->bodyBytes.push_back(n);
+        addOutput(*pending, std::move(bytes), n);
     }
     pending->isComplete = isLast;
     write();
@@ -225,6 +221,9 @@
         return;
     }
     if (!pending->isSending) {
+        for (const auto &piece : pending->output) {
+            m_unsentBytes -= piece.size();
+        }
         pending->output.clear();
         pending->bodyBytes.clear();
         pending->isBegun = false;
@@ -242,10 +241,7 @@
     }
     auto &front = m_pending.front();
     if (front.isAborted) {
-        // A reset also marks a body without announced length as incomplete.
-        boost::system::error_code ignored;
-        m_socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
-        close();
+        reset();
         return;
     }
     if (front.output.empty()) {
@@ -274,6 +270,7 @@
     auto &front = m_pending.front();
     const auto id = front.id;
     const auto n = front.bodyBytes.front();
+    m_unsentBytes -= front.output.front().size();
     front.output.pop_front();
     front.bodyBytes.pop_front();
     if (front.isComplete && front.output.empty()) {
@@ -320,6 +317,21 @@
     m_events.onClosed(shared_from_this());
 }
 
+void CallerConnection::reset()
+{
+    // A reset also marks a body without announced length as incomplete.
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+    close();
+}
+
+void CallerConnection::addOutput(Pending &pending, std::string bytes, std::size_t bodyBytes)
+{
+    m_unsentBytes += bytes.size();
+    pending.output.push_back(std::move(bytes));
+    pending.bodyBytes.push_back(bodyBytes);
+}
+
 void CallerConnection::closeAfterResponse() noexcept
 {
     m_closesWhenIdle = true;
--- a/src/celeryramp/http/caller_connection.h
+++ b/src/celeryramp/http/caller_connection.h
@@ -108,6 +108,16 @@
     }
     [[nodiscard]] bool isClosed() const noexcept { return m_closed; }
 
+    /*! @return Bytes of responses that the caller has not taken yet. */
+    [[nodiscard]] std::size_t unsentBytes() const noexcept { return m_unsentBytes; }
+    /*! @return Time for which the caller has taken nothing of a response that waits for it. */
+    [[nodiscard]] Millis stalledFor(TimePoint now) const noexcept
+    {
+        return m_writing ? millisBetween(m_lastChange, now) : Millis{0};
+    }
+    /*! @brief Resets the connection, so that an unfinished response does not look complete. */
+    void reset();
+
 private:
     /*! A request that was passed on, with the part of its response that is not sent yet. */
     struct Pending
@@ -127,6 +137,8 @@
         std::deque<std::size_t> bodyBytes; /*!< Bytes of the body in each piece of `output`. */
     };
 
+    /*! @brief Adds a piece of a response. @param bodyBytes Part of it that belongs to the body. */
+    void addOutput(Pending &pending, std::string bytes, std::size_t bodyBytes);
     void read();
     void onBytes(std::string_view bytes);
     void scheduleDispatch();
@@ -153,6 +165,7 @@
     std::deque<Pending> m_pending; /*!< In the order of the requests. */
     std::optional<Request> m_next; /*!< Received, but it may not be passed on yet. */
     std::uint64_t m_lastId = 0;
+    std::size_t m_unsentBytes = 0;
     TimePoint m_lastChange; /*!< Start of the current request, or last progress of a response. */
     bool m_reading = false;
     bool m_writing = false;
--- a/test/engine/endless_answers.cpp
+++ b/test/engine/endless_answers.cpp
@@ -28,6 +28,26 @@
     return {ScriptedServer::head(request) + "\r\n", true, false, [] { return kBlock; }};
 }
 
+/*! Lets the operating system keep little of what nodes send to callers, as on a link with small
+ *  windows. Accepted sockets take the size over from the listening one. */
+void shrinkSendBuffers()
+{
+    constexpr int kLastDescriptor = 256;
+    constexpr int kSendBuffer = 4096;
+    for (int fd = 3; fd < kLastDescriptor; ++fd) {
+        sockaddr_in name{};
+        socklen_t size = sizeof name;
+        int isListening = 0;
+        socklen_t flagSize = sizeof isListening;
+        if (getsockname(fd, reinterpret_cast<sockaddr *>(&name), &size) == 0
+            && ntohs(name.sin_port) == Mesh::kCallerPort
+            && getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &isListening, &flagSize) == 0
+            && isListening != 0) {
+            REQUIRE(setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &kSendBuffer, sizeof kSendBuffer) == 0);
+        }
+    }
+}
+
 /*! @return Callers that send some requests each and do not read. */
 std::vector<std::shared_ptr<RawCaller>> pausedCallers(Mesh &mesh, int count, const char *target,
                                                       int requests = 1)
@@ -64,3 +84,33 @@
     REQUIRE(server.seen.size() <= most);
     REQUIRE(processUsage().residentBytes < before + kMemory / 2);
 }
+
+// Guards against a node that runs out of memory since many callers read little of what they asked for.
+TEST_CASE("Endless answers: callers that do not read are reset before the node runs out of memory")
+{
+    constexpr int kCallers = 30;
+    constexpr int kPipelined = 16;
+    constexpr std::size_t kBodyBytes = 60'000;
+    Mesh mesh{1};
+    mesh.limitMemory(0, kMemory);
+    mesh.serverSlots = 100;
+    mesh.publish();
+    shrinkSendBuffers();
+    for (const auto &node : mesh.nodes) {
+        node->server->setRespond([](const http::Request &request) {
+            return Script{ScriptedServer::good(request, std::string(kBodyBytes, 'x'))};
+        });
+    }
+    const auto callers = pausedCallers(mesh, kCallers, "/safe/", kPipelined);
+    const auto held = [&] { return mesh.nodes[0]->engine->callerBytes(); };
+    REQUIRE(mesh.runUntil([&] { return held() > engine::BufferLimits{kMemory}.callers; }, kSoon));
+    REQUIRE(mesh.runUntil([&] { return held() <= engine::BufferLimits{kMemory}.callers; }, kSoon));
+    for (const auto &caller : callers) {
+        caller->setReadingPaused(false);
+    }
+    mesh.run(Millis{100});
+    const auto resets = std::count_if(callers.begin(), callers.end(),
+                                      [](const auto &caller) { return caller->isReset; });
+    REQUIRE(resets > 0);
+    REQUIRE(resets < kCallers);
+}
