--- a/test/engine/endless_answers.cpp
+++ b/test/engine/endless_answers.cpp
@@ -85,7 +85,8 @@
     REQUIRE(processUsage().residentBytes < before + kMemory / 2);
 }
 
-// Guards against a node that runs out of memory since many callers read little of what they asked for.
+// Guards against a node that runs out of memory since many callers read little of what they asked
+// for.
 TEST_CASE("Endless answers: callers that do not read are reset before the node runs out of memory")
 {
     constexpr int kCallers = 30;
--- a/test/platform/json_splitter.cpp
+++ b/test/platform/json_splitter.cpp
@@ -99,3 +99,15 @@
     REQUIRE_FALSE(isNestedDeeperThan("\"[[[[", 0));
     REQUIRE(isNestedDeeperThan("[[[[", 3));
 }
+
+TEST_CASE("Values are counted whether the text is valid or not")
+{
+    using celeryramp::platform::hasMoreValuesThan;
+    CHECK_FALSE(hasMoreValuesThan("", 1));
+    CHECK_FALSE(hasMoreValuesThan(R"({"a":1,"b":[2,3]})", 5));
+    CHECK(hasMoreValuesThan(R"({"a":1,"b":[2,3]})", 4));
+    CHECK(hasMoreValuesThan("[[[[[[", 6));
+    // What stands in strings does not count, also if the string has no end.
+    CHECK_FALSE(hasMoreValuesThan(R"(["[,{,[\",[,"])", 2));
+    CHECK_FALSE(hasMoreValuesThan(R"(["[,{,[)", 2));
+}
--- a/test/platform/store_source.cpp
+++ b/test/platform/store_source.cpp
@@ -1,10 +1,13 @@
 #include "store_source.h"
 
+#include <fstream>
+
 #include <catch2/catch.hpp>
 
 #include "core/boot_clock.h"
 #include "soak/link_proxy.h"
 #include "soak/store.h"
+#include "support/scripted_server.h"
 
 using namespace celeryramp;
 using platform::StoreSource;
@@ -109,3 +112,90 @@
     fixture.store.put("servers/b", "{}");
     REQUIRE(fixture.runUntil([&] { return fixture.sink.held > before; }, Millis{3500}));
 }
+
+namespace {
+
+/*! Half of the memory limit of the smallest machines. */
+constexpr std::size_t kMaxGrowth = 55U << 20U;
+
+/*! @return Peak of the resident memory of this process, in bytes. */
+std::size_t peakMemory()
+{
+    std::ifstream status{"/proc/self/status"};
+    std::string word;
+    while (status >> word) {
+        if (word == "VmHWM:") {
+            std::size_t kilobytes = 0;
+            status >> kilobytes;
+            return kilobytes * 1024;
+        }
+    }
+    return 0;
+}
+
+test::ScriptedServer::Script response(const std::string &body)
+{
+    return {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body};
+}
+
+/*! @return A response of 7 MB that is valid until its last byte. */
+std::string repeated(const std::string &start, const std::string &unit)
+{
+    std::string body = start;
+    while (body.size() < 7U << 20U) {
+        body += unit;
+    }
+    return body;
+}
+
+} // namespace
+
+// Guards against a node that a response of the store takes over its memory limit when it is parsed.
+TEST_CASE("Store source: a response with very many values is not parsed")
+{
+    const auto [start, unit] = GENERATE(table<std::string, std::string>(
+            {{R"({"items":[{})", ",{}"}, {R"({"items":[0)", ",[]"}, {"", "["}, {"", R"({"a":)"}}));
+    CAPTURE(start, unit);
+    const auto body = repeated(start, unit);
+    boost::asio::io_context context;
+    test::ScriptedServer server{context, kStore, "store"};
+    server.setRespond([&body](const http::Request &) { return response(body); });
+    RecordingSink sink;
+    StoreSource source{context, kStore, 7};
+    const auto before = peakMemory();
+    source.start(sink);
+    const auto end = bootNow() + Millis{4000};
+    while (sink.failures == 0 && bootNow() < end) {
+        context.restart();
+        context.run_one_for(Millis{20});
+    }
+    source.stop();
+    REQUIRE(sink.failures > 0);
+    REQUIRE(peakMemory() < before + kMaxGrowth);
+}
+
+// Guards against a node that keeps the pages of a list without end.
+TEST_CASE("Store source: a list without end is given up")
+{
+    boost::asio::io_context context;
+    test::ScriptedServer server{context, kStore, "store"};
+    int pages = 0;
+    server.setRespond([&pages](const http::Request &) {
+        return response(R"({"items":[{"Key":"k)" + std::to_string(++pages)
+                        + R"(","Revision":1,"Value":")" + std::string(1U << 20U, 'A')
+                        + R"("}],"Truncated":true,"CurrentRev":1})");
+    });
+    RecordingSink sink;
+    StoreSource source{context, kStore, 7};
+    const auto before = peakMemory();
+    source.start(sink);
+    const auto end = bootNow() + Millis{4000};
+    while (sink.failures == 0 && pages < 200 && bootNow() < end) {
+        context.restart();
+        context.run_one_for(Millis{20});
+    }
+    source.stop();
+    REQUIRE(sink.failures > 0);
+    REQUIRE(peakMemory() < before + kMaxGrowth);
+}
