--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -202,7 +202,7 @@
     if (answer.status == 200) {
         const auto &view = *m_replica.view();
         answer.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-        answer.body = m_metrics.exposition();
+        // Gauges come first: collectors that cut a long exposition off lose the least.
         const auto gauge = [&answer](const char *name, auto value) {
             answer.body += std::string{name} + " " + std::to_string(value) + "\n";
         };
@@ -218,6 +218,7 @@
         const auto usage = processUsage();
         gauge("process_cpu_seconds_total", usage.cpuSeconds);
         gauge("process_resident_bytes", usage.residentBytes);
+        answer.body += m_metrics.exposition();
     }
     return answer;
 }
