--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -136,10 +136,12 @@
         SyncItem it{{key, {}, held.revision, false}, 0};
         if (held.revision > revision) {
             const auto *base = takesDeltas ? previousAt(key, revision) : nullptr;
-            auto delta = base != nullptr ? makeDelta(base->value, held.value) : std::string{};
-            const bool isSmaller = base != nullptr && delta.size() < held.value.size();
-            it.item.value = isSmaller ? std::move(delta) : held.value;
-            it.base = isSmaller ? base->revision : 0;
+            it.item.value = base != nullptr ? makeDelta(base->value, held.value) : held.value;
+            it.base = base != nullptr ? base->revision : 0;
+            if (it.item.value.size() > held.value.size()) {
+                it.item.value = held.value;
+                it.base = 0;
+            }
         }
         items.push_back(std::move(it));
     }
