--- a/src/celeryramp/engine/peer_coordinator.cpp
+++ b/src/celeryramp/engine/peer_coordinator.cpp
@@ -274,6 +274,10 @@
                 ? m_knownNodes.erase(it)
                 : std::next(it);
     }
+    for (auto it = m_reportedAt.begin(); it != m_reportedAt.end();) {
+        it = millisBetween(it->second, now) > internal::kNodeTtl ? m_reportedAt.erase(it)
+                                                                 : std::next(it);
+    }
 }
 
 void PeerCoordinator::reportUsage(TimePoint now)
