Changes of the store that are longer than a response are replaced by the list

What callers could see: a node that was cut off during a series of large configurations never catches up while the store keeps their history (20 s): a response over 8 MiB is given up, and the next watch is longer. Same class as the reads that were given up for their time; found by reading.

--- a/test/platform/store_source.cpp
+++ b/test/platform/store_source.cpp
@@ -102,6 +102,19 @@
                              Millis{5000}));
 }
 
+// Guards against a node that never catches up, since the changes it has missed exceed a response.
+TEST_CASE("Store source: changes that are longer than a response are replaced by a list")
+{
+    Fixture fixture;
+    const auto before = fixture.sink.held;
+    constexpr int kVersions = 24;
+    for (int i = 0; i < kVersions; ++i) {
+        fixture.store.put("op/config", std::string(kLargeValue, static_cast<char>('a' + i)));
+    }
+    REQUIRE(fixture.runUntil([&] { return fixture.sink.held >= before + kVersions; },
+                             Millis{4000}));
+}
+
 TEST_CASE("Store source: a read that gets no bytes is given up and sent again")
 {
     Fixture fixture;
