Settings that a template leaves empty or does not fill have their defaults

A platform that does not know the memory limit or the bound of configurations renders nothing for them, and the node would not start. Measured: the new case in test/engine/settings_reader.cpp fails before and passes.

--- a/src/celeryramp/engine/settings_reader.cpp
+++ b/src/celeryramp/engine/settings_reader.cpp
@@ -1,5 +1,6 @@
 #include "engine/settings_reader.h"
 
+#include <charconv>
 #include <cmath>
 #include <fstream>
 #include <optional>
@@ -43,6 +44,29 @@
                                                   {"readiness", &EngineSettings::readiness},
                                                   {"backend", &EngineSettings::backend}}};
 
+/*! @return True for a text that a template has left empty or has not filled, as platforms do that
+ * do not know the value. The default then holds. */
+template <typename Node>
+[[nodiscard]] bool isUnset(const Node &node)
+{
+    const auto text = node.template value<std::string>();
+    return text && (text->empty() || text->substr(0, 2) == "{{");
+}
+
+/*! @return A number, also if it is written as a text. */
+template <typename Node>
+[[nodiscard]] std::optional<double> number(const Node &node)
+{
+    const auto text = node.template value<std::string>();
+    if (!text) {
+        return node.template value<double>();
+    }
+    double value = 0.0;
+    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), value);
+    return ec == std::errc{} && end == text->data() + text->size() ? std::optional{value}
+                                                                   : std::nullopt;
+}
+
 [[nodiscard]] std::optional<SettingsError> readBounds(const toml::table &bounds,
                                                       EngineSettings &settings)
 {
@@ -53,6 +77,8 @@
         const auto number = node.value<double>();
         if (name == "revocation" && millis) {
             settings.keyFreshness = *millis - kKeyFreshnessMargin;
+        } else if (name == "configuration" && isUnset(node)) {
+            continue;
         } else if (name == "configuration" && millis && *millis >= kMinConfigurationBound) {
             settings.configurationBound = *millis;
         } else if (name == "grace" && millis) {
@@ -129,8 +155,8 @@
         settings.engine.metrics
                 = Address{settings.engine.links.host, static_cast<std::uint16_t>(*port)};
     }
-    if (table.contains("memory_mb")) {
-        const auto megabytes = table["memory_mb"].value<double>();
+    if (table.contains("memory_mb") && !internal::isUnset(table["memory_mb"])) {
+        const auto megabytes = internal::number(table["memory_mb"]);
         if (!megabytes || *megabytes < internal::kMinMemoryMegabytes
             || *megabytes > internal::kMaxMemoryMegabytes) {
             return SettingsError{"memory_mb", "not in the range from 32 to 1048576"};
--- a/test/engine/settings_reader.cpp
+++ b/test/engine/settings_reader.cpp
@@ -47,6 +47,23 @@
     REQUIRE(settings.value().engine.retryRatio == Approx(0.2));
 }
 
+// Guards against a node that does not start where the platform does not know a value.
+TEST_CASE("Values that a template leaves empty or does not fill have their defaults")
+{
+    const engine::EngineSettings defaults;
+    for (const auto *unset : {"\"\"", "\"{{Limits.MemoryMb}}\""}) {
+        CAPTURE(unset);
+        const auto memory = readSettings(replaced("110", unset));
+        REQUIRE(memory);
+        REQUIRE(memory.value().engine.memoryBytes == defaults.memoryBytes);
+        const auto bound = readSettings(replaced("\"2500ms\"", unset));
+        REQUIRE(bound);
+        REQUIRE(bound.value().engine.configurationBound == defaults.configurationBound);
+    }
+    REQUIRE(readSettings(replaced("110", "\"110\"")).value().engine.memoryBytes == 110U << 20U);
+    REQUIRE_FALSE(readSettings(replaced("110", "\"much\"")));
+}
+
 TEST_CASE("The first invalid setting is reported by its key")
 {
     const auto [text, place] = GENERATE(table<std::string, std::string>(
