Read again: decisions on delayed reads and stalled callers without network, stricter checks

Whether a read waits, is given up or replaced by a list, and which callers are reset, were decided between socket calls; both are functions with tests now (directory/delayed_read.h, proxy/stalled_callers.h).

--- a/src/celeryramp/directory/fwd.h
+++ b/src/celeryramp/directory/fwd.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 /*! @file
  *  Forward declarations of the directory module: the published configuration and servers, and the
  *  replica of them on each node.
@@ -13,8 +15,10 @@
 struct Directory;
 struct InputLimits;
 class ItemDecoder;
+enum class DelayedRead : std::uint8_t;
 struct FreshnessSchedule;
 struct ReaderPosition;
+struct ReadProgress;
 class ItemSink;
 class ItemSource;
 class Replica;
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <iterator>
 #include <numeric>
 #include <vector>
 
@@ -13,6 +12,7 @@
 #include "engine/call_log.h"
 #include "observe/log.h"
 #include "proxy/frame_codec.h"
+#include "proxy/stalled_callers.h"
 
 namespace celeryramp::engine {
 
@@ -38,8 +38,6 @@
 /*! Time without a request after which a leaving node closes a connection. The first request of a
  *  new connection arrives within it. */
 constexpr Millis kIdleBeforeClose{150};
-/*! Time for which a caller takes nothing before it may be reset for the memory that it holds. */
-constexpr Millis kStallBeforeReset{250};
 /*! Bytes sent to a caller after which the gate is allowed as many more. */
 constexpr std::uint64_t kCreditStep = 32 * 1024;
 /*! Time after the caller's deadline after which an unfinished answer is broken off. Callers leave
@@ -731,28 +729,20 @@
 
 void RequestDispatcher::resetStalledConnections(TimePoint now)
 {
-    const auto limit = BufferLimits{m_dependencies.settings.memoryBytes}.callers;
-    auto held = unsentBytes();
-    if (held <= limit) {
-        return;
+    const std::vector<http::CallerConnectionPtr> connections{m_connections.begin(),
+                                                             m_connections.end()};
+    std::vector<proxy::UnreadResponses> unread;
+    unread.reserve(connections.size());
+    for (const auto &connection : connections) {
+        unread.push_back({connection->unsentBytes(), connection->stalledFor(now)});
     }
-    std::vector<http::CallerConnectionPtr> stalled;
-    std::copy_if(m_connections.begin(), m_connections.end(), std::back_inserter(stalled),
-                 [now](const http::CallerConnectionPtr &connection) {
-                     return connection->stalledFor(now) >= internal::kStallBeforeReset;
-                 });
-    std::sort(stalled.begin(), stalled.end(),
-              [](const auto &a, const auto &b) { return a->unsentBytes() > b->unsentBytes(); });
-    for (const auto &connection : stalled) {
-        if (held <= limit) {
-            break;
-        }
-        held -= connection->unsentBytes();
+    const auto limit = BufferLimits{m_dependencies.settings.memoryBytes}.callers;
+    for (const auto i : proxy::selectStalledCallers(unread, limit)) {
         m_dependencies.metrics.counter("caller_resets_total").add();
         logEvent(LogLevel::Warn, "desk", "caller-reset",
-                 {{"unsent_bytes", std::to_string(connection->unsentBytes())},
-                  {"stalled_ms", std::to_string(connection->stalledFor(now).count())}});
-        connection->reset();
+                 {{"unsent_bytes", std::to_string(unread[i].bytes)},
+                  {"stalled_ms", std::to_string(unread[i].stalledFor.count())}});
+        connections[i]->reset();
     }
 }
 
