--- a/src/celeryramp/links/peer_links.cpp
+++ b/src/celeryramp/links/peer_links.cpp
@@ -12,6 +12,7 @@
 #include "core/boot_clock.h"
 #include "core/hash.h"
 #include "http/socket_options.h"
+#include "links/buffer_share.h"
 #include "observe/log.h"
 
 namespace celeryramp::links {
@@ -400,13 +401,10 @@
     [[nodiscard]] bool takeRoom(const internal::Link &link, std::size_t frameBytes)
     {
         const auto held = heldBytes(link);
-        const auto room = [this] {
-            return std::min(kMaxBufferedBytes, maxTotal - std::min(maxTotal, heldAtMost));
-        };
-        if (held > room()) {
+        if (!hasRoomForFrame(held, heldAtMost, maxTotal)) {
             heldAtMost = heldBytes();
         }
-        if (held > room()) {
+        if (!hasRoomForFrame(held, heldAtMost, maxTotal)) {
             return false;
         }
         heldAtMost += frameBytes;
--- a/src/celeryramp/links/peer_links.h
+++ b/src/celeryramp/links/peer_links.h
@@ -25,8 +25,6 @@
 inline constexpr Millis kSilenceBeforeClose{10'000};
 /*! Delay after a link could not be opened or was unresponsive before the peer is tried again. */
 inline constexpr Millis kReopenPause{500};
-/*! Limit of unsent bytes for one peer; further frames are refused. */
-inline constexpr std::size_t kMaxBufferedBytes = 4 * 1024 * 1024;
 /*! Limit of unsent bytes for all peers unless another one is set. */
 inline constexpr std::size_t kDefaultMaxTotalBytes = 32 * 1024 * 1024;
 
@@ -53,12 +51,7 @@
     /*! @brief Starts to accept links. @return Nothing, or why the node cannot listen. */
     [[nodiscard]] Result<void, LinkError> listen(const Address &address);
 
-    /*!
-     * @brief Limits the unsent bytes for all peers.
-     *
-     * A peer may have as many as are left of the limit. Peers that read little thus share it
-     * evenly, and always leave as much for one that reads.
-     */
+    /*! @brief Limits the unsent bytes for all peers, see `hasRoomForFrame`. */
     void setTotalLimit(std::size_t bytes) noexcept;
 
     /*!
--- a/src/celeryramp/proxy/stalled_callers.h
+++ b/src/celeryramp/proxy/stalled_callers.h
@@ -21,7 +21,7 @@
  * @brief Selects callers to reset so that what all of them leave unread is within a limit.
  * @return Indexes of stalled callers, those that hold most first; no more than are needed.
  */
-[[nodiscard]] std::vector<std::size_t> selectStalledCallers(
-        const std::vector<UnreadResponses> &callers, std::size_t limit);
+[[nodiscard]] std::vector<std::size_t>
+selectStalledCallers(const std::vector<UnreadResponses> &callers, std::size_t limit);
 
 } // namespace celeryramp::proxy
--- a/test/engine/unpublished_node.cpp
+++ b/test/engine/unpublished_node.cpp
@@ -71,7 +71,11 @@
         reader.onChanges({{"configuration", configuration(3 + i), revision, false}}, revision,
                          bootNow());
         publishedAt.push_back(bootNow());
-        static_cast<void>(mesh->runUntil([&] { return check() && false; }, kGap));
+        const auto checkOnly = [&] {
+            static_cast<void>(check());
+            return false;
+        };
+        static_cast<void>(mesh->runUntil(checkOnly, kGap));
     }
     REQUIRE(mesh->runUntil(check, kApplyBound));
 }
