A setting that a deployment does not have is absent, not wrong

Change: the bounds are read by a table of readers that an absent value skips; the same holds for metrics_port, log_level and links_listen. Names and addresses that a node needs stay needed, and an unfilled placeholder no longer counts as a name. Result: a test goes through each field of the template, empty and unfilled; it fails on the code before.

--- a/src/celeryramp/engine/settings_reader.cpp
+++ b/src/celeryramp/engine/settings_reader.cpp
@@ -1,5 +1,6 @@
 #include "engine/settings_reader.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <fstream>
@@ -67,26 +68,63 @@
                                                                    : std::nullopt;
 }
 
+/*! @return A duration that is written as a text with a unit. */
+[[nodiscard]] std::optional<Millis> duration(const toml::node &node)
+{
+    const auto text = node.value<std::string>();
+    return text ? parseDuration(*text) : std::nullopt;
+}
+
+[[nodiscard]] bool readRevocation(const toml::node &node, EngineSettings &settings)
+{
+    const auto value = duration(node);
+    settings.keyFreshness = value.value_or(Millis{0}) - kKeyFreshnessMargin;
+    return value.has_value();
+}
+
+[[nodiscard]] bool readConfigurationBound(const toml::node &node, EngineSettings &settings)
+{
+    const auto value = duration(node);
+    settings.configurationBound = value.value_or(Millis{0});
+    return settings.configurationBound >= kMinConfigurationBound;
+}
+
+[[nodiscard]] bool readGrace(const toml::node &node, EngineSettings &settings)
+{
+    const auto value = duration(node);
+    settings.grace = value.value_or(Millis{0});
+    return value.has_value();
+}
+
+[[nodiscard]] bool readRetryRatio(const toml::node &node, EngineSettings &settings)
+{
+    const auto value = number(node);
+    settings.retryRatio = value.value_or(0.0);
+    return value && *value >= 0.0 && *value <= 1.0;
+}
+
+struct BoundKey
+{
+    std::string_view name;
+    bool (*read)(const toml::node &, EngineSettings &); /*!< False for an invalid value. */
+};
+
+constexpr std::array<BoundKey, 4> kBoundKeys{{{"revocation", &readRevocation},
+                                              {"configuration", &readConfigurationBound},
+                                              {"grace", &readGrace},
+                                              {"retry_ratio", &readRetryRatio}}};
+
 [[nodiscard]] std::optional<SettingsError> readBounds(const toml::table &bounds,
                                                       EngineSettings &settings)
 {
     for (const auto &[key, node] : bounds) {
-        const auto name = std::string{key.str()};
-        const auto millis = node.is_string() ? parseDuration(node.ref<std::string>())
-                                             : std::optional<Millis>{};
-        const auto number = node.value<double>();
-        if (name == "revocation" && millis) {
-            settings.keyFreshness = *millis - kKeyFreshnessMargin;
-        } else if (name == "configuration" && isUnset(node)) {
-            continue;
-        } else if (name == "configuration" && millis && *millis >= kMinConfigurationBound) {
-            settings.configurationBound = *millis;
-        } else if (name == "grace" && millis) {
-            settings.grace = *millis;
-        } else if (name == "retry_ratio" && number && *number >= 0.0 && *number <= 1.0) {
-            settings.retryRatio = *number;
-        } else {
-            return SettingsError{"bounds." + name, "unknown setting, or invalid value"};
+        const auto name = key.str();
+        const auto *it = std::find_if(kBoundKeys.begin(), kBoundKeys.end(),
+                                      [name](const BoundKey &bound) { return bound.name == name; });
+        const bool isValid = it != kBoundKeys.end() && (isUnset(node) || it->read(node, settings));
+        if (!isValid) {
+            return SettingsError{"bounds." + std::string{name},
+                                 "unknown setting, or invalid value"};
         }
     }
     return std::nullopt;
@@ -124,7 +162,7 @@
     ProcessSettings settings;
     for (const auto &[name, member] : internal::kTextKeys) {
         const auto value = table[name].value<std::string>();
-        if (!value || value->empty()) {
+        if (!value || internal::isUnset(table[name])) {
             return SettingsError{name, "missing or empty"};
         }
         settings.engine.*member = *value;
@@ -136,7 +174,7 @@
         }
         settings.engine.*member = *address;
     }
-    if (table.contains("links_listen")) {
+    if (table.contains("links_listen") && !internal::isUnset(table["links_listen"])) {
         settings.engine.linksListen
                 = parseAddress(table["links_listen"].value_or(std::string_view{}));
         if (!settings.engine.linksListen) {
@@ -148,8 +186,9 @@
         return SettingsError{"source", "not an address of the form IP:port"};
     }
     settings.source = *source;
-    if (const auto port = table["metrics_port"].value<std::int64_t>()) {
-        if (*port < 1 || *port > 65535) {
+    if (table.contains("metrics_port") && !internal::isUnset(table["metrics_port"])) {
+        const auto port = internal::number(table["metrics_port"]);
+        if (!port || *port < 1.0 || *port > 65535.0) {
             return SettingsError{"metrics_port", "not in the range from 1 to 65535"};
         }
         settings.engine.metrics
@@ -163,8 +202,8 @@
         }
         settings.engine.memoryBytes = static_cast<std::size_t>(*megabytes) << 20U;
     }
-    if (const auto level = table["log_level"].value<std::string>();
-        level && !parseLogLevel(*level, settings.logLevel)) {
+    if (const auto level = table["log_level"].value<std::string>(); level
+        && !internal::isUnset(table["log_level"]) && !parseLogLevel(*level, settings.logLevel)) {
         return SettingsError{"log_level", "not one of debug, info, warn, error"};
     }
     if (const auto *without = table["without"].as_array()) {
--- a/test/engine/settings_reader.cpp
+++ b/test/engine/settings_reader.cpp
@@ -1,5 +1,11 @@
 #include "engine/settings_reader.h"
 
+#include <fstream>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 using namespace celeryramp;
@@ -64,6 +70,77 @@
     REQUIRE_FALSE(readSettings(replaced("110", "\"much\"")));
 }
 
+namespace {
+
+/*! Lines of the template that deployments fill in, with the keys whose value they cannot lack. */
+const std::set<std::string> kNeededKeys{"name",  "zone",      "service", "callers",
+                                        "links", "readiness", "backend", "source"};
+
+std::vector<std::string> templateLines()
+{
+    std::ifstream file{CELERYRAMP_TEMPLATE};
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(file, line);) {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
+/*! @return Settings from the template; the value of one line is replaced, the others are valid. */
+std::string filledTemplate(std::size_t emptied, const std::string &value)
+{
+    const std::map<std::string, std::string> kValues{{"name", "node-1"},
+                                                     {"zone", "north"},
+                                                     {"service", "stock"},
+                                                     {"callers", "127.0.0.1:8001"},
+                                                     {"links", "127.0.0.1:8002"},
+                                                     {"readiness", "127.0.0.1:8003"},
+                                                     {"backend", "127.0.0.1:8004"},
+                                                     {"source", "127.0.0.1:8005"}};
+    std::string text;
+    const auto lines = templateLines();
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        const auto key = lines[i].substr(0, lines[i].find(' '));
+        const bool isFilled = lines[i].find("{{") != std::string::npos;
+        if (!isFilled || lines[i].front() == '#') {
+            text += lines[i] + "\n";
+        } else if (i == emptied) {
+            // The value is replaced as the platform does, inside the quotes if there are any.
+            const auto from = lines[i].find("{{");
+            const auto to = lines[i].rfind("}}") + 2;
+            text += lines[i].substr(0, from) + value + lines[i].substr(to) + "\n";
+        } else if (const auto it = kValues.find(key); it != kValues.end()) {
+            text += key + " = \"" + it->second + "\"\n";
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("Each field of the template may be absent unless the node cannot do without it")
+{
+    const auto lines = templateLines();
+    REQUIRE(lines.size() > 10);
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        if (lines[i].find("{{") == std::string::npos || lines[i].front() == '#') {
+            continue;
+        }
+        const auto key = lines[i].substr(0, lines[i].find(' '));
+        CAPTURE(lines[i]);
+        for (const auto *absent : {"", "{{Unknown}}"}) {
+            const auto settings = readSettings(filledTemplate(i, absent));
+            REQUIRE(settings.has_value() == (kNeededKeys.count(key) == 0));
+            if (!settings) {
+                REQUIRE(settings.error().place == key);
+            }
+        }
+        if (kNeededKeys.count(key) == 0) {
+            REQUIRE_FALSE(readSettings(filledTemplate(i, "nonsense")));
+        }
+    }
+}
+
 TEST_CASE("The first invalid setting is reported by its key")
 {
     const auto [text, place] = GENERATE(table<std::string, std::string>(
