--- /dev/null
+++ b/src/celeryramp/admission/running_requests.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/time.h"
+
+namespace celeryramp::admission {
+
+/*! @brief A request that the backend server runs now. */
+struct RunningRequest
+{
+    int rank = 0; /*!< Priority; 0 is the most urgent. */
+    bool isRepeat = false; /*!< It had reached a server before. */
+    TimePoint target; /*!< Its answer meets the target latency until then. */
+    TimePoint deadline;
+};
+
+/*!
+ * @brief Requests that the backend server beside the node runs, by id.
+ *
+ * A call of the server names the request on whose behalf it is sent. If the server runs that
+ * request, the call is nested: it inherits the rank, and its failure wastes the slot and the time
+ * that the request has had. Callers cannot gain by naming a request, since they do not know the
+ * ids that others chose.
+ */
+class RunningRequests
+{
+public:
+    void add(const std::string &requestId, const RunningRequest &request);
+    void remove(const std::string &requestId);
+
+    /*! @return The request with this id; nothing if the server does not run it. */
+    [[nodiscard]] std::optional<RunningRequest> find(const std::string &requestId) const;
+    [[nodiscard]] std::size_t size() const noexcept { return m_requests.size(); }
+
+private:
+    std::map<std::string, RunningRequest> m_requests;
+};
+
+} // namespace celeryramp::admission
--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -81,12 +81,15 @@
               std::chrono::duration_cast<Millis>(
                       std::chrono::system_clock::now().time_since_epoch())
                       .count())},
-      m_expiryTimer{context}, m_probeTimer{context}, m_settings{settings},
+      m_expiryTimer{context}, m_probeTimer{context}, m_bodyTimer{context}, m_settings{settings},
       m_headerAdapter{headerAdapter}, m_crashes{crashes}, m_metrics{metrics},
       m_pool{context, settings.backend, http::PoolSettings{internal::kConnectTimeout}},
       m_maxAnswers{
               static_cast<int>(BufferLimits{settings.memoryBytes}.gate / internal::kMaxAnswerBytes)}
-{ }
+{
+    m_admission.link().setRate(settings.linkMegabits);
+    m_bodyScheduler.setRate(m_admission.link().bytesPerMilli());
+}
 
 proxy::Reason BackendGate::reasonToClose() const
 {
@@ -175,6 +178,7 @@
     held.arrivedAt = now;
     held.deadline = now + call.deadline;
     held.frame = std::move(call);
+    held.linkBytes = linkBytes(held);
     const auto &frame = held.frame;
     m_ticketsByCallId[{origin, frame.id}] = ticket;
     auto reason = m_admission.closedReason();
@@ -189,7 +193,7 @@
     }
     if (reason == proxy::Reason::None) {
         reason = m_admission.offer({ticket, frame.rank, frame.isNested, frame.mayQueue, now,
-                                    now + frame.target, held.deadline},
+                                    now + frame.target, held.deadline, frame.route, held.linkBytes},
                                    now);
     }
     if (reason != proxy::Reason::None) {
@@ -199,6 +203,20 @@
     scheduleDispatch();
 }
 
+std::size_t BackendGate::linkBytes(const Call &call)
+{
+    const bool isLong = call.frame.answerBytes > proxy::kInlineBodyBytes;
+    return isLong && call.origin != kLocalOrigin ? call.frame.answerBytes : 0;
+}
+
+void BackendGate::settleLink(Call &call, std::size_t bytes, TimePoint now)
+{
+    if (call.isRunning && call.origin != kLocalOrigin) {
+        const auto length = bytes > proxy::kInlineBodyBytes ? bytes : 0;
+        m_admission.link().settle(std::exchange(call.linkBytes, length), length, now);
+    }
+}
+
 void BackendGate::scheduleDispatch()
 {
     if (std::exchange(m_isDispatchScheduled, true)) {
@@ -278,6 +296,9 @@
     const auto left = millisBetween(now, call.deadline);
     call.isRunning = true;
     call.handedOverAt = now;
+    m_runningRequests.add(call.frame.requestId,
+                          {call.frame.rank, call.frame.isRepeat, call.arrivedAt + call.frame.target,
+                           call.deadline});
     if (left < internal::kMinServerTime) {
         finish(ticket, proxy::notRunReply(call.frame.id, proxy::Reason::DeadlinePassed),
                proxy::HandoverOutcome::NotSent, now);
@@ -319,6 +340,7 @@
         onServerState(m_headerAdapter.readAnswer(head), now);
     }
     call.isStreaming = true;
+    settleLink(call, length.value_or(call.linkBytes), now);
     beginBody(call, now).connection = call.connection;
     proxy::ReplyFrame reply;
     reply.id = call.frame.id;
@@ -410,12 +432,28 @@
         m_bodyScheduler.finish(it->first);
         it = m_bodies.erase(it);
     }
+    armBodyTimer(now);
     for (const auto &[origin, id] : failed) {
         // The body now has a gap, so nothing of it may follow.
         cancel(origin, id, now);
     }
 }
 
+void BackendGate::armBodyTimer(TimePoint now)
+{
+    const auto pause = m_bodyScheduler.pause(now);
+    if (!pause || std::exchange(m_isBodyTimerArmed, true)) {
+        return;
+    }
+    m_bodyTimer.expires_after(*pause);
+    m_bodyTimer.async_wait([this](const boost::system::error_code &ec) {
+        m_isBodyTimerArmed = false;
+        if (!ec) {
+            sendBodies(bootNow());
+        }
+    });
+}
+
 void BackendGate::addCredit(const std::string &origin, const proxy::CreditFrame &credit)
 {
     const auto now = bootNow();
@@ -554,9 +592,13 @@
     auto call = std::move(it->second);
     m_calls.erase(it);
     m_ticketsByCallId.erase({call.origin, call.frame.id});
+    if (!call.isStreaming) {
+        settleLink(call, reply.answer.body.size(), now);
+    }
     if (call.isRunning) {
+        m_runningRequests.remove(call.frame.requestId);
         m_admission.finished(outcome, std::chrono::duration_cast<Micros>(now - call.handedOverAt),
-                             now);
+                             now, call.frame.route);
     }
     reply.load = load(now);
     logGateEnd(call.frame, reply, m_server.id, millisBetween(call.arrivedAt, now),
@@ -603,7 +645,11 @@
         m_admission.cancel(ticket);
     } else {
         const auto spent = std::chrono::duration_cast<Micros>(now - call.handedOverAt);
-        m_admission.finished(proxy::HandoverOutcome::Cancelled, spent, now);
+        if (!call.isStreaming) {
+            settleLink(call, 0, now);
+        }
+        m_runningRequests.remove(call.frame.requestId);
+        m_admission.finished(proxy::HandoverOutcome::Cancelled, spent, now, call.frame.route);
         if (call.connection && !call.connection->hasReceived()) {
             m_hangs.onUnanswered(spent, now);
         }
@@ -645,6 +691,7 @@
     }
     m_expiryTimer.cancel();
     m_probeTimer.cancel();
+    m_bodyTimer.cancel();
     m_pool.closeIdle();
 }
 
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "admission/running_requests.h"
 #include "directory/directory.h"
 #include "engine/engine_settings.h"
 #include "http/client_pool.h"
@@ -91,6 +92,13 @@
     /*! @return Load of the gate and state of the server, for the senders of calls. */
     [[nodiscard]] proxy::GateLoad load(TimePoint now);
 
+    /*! @return The request of this id if the server runs it now; its calls are nested in it. */
+    [[nodiscard]] std::optional<admission::RunningRequest>
+    findRunning(const std::string &requestId) const
+    {
+        return m_runningRequests.find(requestId);
+    }
+
     /*! @return Median rank of the running calls, or nothing if no call is running. Calls that the
      * server itself sends get this rank. */
     [[nodiscard]] std::optional<int> medianRunningRank() const;
@@ -111,6 +119,7 @@
         http::ClientConnectionPtr connection;
         bool isRunning = false;
         bool isStreaming = false; /*!< The head of the answer was sent. */
+        std::size_t linkBytes = 0; /*!< Expected bytes of the answer on the link. */
     };
 
     /*! A body that is sent in parts. It can outlast its call, whose server is done. */
@@ -126,6 +135,10 @@
     };
     using BodyKey = proxy::BodyScheduler::Key;
 
+    /*! @return Expected bytes of the answer on the link if they matter to it, or 0. */
+    [[nodiscard]] static std::size_t linkBytes(const Call &call);
+    /*! @brief Corrects the expected bytes of an answer once its length is known. */
+    void settleLink(Call &call, std::size_t bytes, TimePoint now);
     void dispatchWaiting(TimePoint now);
     /*! @brief Dispatches after the events that have arrived by now. A cancel among them then comes
      * before its call is handed over. */
@@ -139,6 +152,7 @@
     void endBody(const BodyKey &key, proxy::BodyEnd end, TimePoint now);
     /*! @brief Sends what the scheduler allows. */
     void sendBodies(TimePoint now);
+    void armBodyTimer(TimePoint now);
     void refuse(std::uint64_t ticket, proxy::Reason reason, TimePoint now);
     void finish(std::uint64_t ticket, proxy::ReplyFrame reply, proxy::HandoverOutcome outcome,
                 TimePoint now);
@@ -169,6 +183,7 @@
     std::uint64_t m_startedUnixMillis; /*!< The same as Unix time in milliseconds. */
     boost::asio::steady_timer m_expiryTimer;
     boost::asio::steady_timer m_probeTimer;
+    boost::asio::steady_timer m_bodyTimer; /*!< Until the rate of the link allows more. */
     const EngineSettings &m_settings;
     const proxy::HeaderAdapter &m_headerAdapter;
     proxy::CrashRegistry &m_crashes;
@@ -177,6 +192,7 @@
     http::ClientPool m_pool;
     int m_maxAnswers; /*!< Answers that may be received or sent on at a time. */
     proxy::ServerGate m_admission;
+    admission::RunningRequests m_runningRequests;
     proxy::HangDetector m_hangs;
     proxy::IdleReuse m_idleReuse;
     directory::DirectoryPtr m_view;
@@ -197,6 +213,7 @@
     bool m_isMismatched = false; /*!< The server rejected the id under which it is published. */
     bool m_isShuttingDown = false;
     bool m_isExpiryTimerArmed = false;
+    bool m_isBodyTimerArmed = false;
     bool m_isDispatchScheduled = false;
 };
 
--- a/src/celeryramp/engine/engine_settings.h
+++ b/src/celeryramp/engine/engine_settings.h
@@ -31,6 +31,7 @@
     Millis lapseGrace{1500}; /*!< Use of server entries that expired while the source was down. */
     Millis grace{6000}; /*!< Time from the stop request until the process is killed. */
     std::size_t memoryBytes = 256U << 20U; /*!< Memory limit of the process. */
+    double linkMegabits = 0.0; /*!< Rate of the host's link in Mbit/s; 0 if it is unknown. */
     double retryRatio = 0.2; /*!< Retries per request, over all nodes. */
 };
 
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include "core/boot_clock.h"
+#include "core/hash.h"
 #include "engine/buffer_limits.h"
 #include "engine/call_log.h"
 #include "observe/log.h"
@@ -178,12 +179,19 @@
     policy.mayRepeat = route->isIdempotent || !m_dependencies.settings.mechanisms.atMostOnce;
     policy.reportsUnknown = m_dependencies.settings.mechanisms.trueRefusals;
     policy.maxAttempts = route->maxAttempts;
+    const auto digest = proxy::requestDigest(account != nullptr ? account->name : "", request);
     policy.target
             = now + (route->targetLatency.count() > 0 ? route->targetLatency : route->timeout);
+    if (const auto first = m_returningCallers.take(digest, callerDeadline, now)) {
+        policy.target = std::min(policy.target, *first);
+    }
     policy.deadline = deadline;
     policy.answerBytes = m_answerSizes.expected(route->name);
-    policy.maySpill
-            = request.body.size() + policy.answerBytes <= proxy::spillAllowance(route->priority);
+    // A long answer may come from another zone if the links of the local servers are full.
+    const bool isBoundByLink = m_dependencies.settings.linkMegabits > 0.0
+            && policy.answerBytes > proxy::kInlineBodyBytes;
+    policy.maySpill = isBoundByLink
+            || request.body.size() + policy.answerBytes <= proxy::spillAllowance(route->priority);
     auto &call = m_calls.emplace(id, Call{}).first->second;
     call.id = id;
     call.response = std::move(response);
@@ -192,21 +200,34 @@
     call.dispatcher = proxy::CallDispatcher{std::move(policy)};
     call.arrivedAt = now;
     call.callerDeadline = callerDeadline;
+    call.digest = digest;
     call.frame.id = id;
+    call.frame.route = static_cast<std::uint32_t>(stableHash(route->name));
+    call.frame.answerBytes = static_cast<std::uint32_t>(
+            std::min<std::size_t>(call.dispatcher.policy().answerBytes, UINT32_MAX));
     call.frame.requestId = metadata.requestId;
     call.frame.service = call.dispatcher.policy().service;
     call.frame.account = account != nullptr ? account->name : "";
     call.frame.callerService = m_dependencies.settings.service;
     call.frame.isIdempotent = route->isIdempotent;
-    call.frame.isNested = routing.needsKeys() && route->isOpen && account == nullptr;
+    // Where accounts have keys, only servers call open routes; elsewhere the id tells.
+    const auto parent = metadata.parentId.empty()
+            ? std::nullopt
+            : m_dependencies.gate.findRunning(metadata.parentId);
+    call.frame.isNested
+            = routing.needsKeys() ? route->isOpen && account == nullptr : parent.has_value();
     call.frame.rank
             = (account != nullptr ? account->priority : 0) * internal::kRanksPerAccountPriority
             + route->priority;
-    m_retryBudget.onFirstAttempt(call.frame.service,
-                                 call.frame.isNested ? m_dependencies.gate.repeatShare() : 0.0);
-    if (call.frame.isNested) {
+    if (call.frame.isNested && parent) {
+        m_retryBudget.onFirstAttempt(call.frame.service, parent->isRepeat ? 1.0 : 0.0);
+        call.frame.rank = parent->rank;
+    } else if (call.frame.isNested) {
         // The urgency is that of the request which waits for this one at the local server.
+        m_retryBudget.onFirstAttempt(call.frame.service, m_dependencies.gate.repeatShare());
         call.frame.rank = m_dependencies.gate.medianRunningRank().value_or(call.frame.rank);
+    } else {
+        m_retryBudget.onFirstAttempt(call.frame.service, 0.0);
     }
     call.frame.request = std::move(request);
     http::eraseHopByHop(call.frame.request.headers);
@@ -475,6 +496,10 @@
 
 void RequestDispatcher::giveUp(Call &call, const proxy::GiveUpStep &step, TimePoint now)
 {
+    if (step.retryAfter) {
+        m_returningCallers.onRefused(call.digest, call.dispatcher.policy().target,
+                                     call.callerDeadline, now);
+    }
     answer(call,
            m_dependencies.headerAdapter.localAnswer(
                    {step.status, step.reason, call.frame.requestId, step.retryAfter}),
@@ -701,6 +726,7 @@
 void RequestDispatcher::sweep(TimePoint now)
 {
     m_serverPicker.sweep(now);
+    m_returningCallers.sweep(now);
     for (auto it = m_leavingNodes.begin(); it != m_leavingNodes.end();) {
         it = millisBetween(it->second, now) > internal::kLeavingNodeTtl ? m_leavingNodes.erase(it)
                                                                         : std::next(it);
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "admission/returning_callers.h"
 #include "core/random.h"
 #include "engine/backend_gate.h"
 #include "engine/peer_coordinator.h"
@@ -122,6 +123,7 @@
         Address peer; /*!< Node of the gate that was offered the call last; the host is empty for
                          the local gate. */
         TimePoint callerDeadline;
+        std::uint64_t digest = 0; /*!< Recognizes the request if its caller returns. */
         bool isOnSilentLink = false; /*!< Sent on a link that has become silent since. */
         bool isStreaming = false; /*!< The body of the answer arrives in parts. */
         int streamStatus = 0; /*!< Status of the answer that has begun. */
@@ -181,6 +183,7 @@
     proxy::SplitChooser m_splitChooser;
     proxy::ServerPicker m_serverPicker;
     proxy::AnswerSizes m_answerSizes;
+    admission::ReturningCallers m_returningCallers;
     RetryBudget m_retryBudget;
     RandomEngine m_random;
     std::map<std::uint64_t, Call> m_calls;
--- a/src/celeryramp/engine/settings_reader.cpp
+++ b/src/celeryramp/engine/settings_reader.cpp
@@ -24,6 +24,8 @@
 constexpr double kMinMemoryMegabytes = 32.0;
 constexpr double kMaxMemoryMegabytes = 1024.0 * 1024.0;
 
+constexpr double kMaxLinkMegabits = 1e6;
+
 struct TextKey
 {
     const char *name;
@@ -202,6 +204,13 @@
         }
         settings.engine.memoryBytes = static_cast<std::size_t>(*megabytes) << 20U;
     }
+    if (table.contains("link_mbps") && !internal::isUnset(table["link_mbps"])) {
+        const auto megabits = internal::number(table["link_mbps"]);
+        if (!megabits || !(*megabits > 0.0) || *megabits > internal::kMaxLinkMegabits) {
+            return SettingsError{"link_mbps", "not greater than 0 and at most 1000000"};
+        }
+        settings.engine.linkMegabits = *megabits;
+    }
     if (const auto level = table["log_level"].value<std::string>(); level
         && !internal::isUnset(table["log_level"]) && !parseLogLevel(*level, settings.logLevel)) {
         return SettingsError{"log_level", "not one of debug, info, warn, error"};
--- a/src/celeryramp/proxy/body_scheduler.cpp
+++ b/src/celeryramp/proxy/body_scheduler.cpp
@@ -8,9 +8,11 @@
 
 namespace internal {
 
-/*! Bytes of all bodies that may be under way. A link of 10 Mbit/s sends them in 80 ms, and one of
- *  100 Mbit/s with a round trip of 5 ms is kept busy. */
+/*! Bytes of all bodies that may be under way on a link of unknown rate. One of 10 Mbit/s sends them
+ *  in 80 ms, and one of 100 Mbit/s with a round trip of 5 ms is kept busy. */
 constexpr std::size_t kLinkWindowBytes = 96 * 1024;
+/*! Time in which a link of known rate sends what may be under way on it. */
+constexpr double kBurstMillis = 20.0;
 /*! Bytes of one frame. */
 constexpr std::size_t kPieceBytes = 16 * 1024;
 /*! Time without a credit after which a receiver no longer holds up the others. */
@@ -90,16 +92,39 @@
     return body.underWay > 0 && millisBetween(body.progressAt, now) > internal::kStallTime;
 }
 
+double BodyScheduler::debtAt(TimePoint now) const
+{
+    return std::max(0.0, m_debt - secondsBetween(m_debtAt, now) * 1000.0 * m_bytesPerMilli);
+}
+
+bool BodyScheduler::mayProceed(const Body &body, TimePoint now) const
+{
+    return body.available > 0 && body.underWay < kBodyWindowBytes && !isStalled(body, now);
+}
+
+std::optional<Millis> BodyScheduler::pause(TimePoint now) const
+{
+    const bool isWaiting = std::any_of(m_bodies.begin(), m_bodies.end(), [&](const Body &body) {
+        return body.isOnLink && mayProceed(body, now);
+    });
+    if (m_bytesPerMilli <= 0.0 || !isWaiting) {
+        return std::nullopt;
+    }
+    const double excess = debtAt(now) / m_bytesPerMilli - internal::kBurstMillis;
+    return Millis{static_cast<std::int64_t>(std::max(0.0, excess)) + 1};
+}
+
 std::optional<BodyScheduler::Grant> BodyScheduler::next(TimePoint now)
 {
     std::size_t underWay = 0;
     for (const auto &body : m_bodies) {
         underWay += body.isOnLink && !isStalled(body, now) ? body.underWay : 0;
     }
+    const bool hasLinkRoom = m_bytesPerMilli > 0.0
+            ? debtAt(now) <= m_bytesPerMilli * internal::kBurstMillis
+            : underWay < internal::kLinkWindowBytes;
     for (auto &body : m_bodies) {
-        const bool hasRoom = body.underWay < kBodyWindowBytes
-                && (!body.isOnLink || underWay < internal::kLinkWindowBytes);
-        if (body.available == 0 || !hasRoom || isStalled(body, now)) {
+        if (!mayProceed(body, now) || (body.isOnLink && !hasLinkRoom)) {
             continue;
         }
         const auto n = std::min(body.available, internal::kPieceBytes);
@@ -108,6 +133,10 @@
         }
         body.available -= n;
         body.underWay += n;
+        if (body.isOnLink) {
+            m_debt = debtAt(now) + static_cast<double>(n);
+            m_debtAt = now;
+        }
         return Grant{body.key, n};
     }
     return std::nullopt;
--- a/src/celeryramp/proxy/body_scheduler.h
+++ b/src/celeryramp/proxy/body_scheduler.h
@@ -34,6 +34,16 @@
         std::size_t bytes = 0;
     };
 
+    /*!
+     * @brief Sends at the rate of the link instead of by what receivers acknowledge. Callers that
+     * read slowly then hold up nobody else, and still little is under way at a time.
+     * @param bytesPerMilli Rate of the link; 0 if it is unknown.
+     */
+    void setRate(double bytesPerMilli) noexcept { m_bytesPerMilli = bytesPerMilli; }
+
+    /*! @return Time until the rate allows the next piece; nothing if no body waits for it. */
+    [[nodiscard]] std::optional<Millis> pause(TimePoint now) const;
+
     /*! @brief Begins a body. @param isOnLink False for a receiver on the own node. */
     void add(const Key &key, bool isOnLink, TimePoint now);
     /*! @brief Records further bytes of a body that can be sent. */
@@ -68,6 +78,13 @@
 
     [[nodiscard]] bool isStalled(const Body &body, TimePoint now) const;
 
+    [[nodiscard]] double debtAt(TimePoint now) const;
+    /*! @return True if this body may send a piece as far as its receiver is concerned. */
+    [[nodiscard]] bool mayProceed(const Body &body, TimePoint now) const;
+
+    double m_bytesPerMilli = 0.0;
+    double m_debt = 0.0; /*!< Bytes sent that the link has still to work off, at `m_debtAt`. */
+    TimePoint m_debtAt;
     std::list<Body> m_bodies; /*!< In the order of their beginning. */
     std::map<Key, std::list<Body>::iterator> m_byKey;
 };
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -77,6 +77,8 @@
     out.push_back(binary(frame.request.body));
     out.push_back(frame.sentAt);
     out.push_back(rateLimitToJson(frame.rateLimit));
+    out.push_back(frame.route);
+    out.push_back(frame.answerBytes);
 }
 
 [[nodiscard]] Frame readCall(const Json &json)
@@ -102,6 +104,8 @@
     frame.request.body = bytesOf(json.at(14));
     frame.sentAt = json.at(15).get<std::int64_t>();
     frame.rateLimit = rateLimitFromJson(json, 16);
+    frame.route = json.size() > 17 ? json[17].get<std::uint32_t>() : 0;
+    frame.answerBytes = json.size() > 18 ? json[18].get<std::uint32_t>() : 0;
     return frame;
 }
 
@@ -111,10 +115,11 @@
     out.push_back(static_cast<int>(frame.kind));
     out.push_back(static_cast<int>(frame.reason));
     out.push_back(frame.reachedServer);
-    out.push_back(Json::array({frame.load.running, frame.load.waiting, frame.load.slots,
-                               frame.load.serviceMillis, frame.load.rateWaitMillis,
-                               frame.load.failurePercent, rateLimitToJson(frame.load.rateLimit),
-                               frame.load.isLeaving}));
+    out.push_back(
+            Json::array({frame.load.running, frame.load.waiting, frame.load.slots,
+                         frame.load.serviceMillis, frame.load.rateWaitMillis,
+                         frame.load.failurePercent, rateLimitToJson(frame.load.rateLimit),
+                         frame.load.isLeaving, frame.load.linkWaitMillis, frame.load.isPressed}));
     if (frame.kind == ReplyKind::Answer) {
         out.push_back(frame.answer.status);
         out.push_back(binary(frame.answer.reason));
@@ -142,10 +147,16 @@
     frame.reason = static_cast<Reason>(reason);
     frame.reachedServer = json.at(4).get<bool>();
     const auto &load = json.at(5);
-    frame.load = {load.at(0).get<int>(),      load.at(1).get<int>(),
-                  load.at(2).get<int>(),      load.at(3).get<int>(),
-                  load.at(4).get<int>(),      load.at(5).get<int>(),
-                  rateLimitFromJson(load, 6), load.size() > 7 && load[7].get<bool>()};
+    frame.load = {load.at(0).get<int>(),
+                  load.at(1).get<int>(),
+                  load.at(2).get<int>(),
+                  load.at(3).get<int>(),
+                  load.at(4).get<int>(),
+                  load.at(5).get<int>(),
+                  rateLimitFromJson(load, 6),
+                  load.size() > 7 && load[7].get<bool>(),
+                  load.size() > 8 ? load[8].get<int>() : 0,
+                  load.size() > 9 && load[9].get<bool>()};
     if (frame.kind == ReplyKind::Answer) {
         frame.answer.status = json.at(6).get<int>();
         frame.answer.reason = bytesOf(json.at(7));
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -34,6 +34,8 @@
     bool mayQueue
             = true; /*!< False: refuse it if the target cannot be met, as others can be asked. */
     std::optional<double> rateLimit; /*!< Last known `GateLoad::rateLimit` of the server. */
+    std::uint32_t route = 0; /*!< Tells routes apart at the gate; 0 from earlier releases. */
+    std::uint32_t answerBytes = 0; /*!< Expected length of the answer. */
     http::Request request; /*!< Without hop-by-hop headers and credentials. */
     std::int64_t sentAt
             = 0; /*!< Nanoseconds on the sender's clock; shows how long it was under way. */
--- a/src/celeryramp/proxy/gate_load.h
+++ b/src/celeryramp/proxy/gate_load.h
@@ -17,6 +17,8 @@
     std::optional<double> rateLimit; /*!< Requests per second that the server names, or
                                         `kNoRateLimit`; empty if the gate has no answer of it. */
     bool isLeaving = false; /*!< The server has announced in an answer that it leaves. */
+    int linkWaitMillis = 0; /*!< Time that a long answer waits for the link of the node. */
+    bool isPressed = false; /*!< Calls that could meet their target do not all fit. */
 };
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/header_adapter.h
+++ b/src/celeryramp/proxy/header_adapter.h
@@ -17,6 +17,8 @@
     std::string requestId; /*!< Empty if there is none. */
     std::optional<Millis> deadline; /*!< Time that the caller waits for an answer. */
     std::optional<std::string> key; /*!< API key presented. */
+    std::string parentId; /*!< Request on whose behalf a server sends this one; empty if its id
+                             names none. The sender may be anyone, so it is only a claim. */
 };
 
 /*! @brief Metadata in the headers and the status of a server's answer. */
--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -27,9 +27,16 @@
 constexpr int kNestedClass = 0;
 constexpr int kTimelyClass = 1;
 constexpr int kLateClass = 2;
-/*! Assumed minimum service time of a call as a share of the average. With a usual distribution,
- *  half of the calls take less than 0.8 of the average. */
-constexpr double kMinServiceShare = 0.5;
+/*! Shares of the calls of a route that end within the minimum and the likely service time. */
+constexpr double kMinServiceShare = 0.2;
+constexpr double kLikelyServiceShare = 0.75;
+/*! Longest wait of a new call as a part of the time that it can spare before its target. */
+constexpr double kSpareShare = 0.5;
+/*! Time without a refusal of a call that could meet its target after which pressure is over. */
+constexpr Millis kPressureGap{250};
+/*! Time for which such refusals go on before late calls are not admitted. A burst that ends sooner
+ *  leaves room for late answers behind it. */
+constexpr Millis kPressureOnset{200};
 
 } // namespace internal
 
@@ -42,17 +49,60 @@
 bool ServerGate::isLate(const GateCall &call, TimePoint now) const
 {
     // A nested call counts as late only near its deadline, when the request that it serves is late.
-    return now + minServiceTime() > (call.isNested ? call.deadline : call.target);
+    return now + minServiceTime(call) > (call.isNested ? call.deadline : call.target);
 }
 
-Millis ServerGate::minServiceTime() const
+Millis ServerGate::minServiceTime(const GateCall &call) const
 {
-    return Millis{std::lround(m_serviceMillis * internal::kMinServiceShare)};
+    return m_serviceTimes.quantile(call.route, internal::kMinServiceShare,
+                                   Millis{std::lround(m_serviceMillis / 2.0)});
+}
+
+Millis ServerGate::likelyServiceTime(const GateCall &call) const
+{
+    return m_serviceTimes.quantile(call.route, internal::kLikelyServiceShare,
+                                   Millis{std::lround(m_serviceMillis)});
 }
 
 TimePoint ServerGate::latestStart(const GateCall &call) const
 {
-    return (call.mayBeLate ? call.deadline : call.target) - minServiceTime();
+    const bool mayBeLate = call.mayBeLate || call.isNested;
+    return (mayBeLate ? call.deadline : call.target) - minServiceTime(call);
+}
+
+Millis ServerGate::linkWait(const GateCall &call, TimePoint now) const
+{
+    return call.linkBytes > 0 ? m_link.wait(now) + m_link.transfer(call.linkBytes) : Millis{0};
+}
+
+Millis ServerGate::longestWait(const GateCall &call, TimePoint now) const
+{
+    const auto sending = linkWait(call, now);
+    const bool isLateWork = !call.isNested && isLate(call, now);
+    if (isLateWork && call.linkBytes > 0 && m_link.wait(now) > m_link.transfer(call.linkBytes)) {
+        // A link sends in order, so late answers on it would make those behind them late as well.
+        return Millis{-1};
+    }
+    if (call.isNested || isLateWork || (call.mayBeLate && !isPressed(now))) {
+        return millisBetween(now, latestStart(call)) - sending;
+    }
+    const auto spare = millisBetween(now, call.target) - likelyServiceTime(call) - sending;
+    return call.mayBeLate ? spare
+                          : std::chrono::duration_cast<Millis>(spare * internal::kSpareShare);
+}
+
+bool ServerGate::isPressed(TimePoint now) const
+{
+    return millisBetween(m_lastMisfitAt, now) <= internal::kPressureGap
+            && millisBetween(m_pressureSince, m_lastMisfitAt) >= internal::kPressureOnset;
+}
+
+void ServerGate::onMisfit(TimePoint now)
+{
+    if (millisBetween(m_lastMisfitAt, now) > internal::kPressureGap) {
+        m_pressureSince = now;
+    }
+    m_lastMisfitAt = now;
 }
 
 ServerGate::Precedence ServerGate::precedence(const GateCall &call, TimePoint now) const
@@ -99,16 +149,27 @@
     if (m_closedReason != Reason::None) {
         return m_closedReason;
     }
+    if (now >= call.deadline) {
+        return Reason::DeadlinePassed;
+    }
+    const bool isTimely = !call.isNested && !isLate(call, now);
+    if (!call.isNested && !isTimely && isPressed(now)) {
+        return Reason::Busy;
+    }
     const auto ahead = static_cast<std::size_t>(
             std::count_if(m_waiting.begin(), m_waiting.end(),
                           [&](const GateCall &other) { return !precedes(call, other, now); }));
-    const auto wait = estimateWait(ahead, call, now) * internal::kAdmissionMargin;
-    if (wait.count() > 0 && now + std::chrono::duration_cast<Millis>(wait) > latestStart(call)) {
+    const auto wait = std::chrono::duration_cast<Millis>(estimateWait(ahead, call, now)
+                                                         * internal::kAdmissionMargin);
+    // A free slot is used for any call that may meet its target. What the server needs is learnt
+    // from the calls that it gets, so refusing all of them would keep an outdated estimate.
+    const bool startsAtOnce = isTimely && wait.count() == 0 && linkWait(call, now).count() == 0;
+    if (!startsAtOnce && wait > longestWait(call, now)) {
+        if (isTimely) {
+            onMisfit(now);
+        }
         return Reason::Busy;
     }
-    if (now >= call.deadline) {
-        return Reason::DeadlinePassed;
-    }
     m_waiting.push_back(call);
     return Reason::None;
 }
@@ -125,6 +186,7 @@
     const auto ticket = it->ticket;
     auto &rate = m_startRates[precedence(*it, now)];
     rate = {rateAt(rate, now) + 1.0 / internal::kStartRateSeconds, now};
+    m_link.reserve(it->linkBytes, now);
     m_waiting.erase(it);
     ++m_running;
     m_cold.onHandedOver(m_coldPerSecond, now);
@@ -146,7 +208,8 @@
               [&](const GateCall &a, const GateCall &b) { return precedes(a, b, now); });
     std::vector<GateCall> remaining;
     for (const auto &call : m_waiting) {
-        if (now + estimateWait(remaining.size(), call, now) > latestStart(call)) {
+        const bool isUnwanted = !call.isNested && isPressed(now) && isLate(call, now);
+        if (isUnwanted || now + estimateWait(remaining.size(), call, now) > latestStart(call)) {
             refusals.push_back({call.ticket, Reason::Busy});
         } else {
             remaining.push_back(call);
@@ -171,7 +234,7 @@
     return sum;
 }
 
-void ServerGate::finished(HandoverOutcome outcome, Micros spent, TimePoint now)
+void ServerGate::finished(HandoverOutcome outcome, Micros spent, TimePoint now, std::uint32_t route)
 {
     m_running = std::max(0, m_running - 1);
     const double millis = static_cast<double>(spent.count()) / 1000.0;
@@ -180,6 +243,7 @@
     if (outcome == HandoverOutcome::Served
         || (outcome == HandoverOutcome::Cancelled && !isHung && millis > m_serviceMillis)) {
         m_serviceMillis += internal::kServiceWeight * (millis - m_serviceMillis);
+        m_serviceTimes.record(route, spent);
     }
     if (outcome == HandoverOutcome::NotSent || (outcome == HandoverOutcome::Cancelled && !isHung)) {
         return;
@@ -232,7 +296,10 @@
             static_cast<int>(std::lround(m_serviceMillis)),
             estimateRateWaitMillis(now),
             static_cast<int>(std::lround(failureShare(now) * 100.0)),
-            m_rate.perSecond()};
+            m_rate.perSecond(),
+            false,
+            static_cast<int>(m_link.wait(now).count()),
+            isPressed(now)};
 }
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/server_gate.h
+++ b/src/celeryramp/proxy/server_gate.h
@@ -8,6 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "admission/link_budget.h"
+#include "admission/service_times.h"
 #include "core/time.h"
 #include "proxy/cold_start_limiter.h"
 #include "proxy/gate_load.h"
@@ -28,6 +30,9 @@
     TimePoint arrived;
     TimePoint target;
     TimePoint deadline;
+    std::uint32_t route = 0; /*!< Calls of one route take similar times. */
+    std::size_t linkBytes = 0; /*!< Expected bytes of the answer on the link; 0 for a caller on the
+                                  own host. */
 };
 
 /*! @brief A refused call of which nothing reached the server. */
@@ -43,10 +48,15 @@
  * All calls pass through this gate, so it can enforce the concurrency limit, the cold start rate,
  * the rate limit that the server names, draining and evacuation locally. Nested calls are served
  * first, because the work of the sending server is lost if they fail. Next are the calls that can
- * still meet their target, then the late ones, each ordered by rank and target. A call is refused
- * as soon as the estimated wait exceeds its deadline. A call only gets the capacity that those
- * before it in this order leave, also those that are yet to arrive, and its estimated wait takes
- * this into account.
+ * still meet their target, then the late ones, each ordered by rank and target. A call only gets
+ * the capacity that those before it in this order leave, also those that are yet to arrive, and its
+ * estimated wait takes this into account.
+ *
+ * The queue is short: a call is refused at once if it would wait for more than a part of the time
+ * that it can spare before its target. A queue as long as the target would have each call wait
+ * until it is nearly late, so that slower ones than usual miss the target and the time of their
+ * slots is lost. While calls that could meet their target do not all fit, late ones are not
+ * admitted.
  */
 class ServerGate
 {
@@ -61,6 +71,7 @@
 
     [[nodiscard]] ColdStartLimiter &cold() noexcept { return m_cold; }
     [[nodiscard]] RequestRateLimiter &rate() noexcept { return m_rate; }
+    [[nodiscard]] admission::LinkBudget &link() noexcept { return m_link; }
 
     /*! @brief Queues or refuses a new call. @return Reason for refusal, or `None` if it is queued.
      */
@@ -74,7 +85,10 @@
     [[nodiscard]] std::vector<GateRefusal> expire(TimePoint now);
 
     /*! @brief Records the end of a running call. @param spent Time since it was handed over. */
-    void finished(HandoverOutcome outcome, Micros spent, TimePoint now);
+    void finished(HandoverOutcome outcome, Micros spent, TimePoint now, std::uint32_t route = 0);
+
+    /*! @return True while calls that could meet their target do not all fit. */
+    [[nodiscard]] bool isPressed(TimePoint now) const;
 
     /*! @brief Removes a queued call. @return False if it was not in the queue. */
     bool cancel(std::uint64_t ticket);
@@ -90,10 +104,17 @@
 private:
     [[nodiscard]] bool precedes(const GateCall &a, const GateCall &b, TimePoint now) const;
     [[nodiscard]] bool isLate(const GateCall &call, TimePoint now) const;
-    /*! @return Assumed minimum service time of a call. */
-    [[nodiscard]] Millis minServiceTime() const;
+    /*! @return Service time that most calls of the route exceed; one that needs less is lucky. */
+    [[nodiscard]] Millis minServiceTime(const GateCall &call) const;
+    /*! @return Service time within which most calls of the route end. */
+    [[nodiscard]] Millis likelyServiceTime(const GateCall &call) const;
     /*! @return Latest time of handover with which the call is worth queueing. */
     [[nodiscard]] TimePoint latestStart(const GateCall &call) const;
+    /*! @return Longest wait with which a new call is admitted; negative if it is not. */
+    [[nodiscard]] Millis longestWait(const GateCall &call, TimePoint now) const;
+    /*! @brief Records the refusal of a call that could have met its target. */
+    void onMisfit(TimePoint now);
+    [[nodiscard]] Millis linkWait(const GateCall &call, TimePoint now) const;
     /*! Order of service: nested, timely or late, then the rank. */
     using Precedence = std::pair<int, int>;
     /*! Calls per second, as a moving average. */
@@ -118,6 +139,10 @@
     std::vector<GateCall> m_waiting;
     ColdStartLimiter m_cold;
     RequestRateLimiter m_rate;
+    admission::LinkBudget m_link;
+    admission::ServiceTimes m_serviceTimes;
+    TimePoint m_pressureSince;
+    TimePoint m_lastMisfitAt; /*!< When a call that could meet its target was last refused. */
     int m_slots = 1;
     double m_coldPerSecond = 0.0;
     int m_running = 0;
--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -1,5 +1,7 @@
 #include "proxy/server_picker.h"
 
+#include "proxy/frames.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -115,9 +117,13 @@
         occupied = weight * (state.load.running + state.load.waiting) + (1.0 - weight) * occupied;
         occupied = std::max<double>(state.inFlight, occupied);
         estimate.wait = weight * std::max(0, state.load.rateWaitMillis);
-        estimate.wait += summary.answerKb * state.deliveryMillisPerKb
+        const double delivery = summary.answerKb * state.deliveryMillisPerKb
                 * std::exp(-secondsBetween(state.deliveredAt, now)
                            / internal::kDeliveryDecaySeconds);
+        const double reported = summary.answerKb * internal::kBytesPerKb > kInlineBodyBytes
+                ? state.load.linkWaitMillis - 1000.0 * secondsBetween(state.updatedAt, now)
+                : 0.0;
+        estimate.wait += std::max(delivery, reported);
     }
     const double utilization = std::min(1.0, occupied / slots);
     const double excess = std::max(0.0, occupied + 1.0 - slots);
--- a/test/proxy/body_scheduler.cpp
+++ b/test/proxy/body_scheduler.cpp
@@ -21,6 +21,26 @@
 
 } // namespace
 
+TEST_CASE("Pattern: callers that read slowly - the link is used at its rate for the others")
+{
+    // 14 Mbit/s; nothing of the first bodies is ever acknowledged.
+    BodyScheduler scheduler;
+    scheduler.setRate(1750.0);
+    for (std::uint64_t i = 0; i < 8; ++i) {
+        scheduler.add({"peer-" + std::to_string(i), i}, true, kStart);
+        scheduler.onAvailable({"peer-" + std::to_string(i), i}, 90'000);
+    }
+    std::size_t sent = 0;
+    for (auto now = kStart; now < kStart + Millis{250}; now += Millis{1}) {
+        while (const auto grant = scheduler.next(now)) {
+            sent += grant->bytes;
+        }
+    }
+    REQUIRE(sent >= 400'000);
+    REQUIRE(sent <= 250 * 1750 + 2 * 35'000 + 16 * 1024);
+    REQUIRE(scheduler.pause(kStart + Millis{250}).has_value());
+}
+
 TEST_CASE("Pattern: many downloads on a slow link - few bytes are under way and the oldest first")
 {
     BodyScheduler scheduler;
--- /dev/null
+++ b/test/proxy/server_gate_overload.cpp
@@ -0,0 +1,68 @@
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "support/gate_run.h"
+
+using namespace celeryramp;
+using namespace celeryramp::proxy;
+using namespace celeryramp::test;
+
+TEST_CASE("Pattern: load beyond the capacity - what is answered in target stays near the capacity")
+{
+    for (const double load : {1.0, 1.1, 1.5, 2.0, 3.0}) {
+        CAPTURE(load);
+        const auto result = runGate({5, 60.0, load});
+        REQUIRE(result.inTarget >= 0.9 * result.capacity);
+    }
+}
+
+TEST_CASE("Pattern: load below the capacity - nearly all is answered in target")
+{
+    const auto result = runGate({5, 60.0, 0.7});
+    REQUIRE(result.inTarget >= 0.97 * result.offered);
+}
+
+TEST_CASE("Pattern: load beyond the capacity - what is refused has not waited for its target")
+{
+    const auto result = runGate({5, 60.0, 1.5});
+    REQUIRE(result.refused > 0.2 * result.offered);
+    REQUIRE(result.longestHeldMillis <= 150);
+}
+
+TEST_CASE("Pattern: a slow server that recovers - calls in target return within two seconds")
+{
+    GateLoadShape shape{5, 60.0, 0.9};
+    shape.slowdown = 5.0;
+    shape.slowFrom = Millis{3000};
+    shape.slowUntil = Millis{5000};
+    const auto result = runGate(shape);
+    const double perSecond = 0.9 * result.capacity / 10.0;
+    REQUIRE(result.inTargetPerSecond[7] >= 0.9 * perSecond);
+    REQUIRE(result.inTargetPerSecond[9] >= 0.9 * perSecond);
+}
+
+TEST_CASE("Pattern: a full link with free slots - only answers that arrive in target are started")
+{
+    const TimePoint start{std::chrono::hours{1}};
+    ServerGate gate;
+    gate.setServer(50, 0.0);
+    gate.setClosed(Reason::None);
+    gate.link().setRate(14.0);
+    int taken = 0;
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+        const GateCall call{i,     2,       false, false, start, start + Millis{500},
+                            start + Millis{2000}, 1, 90'000};
+        taken += gate.offer(call, start) == Reason::None ? 1 : 0;
+        static_cast<void>(gate.next(start));
+    }
+    // 14 Mbit/s carry 9 answers of 90 kB within the target.
+    REQUIRE(taken >= 3);
+    REQUIRE(taken <= 9);
+    const GateCall late{200,  2,       false, true, start, start, start + Millis{2000},
+                        1, 90'000};
+    REQUIRE(gate.offer(late, start) == Reason::Busy);
+    REQUIRE(gate.offer({201, 2, true, false, start, start + Millis{80}, start + Millis{200}, 2, 0},
+                       start)
+            == Reason::None);
+}
--- a/test/support/test_header_adapter.cpp
+++ b/test/support/test_header_adapter.cpp
@@ -9,6 +9,7 @@
     if (const auto text = http::findHeader(headers, "T-Deadline"); !text.empty()) {
         metadata.deadline = Millis{std::stol(std::string{text})};
     }
+    metadata.parentId = http::findHeader(headers, "T-Parent");
     if (const auto key = http::findHeader(headers, "T-Key"); !key.empty()) {
         metadata.key = std::string{key};
     }
