--- a/src/celeryramp/admission/link_budget.cpp
+++ b/src/celeryramp/admission/link_budget.cpp
@@ -31,8 +31,8 @@
 
 void LinkBudget::settle(std::size_t reserved, std::size_t actual, TimePoint now)
 {
-    m_backlog = std::max(0.0,
-                         backlog(now) + static_cast<double>(actual) - static_cast<double>(reserved));
+    m_backlog = std::max(
+            0.0, backlog(now) + static_cast<double>(actual) - static_cast<double>(reserved));
     m_at = now;
 }
 
--- a/src/celeryramp/admission/returning_callers.cpp
+++ b/src/celeryramp/admission/returning_callers.cpp
@@ -44,8 +44,7 @@
 {
     while (!m_ages.empty()) {
         const auto it = m_entries.find(m_ages.front().digest);
-        const bool isCurrent
-                = it != m_entries.end() && it->second.number == m_ages.front().number;
+        const bool isCurrent = it != m_entries.end() && it->second.number == m_ages.front().number;
         if (isCurrent && now < it->second.latestReturn) {
             return;
         }
--- /dev/null
+++ b/test/admission/running_requests.cpp
@@ -0,0 +1,23 @@
+#include "admission/running_requests.h"
+
+#include <catch2/catch.hpp>
+
+using namespace celeryramp;
+using namespace celeryramp::admission;
+
+TEST_CASE("A call is nested only while the server runs the request that it names")
+{
+    const TimePoint start{std::chrono::hours{1}};
+    RunningRequests running;
+    REQUIRE_FALSE(running.find("q1"));
+    running.add("q1", {3, true, start, start + Millis{800}});
+    const auto parent = running.find("q1");
+    REQUIRE(parent);
+    REQUIRE(parent->rank == 3);
+    REQUIRE(parent->isRepeat);
+    REQUIRE_FALSE(running.find("q"));
+    REQUIRE_FALSE(running.find(""));
+    running.remove("q1");
+    REQUIRE_FALSE(running.find("q1"));
+    REQUIRE(running.size() == 0);
+}
--- a/test/platform/platform_header_adapter.cpp
+++ b/test/platform/platform_header_adapter.cpp
@@ -20,6 +20,19 @@
     REQUIRE_FALSE(none.key);
 }
 
+TEST_CASE("The id of a call names the request that it is sent for")
+{
+    const PlatformHeaderAdapter headerAdapter;
+    const auto parentOf = [&headerAdapter](const char *id) {
+        return headerAdapter.readCaller({{"Attempt-Id", id}}).parentId;
+    };
+    REQUIRE(parentOf("9c41d07b.7603cd33") == "9c41d07b");
+    REQUIRE(parentOf("9c41d07b.7603cd33.01") == "9c41d07b.7603cd33");
+    REQUIRE(parentOf("9c41d07b").empty());
+    REQUIRE(parentOf("").empty());
+    REQUIRE(parentOf(".x").empty());
+}
+
 TEST_CASE("Forged mesh headers are replaced and the API key is not forwarded to the server")
 {
     const PlatformHeaderAdapter headerAdapter;
--- a/test/proxy/server_gate_overload.cpp
+++ b/test/proxy/server_gate_overload.cpp
@@ -51,16 +51,15 @@
     gate.link().setRate(14.0);
     int taken = 0;
     for (std::uint64_t i = 1; i <= 100; ++i) {
-        const GateCall call{i,     2,       false, false, start, start + Millis{500},
-                            start + Millis{2000}, 1, 90'000};
+        const GateCall call{
+                i, 2, false, false, start, start + Millis{500}, start + Millis{2000}, 1, 90'000};
         taken += gate.offer(call, start) == Reason::None ? 1 : 0;
         static_cast<void>(gate.next(start));
     }
     // 14 Mbit/s carry 9 answers of 90 kB within the target.
     REQUIRE(taken >= 3);
     REQUIRE(taken <= 9);
-    const GateCall late{200,  2,       false, true, start, start, start + Millis{2000},
-                        1, 90'000};
+    const GateCall late{200, 2, false, true, start, start, start + Millis{2000}, 1, 90'000};
     REQUIRE(gate.offer(late, start) == Reason::Busy);
     REQUIRE(gate.offer({201, 2, true, false, start, start + Millis{80}, start + Millis{200}, 2, 0},
                        start)
--- a/test/support/gate_run.h
+++ b/test/support/gate_run.h
@@ -65,8 +65,8 @@
         }
         for (due += perMilli * 2.0 * random.unit(); due >= 1.0; due -= 1.0) {
             ++result.offered;
-            proxy::GateCall call{++ticket, 0, false, false, now, now + shape.target,
-                                 now + shape.deadline, 1};
+            proxy::GateCall call{
+                    ++ticket, 0, false, false, now, now + shape.target, now + shape.deadline, 1};
             calls[ticket] = call;
             if (gate.offer(call, now) != proxy::Reason::None) {
                 call.mayBeLate = true;
