--- a/standin/soak/backend.cpp
+++ b/standin/soak/backend.cpp
@@ -21,6 +21,8 @@
 namespace http = celeryramp::http;
 namespace platform = celeryramp::platform;
 
+/*! Longest body that is read; tests set lower limits at the nodes. */
+constexpr std::size_t kMaxBodyBytes = 64U << 20U;
 /*! Share of the answers that a fault hits. */
 constexpr double kFaultShare = 0.4;
 constexpr std::size_t kEndlessBlock = 16'384;
@@ -82,8 +84,8 @@
                     connection->timer.cancel();
                     return;
                 }
-                const auto state
-                        = connection->reader.feed({connection->input.data(), n}, {65'536, 1 << 20});
+                const auto state = connection->reader.feed({connection->input.data(), n},
+                                                           {65'536, kMaxBodyBytes});
                 if (state == http::RequestReader::State::Done) {
                     handle(connection, connection->reader.take());
                 }
