Request bodies are held within the memory of a node, and sent to gates in parts

Cause: request bodies had a limit each and none in sum, and a long one existed five times at both nodes: in the reader, the JSON value, the frame, the message of the link and the wire to the server. Change: one budget for what bodies hold (admission::BodyBudget). What does not fit is refused with 503; unfinished bodies without progress are cut for others, the largest first. Bodies over 16 KB follow their call in parts of 64 KB with credits; the server is sent the held body without a copy. Ruled out: passing parts on as they come, since callers that stop short would hold slots of servers.

--- a/src/celeryramp/admission/fwd.h
+++ b/src/celeryramp/admission/fwd.h
@@ -2,6 +2,8 @@
 
 namespace celeryramp::admission {
 
+class BodyBudget;
+struct HeldBody;
 class LinkBudget;
 class ReturningCallers;
 struct RunningRequest;
--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -305,7 +305,13 @@
         return;
     }
     http::Exchange exchange;
-    exchange.wire = http::serialize(m_headerAdapter.toServer(call.frame, left));
+    const auto request = m_headerAdapter.toServer(call.frame, left);
+    if (const auto &body = call.frame.longBody) {
+        exchange.wire = http::serializeHead(request, body->bytes.size());
+        exchange.body = std::shared_ptr<const std::string>{body, &body->bytes};
+    } else {
+        exchange.wire = http::serialize(request);
+    }
     exchange.isHead = call.frame.request.method == "HEAD";
     exchange.match = [this, id = call.frame.requestId](const http::Answer &head, bool isReused) {
         return m_settings.mechanisms.attribution
@@ -525,8 +531,7 @@
     case http::ExchangeEnd::Cancelled:
         reply.kind = proxy::ReplyKind::Failed;
         reply.reason = proxy::Reason::Lost;
-        m_crashes.onLost(proxy::requestDigest(it->second.frame.account, it->second.frame.request),
-                         now);
+        m_crashes.onLost(proxy::requestDigest(it->second.frame), now);
         if (m_pool.idle() == 0 && m_admission.running() <= 1) {
             assumeCold("all-connections-lost");
         }
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -24,7 +24,8 @@
 Engine::Engine(boost::asio::io_context &context, EngineSettings settings,
                DeploymentBindings bindings)
     : m_context{context}, m_settings{std::move(settings)},
-      m_bindings{std::move(bindings)}, m_replica{m_bindings.decoder, m_settings.lapseGrace},
+      m_bindings{std::move(bindings)}, m_bodies{BufferLimits{m_settings.memoryBytes}.bodies},
+      m_uploads{m_bodies}, m_replica{m_bindings.decoder, m_settings.lapseGrace},
       m_peers{context, m_settings.links, *this}, m_gate{context, m_settings,
                                                         m_bindings.headerAdapter, m_crashes,
                                                         m_metrics},
@@ -32,7 +33,8 @@
                     m_limiter,  m_metrics, internal::randomSeed(m_settings.name)},
       m_dispatcher{context,
                    DispatcherDependencies{m_settings, m_bindings.headerAdapter, m_replica, m_peers,
-                                          m_gate, m_coordinator, m_limiter, m_crashes, m_metrics},
+                                          m_gate, m_coordinator, m_bodies, m_limiter, m_crashes,
+                                          m_metrics},
                    internal::randomSeed(m_settings.name)},
       m_callerListener{context,
                        [this](boost::asio::ip::tcp::socket socket) {
@@ -98,6 +100,8 @@
     m_gate.sweep(now);
     m_dispatcher.sweep(now);
     m_crashes.sweep(now);
+    m_uploads.sweep(now);
+    m_bodies.setOtherBytes(m_peers.unsentBytes() + m_dispatcher.unsentBytes());
     m_readinessEndpoint.sweep(now);
     m_metricsEndpoint.sweep(now);
     if (m_shutdown && continueShutdown(now)) {
@@ -215,6 +219,8 @@
         gauge("link_frame_bytes_total", m_peers.frameBytes());
         gauge("caller_unsent_bytes", callerBytes());
         gauge("link_unsent_bytes", m_peers.unsentBytes());
+        gauge("request_body_bytes", m_bodies.heldBytes());
+        gauge("request_body_limit_bytes", m_bodies.limit());
         const auto usage = processUsage();
         gauge("process_cpu_seconds_total", usage.cpuSeconds);
         gauge("process_resident_bytes", usage.residentBytes);
@@ -239,11 +245,16 @@
     } else if (const auto *reply = std::get_if<proxy::ReplyFrame>(&frame)) {
         m_dispatcher.onReply(peer, *reply, now);
     } else if (const auto *cancel = std::get_if<proxy::CancelFrame>(&frame)) {
+        m_uploads.cancel(peer.text(), cancel->id);
         m_gate.cancel(peer.text(), cancel->id, now);
     } else if (auto *body = std::get_if<proxy::BodyFrame>(&frame)) {
         m_dispatcher.onBody(peer, std::move(*body), now);
     } else if (const auto *hung = std::get_if<proxy::HungFrame>(&frame)) {
         m_dispatcher.onHung(peer, hung->id, now);
+    } else if (const auto *part = std::get_if<proxy::UploadFrame>(&frame)) {
+        onUploadFrame(peer, *part, now);
+    } else if (const auto *uploadCredit = std::get_if<proxy::UploadCreditFrame>(&frame)) {
+        m_dispatcher.onUploadCredit(peer, *uploadCredit, now);
     } else if (const auto *credit = std::get_if<proxy::CreditFrame>(&frame)) {
         m_gate.addCredit(peer.text(), *credit);
     } else if (std::holds_alternative<proxy::ClosedFrame>(frame)) {
@@ -282,6 +293,39 @@
     m_metrics.latency("call_transit_delay_seconds").record(delay);
     call.deadline -= delay;
     call.target -= delay;
+    if (call.uploadBytes == 0) {
+        submitCall(peer, std::move(call), now);
+        return;
+    }
+    const auto id = call.id;
+    if (!m_uploads.begin(peer.text(), std::move(call), now)) {
+        m_metrics.counter("uploads_refused_total").add();
+        logEvent(LogLevel::Warn, "engine", "upload-refused",
+                 {{"peer", peer.text()}, {"held_bytes", std::to_string(m_bodies.heldBytes())}});
+        auto reply = proxy::notRunReply(id, proxy::Reason::Busy);
+        reply.load = m_gate.load(now);
+        static_cast<void>(m_peers.sendFollowUp(peer, proxy::encodeFrame(reply), now));
+    }
+}
+
+void Engine::onUploadFrame(const Address &peer, const proxy::UploadFrame &part, TimePoint now)
+{
+    auto progress = m_uploads.add(peer.text(), part, now);
+    if (!progress) {
+        return;
+    }
+    if (progress->call) {
+        submitCall(peer, std::move(*progress->call), now);
+        return;
+    }
+    const proxy::Frame reply = progress->isBroken
+            ? proxy::Frame{proxy::notRunReply(part.id, proxy::Reason::Unreachable)}
+            : proxy::Frame{proxy::UploadCreditFrame{part.id, part.bytes.size()}};
+    static_cast<void>(m_peers.sendFollowUp(peer, proxy::encodeFrame(reply), now));
+}
+
+void Engine::submitCall(const Address &peer, proxy::CallFrame call, TimePoint now)
+{
     const auto send = [this, peer](const proxy::Frame &frame) {
         return m_peers.sendFollowUp(peer, proxy::encodeFrame(frame), bootNow());
     };
@@ -319,6 +363,7 @@
              {{"peer", peer.text()}, {"was_open", wasOpen ? "1" : "0"}});
     if (wasOpen) {
         m_transitDelay.forget(peer.text());
+        m_uploads.cancelAll(peer.text());
         m_gate.cancelAll(peer.text(), now);
     }
     m_coordinator.onLinkLost(peer);
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -12,6 +12,7 @@
 #include "directory/item_sink.h"
 #include "directory/replica.h"
 #include "engine/engine_settings.h"
+#include "engine/incoming_uploads.h"
 #include "engine/peer_coordinator.h"
 #include "engine/request_dispatcher.h"
 #include "engine/status_endpoint.h"
@@ -97,6 +98,9 @@
     /*! @brief Tells a peer how far the shutdown has come. */
     void sendShutdownState(const Address &peer, TimePoint now);
     void onCallFrame(const Address &peer, proxy::CallFrame call, TimePoint now);
+    void onUploadFrame(const Address &peer, const proxy::UploadFrame &part, TimePoint now);
+    /*! @brief Offers a call of a peer to the gate once all of it has arrived. */
+    void submitCall(const Address &peer, proxy::CallFrame call, TimePoint now);
     [[nodiscard]] http::Answer respondReadiness(std::string_view path) const;
     [[nodiscard]] http::Answer respondMetrics(std::string_view path) const;
 
@@ -104,6 +108,8 @@
     EngineSettings m_settings;
     DeploymentBindings m_bindings;
     MetricsRegistry m_metrics;
+    admission::BodyBudget m_bodies;
+    IncomingUploads m_uploads;
     directory::Replica m_replica;
     links::PeerLinks m_peers;
     proxy::FleetLimiter m_limiter;
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -230,6 +230,11 @@
         m_retryBudget.onFirstAttempt(call.frame.service, 0.0);
     }
     call.frame.request = std::move(request);
+    if (call.frame.request.body.size() > proxy::kInlineBodyBytes) {
+        call.frame.longBody = std::make_shared<const admission::HeldBody>(
+                admission::HeldBody{std::exchange(call.frame.request.body, {}),
+                                    takeBodyLease(*call.response.connection(), now)});
+    }
     http::eraseHopByHop(call.frame.request.headers);
     m_dependencies.headerAdapter.stripCaller(call.frame.request.headers);
     m_callIdsByResponse[{call.response.connection(), call.response.id()}] = id;
@@ -372,13 +377,98 @@
     call.isOnSilentLink = false;
     call.frame.sentAt
             = std::chrono::duration_cast<std::chrono::nanoseconds>(now.time_since_epoch()).count();
-    if (!m_dependencies.peers.send(call.peer, proxy::encodeFrame(call.frame), now)) {
+    call.frame.uploadBytes = call.frame.longBody ? call.frame.longBody->bytes.size() : 0;
+    call.uploadSent = 0;
+    call.uploadCredited = 0;
+    if (!m_dependencies.peers.send(call.peer, proxy::encodeFrame(call.frame), now)
+        || !sendUpload(call, now)) {
         boost::asio::post(m_context, [this, id] {
             onGateReply(id, proxy::notRunReply(id, proxy::Reason::Unreachable), bootNow());
         });
     }
 }
 
+bool RequestDispatcher::sendUpload(Call &call, TimePoint now)
+{
+    while (call.uploadSent < call.frame.uploadBytes
+           && call.uploadSent - call.uploadCredited < proxy::kUploadWindowBytes) {
+        proxy::UploadFrame part{
+                call.id, call.uploadSent,
+                call.frame.longBody->bytes.substr(call.uploadSent, proxy::kUploadPartBytes)};
+        call.uploadSent += part.bytes.size();
+        if (!m_dependencies.peers.sendFollowUp(call.peer, proxy::encodeFrame(std::move(part)),
+                                               now)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void RequestDispatcher::onUploadCredit(const Address &peer, const proxy::UploadCreditFrame &credit,
+                                       TimePoint now)
+{
+    const auto it = m_calls.find(credit.id);
+    if (it == m_calls.end() || !isExpecting(it->second, peer)) {
+        return;
+    }
+    auto &call = it->second;
+    call.uploadCredited = std::min(call.uploadSent, call.uploadCredited + credit.bytes);
+    if (!sendUpload(call, now)) {
+        cancelOffer(call, now);
+        onGateReply(credit.id, proxy::notRunReply(credit.id, proxy::Reason::Unreachable), now);
+    }
+}
+
+bool RequestDispatcher::mayHold(const http::CallerConnectionPtr &connection, std::size_t bytes)
+{
+    const auto now = bootNow();
+    if (bytes == 0) {
+        m_bodyLeases.erase(connection);
+        return true;
+    }
+    auto it = m_bodyLeases.find(connection);
+    if (it == m_bodyLeases.end()) {
+        it = m_bodyLeases.emplace(connection, m_dependencies.bodies.open(now)).first;
+    }
+    while (!m_dependencies.bodies.hold(it->second, bytes, now)) {
+        const auto victim = m_dependencies.bodies.victim(it->second, bytes, now);
+        const auto cut = std::find_if(
+                m_bodyLeases.begin(), m_bodyLeases.end(),
+                [&victim](const auto &entry) { return victim && entry.second.id() == *victim; });
+        if (cut == m_bodyLeases.end()) {
+            m_dependencies.metrics.counter("bodies_refused_total").add();
+            logEvent(LogLevel::Warn, "desk", "body-refused",
+                     {{"bytes", std::to_string(bytes)},
+                      {"held_bytes", std::to_string(m_dependencies.bodies.heldBytes())}});
+            m_bodyLeases.erase(it);
+            return false;
+        }
+        const auto holder = cut->first;
+        m_bodyLeases.erase(cut);
+        m_dependencies.metrics.counter("bodies_cut_total").add();
+        logEvent(LogLevel::Warn, "desk", "body-cut",
+                 {{"bytes", std::to_string(holder->heldBytes())},
+                  {"held_bytes", std::to_string(m_dependencies.bodies.heldBytes())}});
+        holder->reset();
+    }
+    return true;
+}
+
+admission::BodyBudget::Lease
+RequestDispatcher::takeBodyLease(const http::CallerConnection &connection, TimePoint now)
+{
+    const auto it = std::find_if(
+            m_bodyLeases.begin(), m_bodyLeases.end(),
+            [&connection](const auto &entry) { return entry.first.get() == &connection; });
+    if (it == m_bodyLeases.end()) {
+        return m_dependencies.bodies.open(now);
+    }
+    auto lease = std::move(it->second);
+    m_bodyLeases.erase(it);
+    m_dependencies.bodies.finish(lease);
+    return lease;
+}
+
 void RequestDispatcher::onReply(const Address &peer, const proxy::ReplyFrame &reply, TimePoint now)
 {
     const auto it = m_calls.find(reply.id);
@@ -520,8 +610,7 @@
     const auto elapsed = now - call.arrivedAt;
     const bool isGood = reason == proxy::Reason::None && status < 500;
     if (isGood && !m_dependencies.crashes.isEmpty()) {
-        m_dependencies.crashes.onServed(
-                proxy::requestDigest(call.frame.account, call.frame.request));
+        m_dependencies.crashes.onServed(call.digest);
     }
     m_dependencies.metrics
             .counter("requests_total{outcome=\""
@@ -591,6 +680,7 @@
 void RequestDispatcher::onClosed(const http::CallerConnectionPtr &connection)
 {
     m_connections.erase(connection);
+    m_bodyLeases.erase(connection);
     if (!m_dependencies.settings.mechanisms.cancellation) {
         return;
     }
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "admission/body_budget.h"
 #include "admission/returning_callers.h"
 #include "core/random.h"
 #include "engine/backend_gate.h"
@@ -36,6 +37,7 @@
     links::PeerLinks &peers;
     BackendGate &gate;
     PeerCoordinator &coordinator;
+    admission::BodyBudget &bodies; /*!< Memory of request bodies. */
     proxy::FleetLimiter &limiter;
     proxy::CrashRegistry &crashes;
     MetricsRegistry &metrics;
@@ -58,6 +60,10 @@
     void onClosed(const http::CallerConnectionPtr &connection) override;
     [[nodiscard]] http::RequestLimits requestLimits() const override;
     [[nodiscard]] bool mayOverlap(const http::Request &request) const override;
+    /*! @brief Holds what a caller sends within the memory for request bodies, by cutting the
+     * unfinished bodies of others or by refusing it. */
+    [[nodiscard]] bool mayHold(const http::CallerConnectionPtr &connection,
+                               std::size_t bytes) override;
     void onBodyWritten(const http::CallerConnection &connection, std::uint64_t id,
                        std::size_t bytes) override;
 
@@ -68,6 +74,8 @@
     void onReply(const Address &peer, const proxy::ReplyFrame &reply, TimePoint now);
     /*! @brief Passes a part of a long body on to the caller. */
     void onBody(const Address &peer, proxy::BodyFrame part, TimePoint now);
+    /*! @brief Sends more of a long request body to the gate of a peer. */
+    void onUploadCredit(const Address &peer, const proxy::UploadCreditFrame &credit, TimePoint now);
     /*! @brief Takes a peer with a newly opened link for available. */
     void onLinkOpen(const Address &peer);
     /*! @brief Fails the attempts that wait for a reply over a lost link. */
@@ -130,6 +138,8 @@
         std::uint64_t bodyReceived = 0; /*!< Bytes of the body received so far. */
         TimePoint streamBeganAt;
         std::uint64_t bodyCredited = 0; /*!< Bytes that the gate was told it may replace. */
+        std::uint64_t uploadSent = 0; /*!< Bytes of the request body sent to the gate. */
+        std::uint64_t uploadCredited = 0; /*!< Of these, acknowledged. */
         std::uint64_t bodyUnacknowledged = 0; /*!< Bytes sent to the caller, without credit yet. */
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
@@ -139,6 +149,12 @@
                        int status, proxy::Reason reason, std::optional<Millis> retryAfter,
                        const std::string &account = {}, const std::string &detail = {});
     void sendToGate(Call &call, const proxy::OfferStep &step, TimePoint now);
+    /*! @brief Sends of a long request body what the window allows. @return False if a part cannot
+     * be sent; nothing may follow it. */
+    [[nodiscard]] bool sendUpload(Call &call, TimePoint now);
+    /*! @return The memory that the body of a complete request holds. */
+    [[nodiscard]] admission::BodyBudget::Lease
+    takeBodyLease(const http::CallerConnection &connection, TimePoint now);
     void onGateReply(std::uint64_t id, const proxy::ReplyFrame &reply, TimePoint now);
     [[nodiscard]] std::vector<proxy::Candidate> candidates(const std::string &service,
                                                            const std::set<std::string> &excluded,
@@ -191,6 +207,8 @@
     std::map<std::pair<const http::CallerConnection *, std::uint64_t>, std::uint64_t>
             m_callIdsByResponse;
     std::set<http::CallerConnectionPtr> m_connections;
+    /*! Memory of unfinished requests, by connection. */
+    std::map<http::CallerConnectionPtr, admission::BodyBudget::Lease> m_bodyLeases;
     std::map<std::string, TimePoint>
             m_leavingNodes; /*!< When nodes announced their shutdown, by host. */
     /*! When servers last announced that they leave, by id and time of their start. Kept apart from
--- a/src/celeryramp/http/caller_connection.cpp
+++ b/src/celeryramp/http/caller_connection.cpp
@@ -13,6 +13,9 @@
 namespace internal {
 
 constexpr int kRequestTimeout = 408;
+constexpr int kUnavailable = 503;
+/*! Bytes of unfinished requests of a connection that are not counted in the memory of all. */
+constexpr std::size_t kUncountedBytes = 16 * 1024;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 /*! Time in which the caller closes its side after the last response. */
 constexpr Millis kLingerTime{500};
@@ -58,6 +61,16 @@
     }
     const bool wasIdle = m_reader.state() == RequestReader::State::Idle;
     m_reader.feed(bytes, m_events.requestLimits());
+    if (const auto held = heldBytes(); held > internal::kUncountedBytes || m_isHeld) {
+        m_isHeld = held > internal::kUncountedBytes;
+        if (!m_events.mayHold(shared_from_this(), m_isHeld ? held : 0)) {
+            m_reader.refuse(internal::kUnavailable);
+            m_isHeld = false;
+        }
+        if (m_closed) {
+            return;
+        }
+    }
     if (wasIdle) {
         m_lastChange = bootNow();
     }
@@ -137,6 +150,7 @@
 
 void CallerConnection::rejectRequest(int status)
 {
+    m_reader.refuse(status);
     auto &pending = addPending({}, false);
     pending.keepsAlive = false;
     m_events.onBadRequest(status);
--- a/src/celeryramp/http/caller_connection.h
+++ b/src/celeryramp/http/caller_connection.h
@@ -41,6 +41,16 @@
     virtual void onBadRequest(int status) = 0;
     /*! @brief Called once after the connection closed. The owner cancels its pending requests. */
     virtual void onClosed(const CallerConnectionPtr &connection) = 0;
+    /*!
+     * @brief Called when more of a request arrives that is long or unfinished.
+     * @param bytes Bytes that the connection now holds of requests that were not passed on.
+     * @return False if there is no room for them; the request is then refused with status 503.
+     */
+    [[nodiscard]] virtual bool mayHold(const CallerConnectionPtr & /*connection*/,
+                                       std::size_t /*bytes*/)
+    {
+        return true;
+    }
     /*! @return Size limits currently in force for requests. */
     [[nodiscard]] virtual RequestLimits requestLimits() const = 0;
     /*!
@@ -108,6 +118,18 @@
     }
     [[nodiscard]] bool isClosed() const noexcept { return m_closed; }
 
+    /*! @return Bytes of requests that were not passed on yet. */
+    [[nodiscard]] std::size_t heldBytes() const
+    {
+        return m_reader.heldBytes() + (m_next ? m_next->body.capacity() : 0);
+    }
+    /*! @return True if nothing of a request is being served or passed on. */
+    [[nodiscard]] bool isUnfinished() const noexcept { return m_pending.empty() && !m_next; }
+    /*! @return Time since the current request began or a response made progress. */
+    [[nodiscard]] Millis unchangedFor(TimePoint now) const noexcept
+    {
+        return millisBetween(m_lastChange, now);
+    }
     /*! @return Bytes of responses that the caller has not taken yet. */
     [[nodiscard]] std::size_t unsentBytes() const noexcept { return m_unsentBytes; }
     /*! @return Time for which the caller has taken nothing of a response that waits for it. */
@@ -168,6 +190,7 @@
     std::size_t m_unsentBytes = 0;
     TimePoint m_lastChange; /*!< Start of the current request, or last progress of a response. */
     bool m_reading = false;
+    bool m_isHeld = false; /*!< The owner was told of held bytes. */
     bool m_writing = false;
     bool m_isDispatchScheduled = false;
     bool m_closesWhenIdle = false;
--- a/src/celeryramp/http/client_connection.cpp
+++ b/src/celeryramp/http/client_connection.cpp
@@ -93,9 +93,13 @@
     m_sent = true;
     m_writing = true;
     m_output = std::move(m_exchange->wire);
+    const auto body = m_exchange->body;
+    const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(m_output),
+                                                           body ? boost::asio::buffer(*body)
+                                                                : boost::asio::const_buffer{}};
     boost::asio::async_write(
-            m_socket, boost::asio::buffer(m_output),
-            [self = shared_from_this()](const boost::system::error_code &, std::size_t) {
+            m_socket, buffers,
+            [self = shared_from_this(), body](const boost::system::error_code &, std::size_t) {
                 // A write error also ends the read, after any response that was already received.
                 self->m_writing = false;
             });
--- a/src/celeryramp/http/exchange.h
+++ b/src/celeryramp/http/exchange.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <limits>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -35,7 +36,9 @@
     using Match = std::function<AnswerMatch(const Answer &head, bool isReused)>;
     using Head = std::function<void(Answer head, std::optional<std::uint64_t> length)>;
 
-    std::string wire; /*!< The serialized request. */
+    std::string wire; /*!< The serialized request, or all before its `body`. */
+    /*! Rest of the request; it stays valid until all of it was sent. */
+    std::shared_ptr<const std::string> body;
     bool isHead = false; /*!< HEAD request: its response has no body. */
     /*! Judges a response by its head. `isReused` tells that the connection has carried requests
      * before. Without it, each response is taken for the own one. */
--- a/src/celeryramp/http/message.cpp
+++ b/src/celeryramp/http/message.cpp
@@ -106,20 +106,24 @@
 }
 
 std::string serialize(const Request &request)
+{
+    return serializeHead(request, request.body.size()).append(request.body);
+}
+
+std::string serializeHead(const Request &request, std::size_t bodyBytes)
 {
     std::string out;
     out.reserve(512 + request.body.size());
     out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     internal::append(out, request.headers);
-    const bool hasLength = !request.body.empty()
+    const bool hasLength = bodyBytes > 0
             || std::find(internal::kBodyMethods.begin(), internal::kBodyMethods.end(),
                          request.method)
                     != internal::kBodyMethods.end();
     if (hasLength) {
-        out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+        out.append("Content-Length: ").append(std::to_string(bodyBytes)).append("\r\n");
     }
-    out.append("\r\n").append(request.body);
-    return out;
+    return out.append("\r\n");
 }
 
 std::string serialize(const Answer &answer, bool closes, bool isBodyOmitted)
--- a/src/celeryramp/http/message.h
+++ b/src/celeryramp/http/message.h
@@ -63,6 +63,10 @@
  */
 [[nodiscard]] std::string serialize(const Request &request);
 
+/*! @return The bytes of a request before its body. @param bodyBytes Length of the body, which may
+ * be held elsewhere. */
+[[nodiscard]] std::string serializeHead(const Request &request, std::size_t bodyBytes);
+
 /*!
  * @return The response as HTTP/1.1 text with a `Content-Length`, except for status 204 and 304.
  * @param closes Adds `Connection: close`.
--- a/src/celeryramp/http/request_reader.cpp
+++ b/src/celeryramp/http/request_reader.cpp
@@ -129,11 +129,24 @@
     return request;
 }
 
+std::size_t RequestReader::heldBytes() const
+{
+    // Announced bodies are reserved whole; others grow by doubling, with a copy meanwhile.
+    return m_buffer.size() + (m_parser ? m_parser->inner.get().body().capacity() : 0);
+}
+
 bool RequestReader::takeExpectContinue() noexcept
 {
     return std::exchange(m_expectsContinue, false) && m_state == State::Body;
 }
 
+void RequestReader::refuse(int status)
+{
+    m_parser.reset();
+    m_buffer = {};
+    fail(status);
+}
+
 RequestReader::State RequestReader::fail(int status) noexcept
 {
     m_errorStatus = status;
--- a/src/celeryramp/http/request_reader.h
+++ b/src/celeryramp/http/request_reader.h
@@ -48,12 +48,18 @@
 
     [[nodiscard]] State state() const noexcept { return m_state; }
 
+    /*! @brief Gives the current request up and frees what it holds; the state becomes `Bad`. */
+    void refuse(int status);
+
     /*! @return HTTP status for the response to an invalid request. */
     [[nodiscard]] int errorStatus() const noexcept { return m_errorStatus; }
 
     /*! @return True, once per request, if the caller waits for `100 Continue` to send its body. */
     [[nodiscard]] bool takeExpectContinue() noexcept;
 
+    /*! @return Bytes that the current request holds or, by its announced length, is going to. */
+    [[nodiscard]] std::size_t heldBytes() const;
+
     /*! @return Number of bytes received but not parsed yet. */
     [[nodiscard]] std::size_t buffered() const noexcept { return m_buffer.size(); }
 
--- a/src/celeryramp/proxy/crash_registry.cpp
+++ b/src/celeryramp/proxy/crash_registry.cpp
@@ -4,9 +4,21 @@
 
 namespace celeryramp::proxy {
 
+std::uint64_t requestDigest(const std::string &account, const http::Request &request,
+                            const std::string &body)
+{
+    return stableHash({account, request.method, request.target, body});
+}
+
 std::uint64_t requestDigest(const std::string &account, const http::Request &request)
 {
-    return stableHash({account, request.method, request.target, request.body});
+    return requestDigest(account, request, request.body);
+}
+
+std::uint64_t requestDigest(const CallFrame &call)
+{
+    return requestDigest(call.account, call.request,
+                         call.longBody ? call.longBody->bytes : call.request.body);
 }
 
 void CrashRegistry::onLost(std::uint64_t digest, TimePoint now)
--- a/src/celeryramp/proxy/crash_registry.h
+++ b/src/celeryramp/proxy/crash_registry.h
@@ -24,6 +24,7 @@
 
 /*! @return Hash of account, method, target and body, which is the same for a repeated request. */
 [[nodiscard]] std::uint64_t requestDigest(const std::string &account, const http::Request &request);
+[[nodiscard]] std::uint64_t requestDigest(const CallFrame &call);
 
 /*! @brief Detects requests that crash the servers that run them. */
 class CrashRegistry
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -79,6 +79,7 @@
     out.push_back(rateLimitToJson(frame.rateLimit));
     out.push_back(frame.route);
     out.push_back(frame.answerBytes);
+    out.push_back(frame.uploadBytes);
 }
 
 [[nodiscard]] Frame readCall(const Json &json)
@@ -106,6 +107,7 @@
     frame.rateLimit = rateLimitFromJson(json, 16);
     frame.route = json.size() > 17 ? json[17].get<std::uint32_t>() : 0;
     frame.answerBytes = json.size() > 18 ? json[18].get<std::uint32_t>() : 0;
+    frame.uploadBytes = json.size() > 19 ? json[19].get<std::uint64_t>() : 0;
     return frame;
 }
 
@@ -405,13 +407,37 @@
     return HungFrame{json.at(1).get<std::uint64_t>()};
 }
 
+void append(Json &out, const UploadFrame &frame)
+{
+    out.push_back(frame.id);
+    out.push_back(frame.offset);
+    out.push_back(binary(frame.bytes));
+}
+
+[[nodiscard]] Frame readUpload(const Json &json)
+{
+    return UploadFrame{json.at(1).get<std::uint64_t>(), json.at(2).get<std::uint64_t>(),
+                       bytesOf(json.at(3))};
+}
+
+void append(Json &out, const UploadCreditFrame &frame)
+{
+    out.push_back(frame.id);
+    out.push_back(frame.bytes);
+}
+
+[[nodiscard]] Frame readUploadCredit(const Json &json)
+{
+    return UploadCreditFrame{json.at(1).get<std::uint64_t>(), json.at(2).get<std::uint64_t>()};
+}
+
 using ReadFrame = Frame (*)(const Json &);
 
 /*! Decoders by the index of the type in `Frame`. */
 constexpr std::array<ReadFrame, std::variant_size_v<Frame>> kReaders{
-        readCall,   readReply,       readCancel,    readLeaving, readUsage,
-        readLevels, readSyncRequest, readSyncReply, readSuspect, readNews,
-        readReader, readBody,        readCredit,    readClosed,  readHung};
+        readCall,        readReply,     readCancel,  readLeaving, readUsage,       readLevels,
+        readSyncRequest, readSyncReply, readSuspect, readNews,    readReader,      readBody,
+        readCredit,      readClosed,    readHung,    readUpload,  readUploadCredit};
 
 } // namespace internal
 
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/body_budget.h"
 #include "core/time.h"
 #include "directory/replica.h"
 #include "http/message.h"
@@ -37,6 +38,10 @@
     std::uint32_t route = 0; /*!< Tells routes apart at the gate; 0 from earlier releases. */
     std::uint32_t answerBytes = 0; /*!< Expected length of the answer. */
     http::Request request; /*!< Without hop-by-hop headers and credentials. */
+    admission::HeldBodyPtr
+            longBody; /*!< Body over `kInlineBodyBytes`, instead of that in `request`.
+                         It is not part of the frame, but follows in parts. */
+    std::uint64_t uploadBytes = 0; /*!< Length of a body that follows in `UploadFrame`s. */
     std::int64_t sentAt
             = 0; /*!< Nanoseconds on the sender's clock; shows how long it was under way. */
 };
@@ -217,9 +222,29 @@
     std::uint64_t id = 0; /*!< Of the call. */
 };
 
-using Frame
-        = std::variant<CallFrame, ReplyFrame, CancelFrame, LeavingFrame, UsageFrame, LevelsFrame,
-                       SyncRequestFrame, SyncReplyFrame, SuspectFrame, ChangesFrame,
-                       ReaderStatusFrame, BodyFrame, CreditFrame, ClosedFrame, HungFrame>;
+/*! Unacknowledged bytes of a request body that a node may send to a gate. */
+inline constexpr std::size_t kUploadWindowBytes = 256 * 1024;
+/*! Bytes of one part of a request body. */
+inline constexpr std::size_t kUploadPartBytes = 64 * 1024;
+
+/*! @brief A part of a long request body, for a gate. The call is complete with the last one. */
+struct UploadFrame
+{
+    std::uint64_t id = 0; /*!< Of the call. */
+    std::uint64_t offset = 0; /*!< Of the first byte in the body. */
+    std::string bytes;
+};
+
+/*! @brief Acknowledges bytes of a request body, so that as many more may follow. */
+struct UploadCreditFrame
+{
+    std::uint64_t id = 0; /*!< Of the call. */
+    std::uint64_t bytes = 0;
+};
+
+using Frame = std::variant<CallFrame, ReplyFrame, CancelFrame, LeavingFrame, UsageFrame,
+                           LevelsFrame, SyncRequestFrame, SyncReplyFrame, SuspectFrame,
+                           ChangesFrame, ReaderStatusFrame, BodyFrame, CreditFrame, ClosedFrame,
+                           HungFrame, UploadFrame, UploadCreditFrame>;
 
 } // namespace celeryramp::proxy
--- a/test/crowd/callers_beyond_limits.cpp
+++ b/test/crowd/callers_beyond_limits.cpp
@@ -65,9 +65,10 @@
     CrowdSite site;
     REQUIRE(site.isServed(1'000));
     const auto length = "Content-Length: " + std::to_string(CrowdSite::kBodyLimit);
-    site.open(kCallers, 1, [&](std::size_t) {
-        return head(length) + std::string(CrowdSite::kBodyLimit, 'w');
-    }, kCallers);
+    site.open(
+            kCallers, 1,
+            [&](std::size_t) { return head(length) + std::string(CrowdSite::kBodyLimit, 'w'); },
+            kCallers);
     check(site);
 }
 
@@ -77,11 +78,14 @@
     REQUIRE(site.isServed(1'000));
     const auto length = "Content-Length: " + std::to_string(CrowdSite::kBodyLimit);
     constexpr std::size_t kPieces = CrowdSite::kBodyLimit / kPiece;
-    site.open(kCallers, kPieces + 1, [&](std::size_t i) {
-        // The last piece is the last byte.
-        const auto size = i + 1 < kPieces ? kPiece : i + 1 == kPieces ? kPiece - 1 : 1;
-        return (i == 0 ? head(length) : "") + std::string(size, 'p');
-    }, kWhole);
+    site.open(
+            kCallers, kPieces + 1,
+            [&](std::size_t i) {
+                // The last piece is the last byte.
+                const auto size = i + 1 < kPieces ? kPiece : i + 1 == kPieces ? kPiece - 1 : 1;
+                return (i == 0 ? head(length) : "") + std::string(size, 'p');
+            },
+            kWhole);
     check(site);
 }
 
@@ -110,11 +114,14 @@
     CrowdSite site;
     REQUIRE(site.isServed(1'000));
     constexpr std::size_t kLarge = 1'000'000;
-    site.open(kCallers, 5, [](std::size_t i) {
-        return i == 0 ? head("Transfer-Encoding: chunked") + chunk(kLarge)
-                : i < 4 ? chunk(i < 3 ? kLarge : kLarge - 1)
-                        : std::string{"0\r\n\r\n"};
-    }, kWhole);
+    site.open(
+            kCallers, 5,
+            [](std::size_t i) {
+                return i == 0   ? head("Transfer-Encoding: chunked") + chunk(kLarge)
+                        : i < 4 ? chunk(i < 3 ? kLarge : kLarge - 1)
+                                : std::string{"0\r\n\r\n"};
+            },
+            kWhole);
     check(site);
 }
 
@@ -124,10 +131,13 @@
     REQUIRE(site.isServed(1'000));
     constexpr std::size_t kSmall = 50;
     constexpr std::size_t kPieces = CrowdSite::kBodyLimit / kPiece;
-    site.open(kCallers, kPieces + 1, [](std::size_t i) {
-        return (i == 0 ? head("Transfer-Encoding: chunked") : "")
-                + (i < kPieces ? chunks(kSmall, kPiece / kSmall) : "0\r\n\r\n");
-    }, kWhole);
+    site.open(
+            kCallers, kPieces + 1,
+            [](std::size_t i) {
+                return (i == 0 ? head("Transfer-Encoding: chunked") : "")
+                        + (i < kPieces ? chunks(kSmall, kPiece / kSmall) : "0\r\n\r\n");
+            },
+            kWhole);
     check(site);
 }
 
--- a/test/crowd/crowd_site.cpp
+++ b/test/crowd/crowd_site.cpp
@@ -108,8 +108,9 @@
 {
     std::filesystem::create_directories(m_directory);
     const auto route = [](const char *name, const char *prefix, const char *kind) {
-        return Json{{"Name", name},         {"Host", "crowd.example"}, {"Prefix", prefix},
-                    {"Service", "stock"},   {"Kind", kind},            {"Timeout", "5s"},
+        return Json{{"Name", name},          {"Host", "crowd.example"},
+                    {"Prefix", prefix},      {"Service", "stock"},
+                    {"Kind", kind},          {"Timeout", "5s"},
                     {"TargetLatency", "2s"}, {"MaxAttempts", 2}};
     };
     Json configuration{{"Version", 2}};
@@ -140,20 +141,20 @@
             m_context, Address{host(index), kBackendPort}, "a", 1,
             [](const standin::soak::Execution &) {}));
     m_backends.back()->setId(id);
-    m_store.put("servers/" + id,
-                Json{{"Address", host(index) + ":" + std::to_string(kBackendPort)},
-                     {"Info",
-                      {{"Service", service}, {"Zone", "a"}, {"Version", "v1"}, {"Slots", 12}}},
-                     {"Status", {{"State", "ready"}, {"Sequence", 1}, {"ColdRemaining", "0ms"}}},
-                     {"born", 1}}
-                        .dump());
+    m_store.put(
+            "servers/" + id,
+            Json{{"Address", host(index) + ":" + std::to_string(kBackendPort)},
+                 {"Info", {{"Service", service}, {"Zone", "a"}, {"Version", "v1"}, {"Slots", 12}}},
+                 {"Status", {{"State", "ready"}, {"Sequence", 1}, {"ColdRemaining", "0ms"}}},
+                 {"born", 1}}
+                    .dump());
     const auto path = m_directory + "/" + nodeName(index) + ".toml";
     std::ofstream{path} << "name = \"" + nodeName(index) + "\"\nzone = \"a\"\nservice = \""
                     + service + "\"\ncallers = " + quoted(index, kCallerPort) + "links = "
                     + quoted(index, kLinkPort) + "readiness = " + quoted(index, kReadinessPort)
-                    + "backend = " + quoted(index, kBackendPort) + "source = "
-                    + quoted(0, kStorePort) + "memory_mb = " + std::to_string(kMemoryMegabytes)
-                    + "\n";
+                    + "backend = " + quoted(index, kBackendPort)
+                    + "source = " + quoted(0, kStorePort)
+                    + "memory_mb = " + std::to_string(kMemoryMegabytes) + "\n";
     m_processes.start(nodeName(index), {CELERYRAMP_NODE, "--settings", path},
                       m_directory + "/" + nodeName(index) + ".log");
 }
@@ -246,11 +247,10 @@
     for (const int index : {0, 1}) {
         const auto pid = findProcess(m_directory + "/" + nodeName(index) + ".toml");
         std::error_code ec;
-        const std::filesystem::directory_iterator files{
-                "/proc/" + std::to_string(pid) + "/fd", ec};
+        const std::filesystem::directory_iterator files{"/proc/" + std::to_string(pid) + "/fd", ec};
         if (!ec) {
-            most = std::max(most, static_cast<std::size_t>(
-                                          std::distance(begin(files), end(files))));
+            most = std::max(most,
+                            static_cast<std::size_t>(std::distance(begin(files), end(files))));
         }
     }
     return most;
