Gates that are pressed are not asked again, and refused callers return spread

Cause: a call that no gate could take was offered to six gates and four more for a late answer, over zones; callers refused in one moment were told to return in one. After one refusal only gates are asked that are not pressed, by their own fresh report or by most reports of their zone. Calls of running work ask on. The retry delay is spread over one to two times the wait.

--- a/src/celeryramp/engine/incoming_uploads.cpp
+++ b/src/celeryramp/engine/incoming_uploads.cpp
@@ -18,9 +18,8 @@
     return true;
 }
 
-std::optional<IncomingUploads::Progress> IncomingUploads::add(const std::string &origin,
-                                                              const proxy::UploadFrame &part,
-                                                              TimePoint now)
+std::optional<IncomingUploads::Progress>
+IncomingUploads::add(const std::string &origin, const proxy::UploadFrame &part, TimePoint now)
 {
     const auto it = m_uploads.find({origin, part.id});
     if (it == m_uploads.end()) {
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -187,6 +187,13 @@
     }
     policy.deadline = deadline;
     policy.answerBytes = m_answerSizes.expected(route->name);
+    policy.jitter = m_random.unit();
+    // Where accounts have keys, only servers call open routes; elsewhere the id tells.
+    const auto parent = metadata.parentId.empty()
+            ? std::nullopt
+            : m_dependencies.gate.findRunning(metadata.parentId);
+    policy.isNested
+            = routing.needsKeys() ? route->isOpen && account == nullptr : parent.has_value();
     // A long answer may come from another zone if the links of the local servers are full.
     const bool isBoundByLink = m_dependencies.settings.linkMegabits > 0.0
             && policy.answerBytes > proxy::kInlineBodyBytes;
@@ -210,12 +217,7 @@
     call.frame.account = account != nullptr ? account->name : "";
     call.frame.callerService = m_dependencies.settings.service;
     call.frame.isIdempotent = route->isIdempotent;
-    // Where accounts have keys, only servers call open routes; elsewhere the id tells.
-    const auto parent = metadata.parentId.empty()
-            ? std::nullopt
-            : m_dependencies.gate.findRunning(metadata.parentId);
-    call.frame.isNested
-            = routing.needsKeys() ? route->isOpen && account == nullptr : parent.has_value();
+    call.frame.isNested = call.dispatcher.policy().isNested;
     call.frame.rank
             = (account != nullptr ? account->priority : 0) * internal::kRanksPerAccountPriority
             + route->priority;
--- a/src/celeryramp/proxy/call_dispatcher.cpp
+++ b/src/celeryramp/proxy/call_dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "proxy/call_dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace celeryramp::proxy {
 
@@ -22,6 +23,8 @@
 constexpr Millis kMaxRetryAfter{1000};
 /*! Retry delay while a server has restarted and is not published yet. */
 constexpr Millis kUnpublishedRetryAfter{500};
+/*! Longest addition to the retry delay, as a share of it. */
+constexpr double kReturnSpread = 1.0;
 constexpr int kServerErrorStatus = 500;
 constexpr int kBadGatewayStatus = 502;
 constexpr int kUnavailableStatus = 503;
@@ -50,8 +53,10 @@
 {
     const auto pool = context.servers.candidates(m_policy.service, m_triedServers, now);
     const auto left = millisBetween(now, m_allowsLate ? m_policy.deadline : m_policy.target);
-    return context.picker.pick(
-            pool, {std::max(left, Millis{0}), m_policy.maySpill, m_policy.answerBytes}, now);
+    return context.picker.pick(pool,
+                               {std::max(left, Millis{0}), m_policy.maySpill, m_policy.answerBytes,
+                                m_sawBusy && !m_policy.isNested},
+                               now);
 }
 
 CallStep CallDispatcher::advance(const DispatchContext &context, TimePoint now)
@@ -177,6 +182,17 @@
     }
 }
 
+Millis CallDispatcher::returnDelay() const
+{
+    const auto delay = std::max(m_retryAfter, internal::kMinRetryAfter);
+    if (m_lastReason != Reason::Busy) {
+        return delay;
+    }
+    // Without spread, all callers that are refused in a moment would return in one.
+    return Millis{std::lround(static_cast<double>(delay.count())
+                              * (1.0 + internal::kReturnSpread * m_policy.jitter))};
+}
+
 GiveUpStep CallDispatcher::giveUp() const
 {
     if (m_lastReason == Reason::TimedOut) {
@@ -185,8 +201,7 @@
     if (m_mayHaveRun && m_policy.reportsUnknown) {
         return {internal::kBadGatewayStatus, m_lastReason, std::nullopt};
     }
-    return {internal::kUnavailableStatus, m_lastReason,
-            std::max(m_retryAfter, internal::kMinRetryAfter)};
+    return {internal::kUnavailableStatus, m_lastReason, returnDelay()};
 }
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -30,6 +30,10 @@
 /*! Multiple of the mean service time within which three of four calls end, with a usual
  *  distribution. */
 constexpr double kLikelyServiceFactor = 1.2;
+/*! A zone is pressed if more than this share of the weight of its reports says so. */
+constexpr double kPressedShare = 0.5;
+/*! Weight of a report above which it outweighs those of the rest of the zone. */
+constexpr double kFreshReport = 0.7;
 /*! Randomly drawn candidates that are compared, in the local zone and in all others. */
 constexpr std::size_t kSampledCandidates = 2;
 /*! Avoids a division by zero if there are no recent load reports. */
@@ -90,6 +94,36 @@
     return summary;
 }
 
+std::set<std::string> ServerPicker::findPressedZones(const std::vector<Entry> &entries,
+                                                     TimePoint now)
+{
+    std::map<std::string, std::pair<double, double>> weights; // of all reports, of the pressed ones
+    for (const auto &entry : entries) {
+        if (entry.state != nullptr) {
+            auto &[all, pressed] = weights[entry.candidate->server->zone];
+            const double weight = internal::freshness(entry.state->updatedAt, now);
+            all += weight;
+            pressed += entry.state->load.isPressed ? weight : 0.0;
+        }
+    }
+    std::set<std::string> zones;
+    for (const auto &[zone, weight] : weights) {
+        if (weight.second > internal::kPressedShare * weight.first) {
+            zones.insert(zone);
+        }
+    }
+    return zones;
+}
+
+bool ServerPicker::isPressed(const Entry &entry, const PoolSummary &summary, TimePoint now)
+{
+    const double weight
+            = entry.state != nullptr ? internal::freshness(entry.state->updatedAt, now) : 0.0;
+    return weight > internal::kFreshReport
+            ? entry.state->load.isPressed
+            : summary.pressedZones.count(entry.candidate->server->zone) > 0;
+}
+
 bool ServerPicker::isHealthy(const Entry &entry, const PoolSummary &summary)
 {
     return entry.decayedFailureShare <= summary.minFailureShare + internal::kHealthyMargin;
@@ -142,15 +176,19 @@
 {
     const auto entries = collectEntries(candidates, now);
     auto summary = summarize(entries, now);
+    summary.skipsPressed = requirements.skipsPressed;
+    if (summary.skipsPressed) {
+        summary.pressedZones = findPressedZones(entries, now);
+    }
     summary.answerKb = static_cast<double>(requirements.answerBytes) / internal::kBytesPerKb;
-    const auto local = eligible(entries, summary, true);
+    const auto local = eligible(entries, summary, true, now);
     const bool isLocalInTime = std::any_of(local.begin(), local.end(), [&](const Entry *entry) {
         return estimate(*entry, summary, now).likelyLatency() <= requirements.left;
     });
     if (!local.empty() && (isLocalInTime || !requirements.maySpill)) {
         return pickBest(local, summary, now);
     }
-    const auto remote = pickBest(eligible(entries, summary, false), summary, now);
+    const auto remote = pickBest(eligible(entries, summary, false, now), summary, now);
     const bool isRemoteInTime
             = remote.server != nullptr && remote.likelyLatency <= requirements.left;
     return local.empty() || isRemoteInTime ? remote : pickBest(local, summary, now);
@@ -158,12 +196,14 @@
 
 std::vector<const ServerPicker::Entry *> ServerPicker::eligible(const std::vector<Entry> &entries,
                                                                 const PoolSummary &summary,
-                                                                bool isLocalZone)
+                                                                bool isLocalZone, TimePoint now)
 {
     std::vector<const Entry *> healthy;
     std::vector<const Entry *> others;
     for (const auto &entry : entries) {
-        if (!entry.candidate->isExcluded && entry.candidate->isLocalZone == isLocalZone) {
+        const bool isSkipped = entry.candidate->isExcluded
+                || (summary.skipsPressed && isPressed(entry, summary, now));
+        if (!isSkipped && entry.candidate->isLocalZone == isLocalZone) {
             (isHealthy(entry, summary) ? healthy : others).push_back(&entry);
         }
     }
--- a/src/celeryramp/proxy/server_picker.h
+++ b/src/celeryramp/proxy/server_picker.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
     Millis left{0}; /*!< Time left until the answer is due. */
     bool maySpill = true; /*!< Other zones may be used if the local one is likely late. */
     std::size_t answerBytes = 0; /*!< Expected length of the answer. */
+    bool skipsPressed = false; /*!< Gates that cannot take all calls in time, by their reports or
+                                  by those of most of their zone, are not asked. */
 };
 
 /*! @brief The chosen server and its likely latency. */
@@ -95,6 +98,8 @@
         double remoteUtilization = 0.0;
         double minFailureShare = 1.0;
         double answerKb = 0.0; /*!< Expected length of the answer. */
+        std::set<std::string> pressedZones; /*!< Zones whose recent reports are mostly so. */
+        bool skipsPressed = false; /*!< See `PickRequirements`. */
     };
 
     /*! Expected times of a call at a server, in milliseconds. */
@@ -121,11 +126,17 @@
     [[nodiscard]] static PoolSummary summarize(const std::vector<Entry> &entries, TimePoint now);
     /*! @return Candidates of the local zone or of all others that may be chosen: the healthy ones,
      * or the unhealthy ones if there are no others. */
-    [[nodiscard]] static std::vector<const Entry *>
-    eligible(const std::vector<Entry> &entries, const PoolSummary &summary, bool isLocalZone);
+    [[nodiscard]] static std::vector<const Entry *> eligible(const std::vector<Entry> &entries,
+                                                             const PoolSummary &summary,
+                                                             bool isLocalZone, TimePoint now);
     /*! @return The candidate with the lowest cost of `kSampledCandidates` drawn from the pool. */
     [[nodiscard]] Choice pickBest(std::vector<const Entry *> pool, const PoolSummary &summary,
                                   TimePoint now);
+    /*! @return True if the gate would likely refuse a call that is in time. */
+    [[nodiscard]] static bool isPressed(const Entry &entry, const PoolSummary &summary,
+                                        TimePoint now);
+    [[nodiscard]] static std::set<std::string> findPressedZones(const std::vector<Entry> &entries,
+                                                                TimePoint now);
     [[nodiscard]] static bool isHealthy(const Entry &entry, const PoolSummary &summary);
     [[nodiscard]] static Estimate estimate(const Entry &entry, const PoolSummary &summary,
                                            TimePoint now);
--- a/test/proxy/call_dispatcher.cpp
+++ b/test/proxy/call_dispatcher.cpp
@@ -247,3 +247,59 @@
     REQUIRE(std::get<GiveUpStep>(step).status == 503);
     REQUIRE(*std::get<GiveUpStep>(step).retryAfter == Millis{600});
 }
+
+TEST_CASE("Pattern: many callers refused in one moment - they are told to return at several times")
+{
+    TestService service{"near-1"};
+    std::set<std::int64_t> delays;
+    for (const double jitter : {0.0, 0.25, 0.5, 1.0}) {
+        auto limits = policy();
+        limits.jitter = jitter;
+        CallDispatcher dispatcher{limits};
+        auto step = dispatcher.begin(service.dispatchContext(), kStart);
+        while (std::holds_alternative<OfferStep>(step)) {
+            step = dispatcher.onReply(refusal(Reason::Busy), service.dispatchContext(), kStart);
+        }
+        const auto delay = *std::get<GiveUpStep>(step).retryAfter;
+        REQUIRE(delay >= Millis{100}); // 5 calls beyond 10 slots of 200 ms
+        REQUIRE(delay <= Millis{200});
+        delays.insert(delay.count());
+    }
+    REQUIRE(delays.size() == 4);
+}
+
+TEST_CASE("Pattern: overload everywhere - a call is refused after one gate has said so")
+{
+    TestService service{"near-1", "near-2", "near-3", "far-1", "far-2", "far-3"};
+    auto pressed = refusal(Reason::Busy);
+    pressed.load.isPressed = true;
+    int offers = 0;
+    for (int i = 0; i < 20; ++i) {
+        CallDispatcher dispatcher{policy()};
+        auto step = dispatcher.begin(service.dispatchContext(), kStart);
+        while (std::holds_alternative<OfferStep>(step)) {
+            step = dispatcher.onReply(pressed, service.dispatchContext(), kStart);
+        }
+        offers = dispatcher.offers();
+    }
+    REQUIRE(offers == 1);
+}
+
+TEST_CASE("Pattern: overload everywhere - calls of running work are still offered to pressed gates")
+{
+    TestService service{"near-1", "near-2", "near-3"};
+    auto pressed = refusal(Reason::Busy);
+    pressed.load.isPressed = true;
+    int offers = 0;
+    for (int i = 0; i < 20; ++i) {
+        auto limits = policy();
+        limits.isNested = true;
+        CallDispatcher dispatcher{limits};
+        auto step = dispatcher.begin(service.dispatchContext(), kStart);
+        while (std::holds_alternative<OfferStep>(step)) {
+            step = dispatcher.onReply(pressed, service.dispatchContext(), kStart);
+        }
+        offers = dispatcher.offers();
+    }
+    REQUIRE(offers >= 3);
+}
