What a server takes well is found from its throughput, where settings ask for it

Cause: the limit of a gate is the number of slots that the server publishes, also if it slows long before these are full. Change: strategies admission::ConcurrencyLimit, `concurrency = "published"` (default) or "throughput"; waits of a request for its own calls are not taken for load.

--- a/src/celeryramp/admission/fwd.h
+++ b/src/celeryramp/admission/fwd.h
@@ -4,6 +4,8 @@
 
 class BodyBudget;
 struct HeldBody;
+class ConcurrencyLimit;
+struct ConcurrencySample;
 class LinkBudget;
 class ReturningCallers;
 struct RunningRequest;
--- a/src/celeryramp/admission/running_requests.h
+++ b/src/celeryramp/admission/running_requests.h
@@ -32,12 +32,25 @@
     void add(const std::string &requestId, const RunningRequest &request);
     void remove(const std::string &requestId);
 
+    /*! @brief Records a call of a running request. Calls at the same time count once.
+     * @param begunAt When the call was sent. */
+    void onCallEnded(const std::string &requestId, TimePoint begunAt, TimePoint now);
+    /*! @return Time in which a running request has waited for its calls. */
+    [[nodiscard]] Micros timeOnCalls(const std::string &requestId) const;
+
     /*! @return The request with this id; nothing if the server does not run it. */
     [[nodiscard]] std::optional<RunningRequest> find(const std::string &requestId) const;
     [[nodiscard]] std::size_t size() const noexcept { return m_requests.size(); }
 
 private:
-    std::map<std::string, RunningRequest> m_requests;
+    struct Entry
+    {
+        RunningRequest request;
+        TimePoint callsUntil; /*!< End of the last call. */
+        Micros onCalls{0};
+    };
+
+    std::map<std::string, Entry> m_requests;
 };
 
 } // namespace celeryramp::admission
--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -88,6 +88,7 @@
               static_cast<int>(BufferLimits{settings.memoryBytes}.gate / internal::kMaxAnswerBytes)}
 {
     m_admission.link().setRate(settings.linkMegabits);
+    m_admission.setConcurrencyLimit(admission::makeConcurrencyLimit(settings.concurrency));
     m_bodyScheduler.setRate(m_admission.link().bytesPerMilli());
 }
 
@@ -125,6 +126,7 @@
             m_isMismatched = false;
             m_isServerLeaving = false;
             m_admission.rate().reset();
+            m_admission.onServerRestarted();
             assumeCold("new-incarnation");
             reportCrash(now);
         } else if (server->learnedAt != m_server.learnedAt && server->coldRemaining.count() > 0) {
@@ -601,9 +603,10 @@
         settleLink(call, reply.answer.body.size(), now);
     }
     if (call.isRunning) {
+        const auto onCalls = m_runningRequests.timeOnCalls(call.frame.requestId);
         m_runningRequests.remove(call.frame.requestId);
         m_admission.finished(outcome, std::chrono::duration_cast<Micros>(now - call.handedOverAt),
-                             now, call.frame.route);
+                             now, call.frame.route, onCalls);
     }
     reply.load = load(now);
     logGateEnd(call.frame, reply, m_server.id, millisBetween(call.arrivedAt, now),
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -99,6 +99,14 @@
         return m_runningRequests.find(requestId);
     }
 
+    /*! @brief Records a call that the server made for a request that it runs. */
+    void onNestedCallEnded(const std::string &parentId, TimePoint begunAt, TimePoint now)
+    {
+        m_runningRequests.onCallEnded(parentId, begunAt, now);
+    }
+    /*! @return Number of calls that the server gets at a time. */
+    [[nodiscard]] int concurrency(TimePoint now) const { return m_admission.concurrency(now); }
+
     /*! @return Median rank of the running calls, or nothing if no call is running. Calls that the
      * server itself sends get this rank. */
     [[nodiscard]] std::optional<int> medianRunningRank() const;
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -219,6 +219,7 @@
         gauge("link_frame_bytes_total", m_peers.frameBytes());
         gauge("caller_unsent_bytes", callerBytes());
         gauge("link_unsent_bytes", m_peers.unsentBytes());
+        gauge("gate_concurrency_limit", m_gate.concurrency(bootNow()));
         gauge("request_body_bytes", m_bodies.heldBytes());
         gauge("request_body_limit_bytes", m_bodies.limit());
         const auto usage = processUsage();
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -208,6 +208,7 @@
     call.arrivedAt = now;
     call.callerDeadline = callerDeadline;
     call.digest = digest;
+    call.parentId = parent ? metadata.parentId : std::string{};
     call.frame.id = id;
     call.frame.route = static_cast<std::uint32_t>(stableHash(route->name));
     call.frame.answerBytes = static_cast<std::uint32_t>(
@@ -582,6 +583,9 @@
 
 void RequestDispatcher::removeCall(const Call &call)
 {
+    if (!call.parentId.empty()) {
+        m_dependencies.gate.onNestedCallEnded(call.parentId, call.arrivedAt, bootNow());
+    }
     m_callIdsByResponse.erase({call.response.connection(), call.response.id()});
     m_calls.erase(call.id);
 }
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -131,6 +131,7 @@
         Address peer; /*!< Node of the gate that was offered the call last; the host is empty for
                          the local gate. */
         TimePoint callerDeadline;
+        std::string parentId; /*!< Request that the own server sent it for, if it runs. */
         std::uint64_t digest = 0; /*!< Recognizes the request if its caller returns. */
         bool isOnSilentLink = false; /*!< Sent on a link that has become silent since. */
         bool isStreaming = false; /*!< The body of the answer arrives in parts. */
--- a/src/celeryramp/engine/settings_reader.cpp
+++ b/src/celeryramp/engine/settings_reader.cpp
@@ -9,6 +9,7 @@
 
 #include <toml++/toml.h>
 
+#include "admission/concurrency_limit.h"
 #include "core/duration.h"
 
 namespace celeryramp::engine {
@@ -211,6 +212,12 @@
         }
         settings.engine.linkMegabits = *megabits;
     }
+    if (table.contains("concurrency") && !internal::isUnset(table["concurrency"])) {
+        settings.engine.concurrency = table["concurrency"].value_or(std::string{});
+        if (!admission::makeConcurrencyLimit(settings.engine.concurrency)) {
+            return SettingsError{"concurrency", "not one of published, throughput"};
+        }
+    }
     if (const auto level = table["log_level"].value<std::string>(); level
         && !internal::isUnset(table["log_level"]) && !parseLogLevel(*level, settings.logLevel)) {
         return SettingsError{"log_level", "not one of debug, info, warn, error"};
--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -128,9 +128,10 @@
     const auto shareLeft = [preceding](double capacity) {
         return std::max(internal::kMinShare, 1.0 - preceding / capacity);
     };
-    const int free = std::max(0, m_slots - m_running);
+    const int slots = call.isNested ? m_slots : concurrency(now);
+    const int free = std::max(0, slots - m_running);
     if (ahead >= static_cast<std::size_t>(free)) {
-        const double perSecond = m_slots * 1000.0 / std::max(1.0, m_serviceMillis);
+        const double perSecond = slots * 1000.0 / std::max(1.0, m_serviceMillis);
         const auto excess = static_cast<double>(ahead - static_cast<std::size_t>(free) + 1);
         millis = excess * 1000.0 / perSecond / shareLeft(perSecond);
     }
@@ -183,6 +184,9 @@
     const auto it = std::min_element(
             m_waiting.begin(), m_waiting.end(),
             [&](const GateCall &a, const GateCall &b) { return precedes(a, b, now); });
+    if (!it->isNested && m_running >= concurrency(now)) {
+        return std::nullopt;
+    }
     const auto ticket = it->ticket;
     auto &rate = m_startRates[precedence(*it, now)];
     rate = {rateAt(rate, now) + 1.0 / internal::kStartRateSeconds, now};
@@ -234,8 +238,12 @@
     return sum;
 }
 
-void ServerGate::finished(HandoverOutcome outcome, Micros spent, TimePoint now, std::uint32_t route)
+void ServerGate::finished(HandoverOutcome outcome, Micros spent, TimePoint now, std::uint32_t route,
+                          Micros onCalls)
 {
+    if (outcome == HandoverOutcome::Served) {
+        m_concurrency->onAnswer({route, m_running, std::max(Micros{0}, spent - onCalls)}, now);
+    }
     m_running = std::max(0, m_running - 1);
     const double millis = static_cast<double>(spent.count()) / 1000.0;
     const bool isHung = outcome == HandoverOutcome::Cancelled
--- a/src/celeryramp/proxy/server_gate.h
+++ b/src/celeryramp/proxy/server_gate.h
@@ -3,11 +3,13 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "admission/concurrency_limit.h"
 #include "admission/link_budget.h"
 #include "admission/service_times.h"
 #include "core/time.h"
@@ -65,6 +67,20 @@
      * server is cold; 0 for no limit. */
     void setServer(int slots, double coldPerSecond);
 
+    /*! @brief Limits the running calls to what the server takes well. Nested calls may take all
+     * slots, since running calls wait for them. */
+    void setConcurrencyLimit(std::unique_ptr<admission::ConcurrencyLimit> limit)
+    {
+        m_concurrency = std::move(limit);
+    }
+    /*! @brief Forgets what an earlier incarnation of the server took well. */
+    void onServerRestarted() { m_concurrency->reset(); }
+    /*! @return Number of calls that the server gets at a time. */
+    [[nodiscard]] int concurrency(TimePoint now) const
+    {
+        return m_concurrency->limit(m_slots, now);
+    }
+
     /*! @brief Refuses all calls with this reason from now on; `None` reopens the gate. */
     void setClosed(Reason reason) noexcept { m_closedReason = reason; }
     [[nodiscard]] Reason closedReason() const noexcept { return m_closedReason; }
@@ -85,7 +101,9 @@
     [[nodiscard]] std::vector<GateRefusal> expire(TimePoint now);
 
     /*! @brief Records the end of a running call. @param spent Time since it was handed over. */
-    void finished(HandoverOutcome outcome, Micros spent, TimePoint now, std::uint32_t route = 0);
+    /*! @param onCalls Part of the time in which it waited for calls that the server made. */
+    void finished(HandoverOutcome outcome, Micros spent, TimePoint now, std::uint32_t route = 0,
+                  Micros onCalls = Micros{0});
 
     /*! @return True while calls that could meet their target do not all fit. */
     [[nodiscard]] bool isPressed(TimePoint now) const;
@@ -141,6 +159,8 @@
     RequestRateLimiter m_rate;
     admission::LinkBudget m_link;
     admission::ServiceTimes m_serviceTimes;
+    std::unique_ptr<admission::ConcurrencyLimit> m_concurrency
+            = std::make_unique<admission::PublishedConcurrency>();
     TimePoint m_pressureSince;
     TimePoint m_lastMisfitAt; /*!< When a call that could meet its target was last refused. */
     int m_slots = 1;
--- a/test/admission/running_requests.cpp
+++ b/test/admission/running_requests.cpp
@@ -21,3 +21,16 @@
     REQUIRE_FALSE(running.find("q1"));
     REQUIRE(running.size() == 0);
 }
+
+TEST_CASE("Time that a request waits for its calls counts once for calls at the same time")
+{
+    const TimePoint start{std::chrono::hours{1}};
+    RunningRequests running;
+    running.add("q1", {0, false, start, start + Millis{800}});
+    running.onCallEnded("q1", start + Millis{10}, start + Millis{40});
+    running.onCallEnded("q1", start + Millis{20}, start + Millis{60});
+    running.onCallEnded("q1", start + Millis{100}, start + Millis{110});
+    running.onCallEnded("unknown", start, start + Millis{500});
+    REQUIRE(running.timeOnCalls("q1") == Micros{60'000});
+    REQUIRE(running.timeOnCalls("unknown") == Micros{0});
+}
--- a/test/support/gate_run.h
+++ b/test/support/gate_run.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
-#include <set>
+#include <string>
 #include <vector>
 
 #include "core/random.h"
@@ -22,6 +23,11 @@
     double slowdown = 1.0; /*!< Factor on the service time from `slowFrom` to `slowUntil`. */
     Millis slowFrom{0};
     Millis slowUntil{0};
+    /*! Share of the slots from which each further call slows all that start; 1 for never. */
+    double crowdedFrom = 1.0;
+    double crowding = 0.0; /*!< Added to the factor on the service time at all slots. */
+    std::string strategy = "published"; /*!< See `admission::makeConcurrencyLimit`. */
+    int fixedLimit = 0; /*!< Slots that the gate is told of; 0 for those of the server. */
 };
 
 /*! @brief Result of a run; capacities are those of the server at its usual speed. */
@@ -42,7 +48,8 @@
 {
     const TimePoint start{std::chrono::hours{1}};
     proxy::ServerGate gate;
-    gate.setServer(shape.slots, 0.0);
+    gate.setServer(shape.fixedLimit > 0 ? shape.fixedLimit : shape.slots, 0.0);
+    gate.setConcurrencyLimit(admission::makeConcurrencyLimit(shape.strategy));
     gate.setClosed(proxy::Reason::None);
     RandomEngine random{7};
     GateRunResult result;
@@ -83,8 +90,11 @@
         }
         while (const auto next = gate.next(now)) {
             const bool isSlow = now >= start + shape.slowFrom && now < start + shape.slowUntil;
+            const double share = gate.running() / static_cast<double>(shape.slots);
+            const double crowded = std::max(0.0, share - shape.crowdedFrom)
+                    / std::max(1e-9, 1.0 - shape.crowdedFrom);
             const double millis = shape.serviceMillis * (0.25 + 1.5 * random.unit())
-                    * (isSlow ? shape.slowdown : 1.0);
+                    * (isSlow ? shape.slowdown : 1.0) * (1.0 + shape.crowding * crowded);
             const Micros spent{static_cast<std::int64_t>(millis * 1000.0)};
             ends.emplace(now + std::chrono::duration_cast<TimePoint::duration>(spent),
                          std::make_pair(*next, spent));
