Connections of callers stay within the descriptors, uploads and reports out of range are refused

Cause: nothing bounded the connections of callers; a peer could announce a body so long that the sum wrapped around (found by the test of uploads), and report a wait that no gate can have. Change: max_descriptors; beyond 0.7 of it the connection that is idle or unfinished for longest makes room, or the new one is closed. Sums of the budget cannot wrap; reported waits are clamped.

--- a/src/celeryramp/admission/body_budget.cpp
+++ b/src/celeryramp/admission/body_budget.cpp
@@ -55,11 +55,12 @@
 bool BodyBudget::hold(const Lease &lease, std::size_t bytes, TimePoint now)
 {
     auto &holder = m_state->holders.at(lease.id());
-    const auto held = m_state->held - holder.bytes + bytes;
-    if (bytes > holder.bytes && held + m_state->others > m_state->limit) {
+    const auto others = m_state->held - holder.bytes;
+    const auto taken = std::min(m_state->limit, others + m_state->others);
+    if (bytes > holder.bytes && bytes > m_state->limit - taken) {
         return false;
     }
-    m_state->held = held;
+    m_state->held = others + bytes;
     holder.bytes = bytes;
     holder.progressAt = now;
     return true;
--- a/src/celeryramp/admission/concurrency_limit.cpp
+++ b/src/celeryramp/admission/concurrency_limit.cpp
@@ -41,8 +41,8 @@
     auto &mean = it->second;
     ++mean.samples;
     mean.millis += std::max(1.0 / mean.samples, internal::kRouteWeight) * (millis - mean.millis);
-    const auto running = static_cast<std::size_t>(
-            std::clamp(sample.running, 1, internal::kMaxRunning));
+    const auto running
+            = static_cast<std::size_t>(std::clamp(sample.running, 1, internal::kMaxRunning));
     if (m_levels.size() <= running) {
         m_levels.resize(running + 1);
     }
@@ -54,7 +54,8 @@
 std::optional<double> ThroughputConcurrency::throughput(int running, TimePoint now) const
 {
     const auto i = static_cast<std::size_t>(running);
-    if (i >= m_levels.size() || m_levels[i].weight * decay(m_levels[i], now) < internal::kMinWeight) {
+    if (i >= m_levels.size()
+        || m_levels[i].weight * decay(m_levels[i], now) < internal::kMinWeight) {
         return std::nullopt;
     }
     return running * m_levels[i].weight / m_levels[i].sum;
--- a/src/celeryramp/engine/engine_settings.h
+++ b/src/celeryramp/engine/engine_settings.h
@@ -32,6 +32,7 @@
     Millis grace{6000}; /*!< Time from the stop request until the process is killed. */
     std::size_t memoryBytes = 256U << 20U; /*!< Memory limit of the process. */
     double linkMegabits = 0.0; /*!< Rate of the host's link in Mbit/s; 0 if it is unknown. */
+    std::size_t maxConnections = 0; /*!< Of callers, at a time; 0 for no limit. */
     std::string concurrency = "published"; /*!< See `admission::makeConcurrencyLimit`. */
     double retryRatio = 0.2; /*!< Retries per request, over all nodes. */
 };
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -13,6 +13,7 @@
 #include "engine/call_log.h"
 #include "observe/log.h"
 #include "proxy/frame_codec.h"
+#include "proxy/idle_callers.h"
 #include "proxy/stalled_callers.h"
 
 namespace celeryramp::engine {
@@ -73,6 +74,9 @@
 
 void RequestDispatcher::accept(boost::asio::ip::tcp::socket socket, TimePoint now)
 {
+    if (!makeRoomForConnection(now)) {
+        return; // the socket is closed
+    }
     auto connection = std::make_shared<http::CallerConnection>(std::move(socket), *this, now);
     m_connections.insert(connection);
     if (m_shutdown) {
@@ -81,6 +85,31 @@
     connection->start();
 }
 
+bool RequestDispatcher::makeRoomForConnection(TimePoint now)
+{
+    const auto limit = m_dependencies.settings.maxConnections;
+    if (limit == 0 || m_connections.size() < limit) {
+        return true;
+    }
+    const std::vector<http::CallerConnectionPtr> connections{m_connections.begin(),
+                                                             m_connections.end()};
+    std::vector<proxy::CallerState> states;
+    states.reserve(connections.size());
+    for (const auto &connection : connections) {
+        states.push_back({connection->isUnfinished(), connection->unchangedFor(now)});
+    }
+    const auto replaced = proxy::selectReplacedCaller(states);
+    m_dependencies.metrics
+            .counter(std::string{"connections_closed_total{which=\""} + (replaced ? "idle" : "new")
+                     + "\"}")
+            .add();
+    if (!replaced) {
+        return false;
+    }
+    connections[*replaced]->close();
+    return true;
+}
+
 void RequestDispatcher::refuseRequest(const http::ResponseWriter &response,
                                       const std::string &requestId, int status,
                                       proxy::Reason reason, std::optional<Millis> retryAfter,
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -145,6 +145,9 @@
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
 
+    /*! @brief Keeps the connections within their limit, by closing an idle one.
+     * @return False if a new one has to be closed. */
+    [[nodiscard]] bool makeRoomForConnection(TimePoint now);
     /*! @brief Answers a request that was offered to no gate. */
     void refuseRequest(const http::ResponseWriter &response, const std::string &requestId,
                        int status, proxy::Reason reason, std::optional<Millis> retryAfter,
--- a/src/celeryramp/engine/settings_reader.cpp
+++ b/src/celeryramp/engine/settings_reader.cpp
@@ -26,6 +26,11 @@
 constexpr double kMaxMemoryMegabytes = 1024.0 * 1024.0;
 
 constexpr double kMaxLinkMegabits = 1e6;
+/*! Range of the limit on open descriptors, and the part of it that callers may take. The rest is
+ * for peers, the server and files. */
+constexpr double kMinDescriptors = 64.0;
+constexpr double kMaxDescriptors = 1e7;
+constexpr double kCallerDescriptorShare = 0.7;
 
 struct TextKey
 {
@@ -212,6 +217,15 @@
         }
         settings.engine.linkMegabits = *megabits;
     }
+    if (table.contains("max_descriptors") && !internal::isUnset(table["max_descriptors"])) {
+        const auto descriptors = internal::number(table["max_descriptors"]);
+        if (!descriptors || *descriptors < internal::kMinDescriptors
+            || *descriptors > internal::kMaxDescriptors) {
+            return SettingsError{"max_descriptors", "not in the range from 64 to 10000000"};
+        }
+        settings.engine.maxConnections
+                = static_cast<std::size_t>(*descriptors * internal::kCallerDescriptorShare);
+    }
     if (table.contains("concurrency") && !internal::isUnset(table["concurrency"])) {
         settings.engine.concurrency = table["concurrency"].value_or(std::string{});
         if (!admission::makeConcurrencyLimit(settings.engine.concurrency)) {
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -1,5 +1,6 @@
 #include "proxy/frame_codec.h"
 
+#include <algorithm>
 #include <array>
 
 #include <nlohmann/json.hpp>
@@ -42,6 +43,9 @@
     return headers;
 }
 
+/*! Longest wait that a report can tell; a longer one would only be an error. */
+constexpr int kMaxWaitMillis = 60'000;
+
 /*! The absence of a limit is encoded as -1, as JSON has no infinity. */
 [[nodiscard]] Json rateLimitToJson(const std::optional<double> &limit)
 {
@@ -157,7 +161,7 @@
                   load.at(5).get<int>(),
                   rateLimitFromJson(load, 6),
                   load.size() > 7 && load[7].get<bool>(),
-                  load.size() > 8 ? load[8].get<int>() : 0,
+                  load.size() > 8 ? std::clamp(load[8].get<int>(), 0, kMaxWaitMillis) : 0,
                   load.size() > 9 && load[9].get<bool>()};
     if (frame.kind == ReplyKind::Answer) {
         frame.answer.status = json.at(6).get<int>();
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -22,6 +22,9 @@
     call.isRepeat = true;
     call.rateLimit = 12.5;
     call.mayQueue = false;
+    call.route = 0xfedcba98U;
+    call.answerBytes = 90'000;
+    call.uploadBytes = 60'000'000;
     call.request.method = "PUT";
     call.request.target = "/a/?b";
     call.request.headers = {{"A", "b"}, {"A", std::string{"\xe9", 1}}};
@@ -36,6 +39,9 @@
     REQUIRE(back.isRepeat);
     REQUIRE(back.rateLimit == 12.5);
     REQUIRE_FALSE(back.mayQueue);
+    REQUIRE(back.route == call.route);
+    REQUIRE(back.answerBytes == 90'000);
+    REQUIRE(back.uploadBytes == 60'000'000);
     REQUIRE_FALSE(back.isIdempotent);
     REQUIRE(back.request.body == call.request.body);
     REQUIRE(back.request.headers.at(1).value == call.request.headers.at(1).value);
@@ -43,7 +49,7 @@
     ReplyFrame reply;
     reply.id = 9;
     reply.kind = ReplyKind::Answer;
-    reply.load = {3, 4, 12, 110, -1, 0, kNoRateLimit, true};
+    reply.load = {3, 4, 12, 110, -1, 0, kNoRateLimit, true, 700, true};
     reply.answer.status = 418;
     reply.answer.body = "tea";
     const auto decodedReply = decodeFrame(encodeFrame(reply));
@@ -53,6 +59,28 @@
     REQUIRE(backReply.load.rateWaitMillis == -1);
     REQUIRE(backReply.load.rateLimit == kNoRateLimit);
     REQUIRE(backReply.load.isLeaving);
+    REQUIRE(backReply.load.linkWaitMillis == 700);
+    REQUIRE(backReply.load.isPressed);
+}
+
+TEST_CASE("Parts of request bodies and their credits are unchanged after encoding and decoding")
+{
+    const auto part = decodeFrame(encodeFrame(UploadFrame{7, 65'536, std::string{"\0a", 2}}));
+    REQUIRE(std::get<UploadFrame>(part.value()).id == 7);
+    REQUIRE(std::get<UploadFrame>(part.value()).offset == 65'536);
+    REQUIRE(std::get<UploadFrame>(part.value()).bytes == std::string{"\0a", 2});
+    const auto credit = decodeFrame(encodeFrame(UploadCreditFrame{7, 65'536}));
+    REQUIRE(std::get<UploadCreditFrame>(credit.value()).bytes == 65'536);
+}
+
+TEST_CASE("A wait that no gate can have is not taken from a report")
+{
+    ReplyFrame reply;
+    reply.load.linkWaitMillis = -5;
+    REQUIRE(std::get<ReplyFrame>(decodeFrame(encodeFrame(reply)).value()).load.linkWaitMillis == 0);
+    reply.load.linkWaitMillis = 2'000'000'000;
+    REQUIRE(std::get<ReplyFrame>(decodeFrame(encodeFrame(reply)).value()).load.linkWaitMillis
+            <= 60'000);
 }
 
 TEST_CASE("Removed and empty items are distinct after encoding and decoding")
