--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -164,7 +164,8 @@
                                                          * internal::kAdmissionMargin);
     // A free slot is used for any call that may meet its target. What the server needs is learnt
     // from the calls that it gets, so refusing all of them would keep an outdated estimate.
-    const bool startsAtOnce = isTimely && wait.count() == 0 && linkWait(call, now).count() == 0;
+    const bool isLinkIdle = call.linkBytes == 0 || m_link.wait(now).count() == 0;
+    const bool startsAtOnce = isTimely && wait.count() == 0 && isLinkIdle;
     if (!startsAtOnce && wait > longestWait(call, now)) {
         if (isTimely) {
             onMisfit(now);
--- a/test/proxy/server_gate_overload.cpp
+++ b/test/proxy/server_gate_overload.cpp
@@ -65,3 +65,23 @@
                        start)
             == Reason::None);
 }
+
+TEST_CASE("Pattern: a server that was slow for a while - calls start again and renew its estimate")
+{
+    const TimePoint start{std::chrono::hours{1}};
+    for (const std::size_t linkBytes : {std::size_t{0}, std::size_t{90'000}}) {
+        CAPTURE(linkBytes);
+        ServerGate gate;
+        gate.setServer(5, 0.0);
+        gate.setClosed(Reason::None);
+        gate.link().setRate(14.0);
+        for (int i = 0; i < 100; ++i) {
+            // Three of ten calls were quick, so a call may still meet its target.
+            gate.finished(HandoverOutcome::Served, Micros{i % 10 < 3 ? 50'000 : 900'000}, start, 1);
+        }
+        const GateCall call{
+                1, 2, false, false, start, start + Millis{500}, start + Millis{2000}, 1, linkBytes};
+        REQUIRE(gate.offer(call, start) == Reason::None);
+        REQUIRE(gate.next(start) == 1U);
+    }
+}
