A body behind a request that a server runs is not cut

Cause (by reading the diff): the connection of an unfinished body can carry an earlier request that a server runs; cutting it would have ended that one without an answer. Change: such bodies are protected while the other request is served. Result: tests of the budget and of uploads pass; the new test needs the change.

--- a/src/celeryramp/admission/body_budget.cpp
+++ b/src/celeryramp/admission/body_budget.cpp
@@ -10,7 +10,7 @@
     {
         std::size_t bytes = 0;
         TimePoint progressAt;
-        bool isFinished = false;
+        bool isProtected = false;
     };
 
     std::size_t limit = 0;
@@ -66,9 +66,9 @@
     return true;
 }
 
-void BodyBudget::finish(const Lease &lease)
+void BodyBudget::protect(const Lease &lease, bool isProtected)
 {
-    m_state->holders.at(lease.id()).isFinished = true;
+    m_state->holders.at(lease.id()).isProtected = isProtected;
 }
 
 std::optional<BodyBudget::HolderId> BodyBudget::victim(const Lease &lease, std::size_t bytes,
@@ -79,7 +79,7 @@
     for (const auto &[id, holder] : m_state->holders) {
         const bool isStalled = millisBetween(holder.progressAt, now) >= kStallTime;
         const bool mayBeCut = isStalled || (bytes <= kShortBytes && holder.bytes > bytes);
-        if (id == lease.id() || holder.isFinished || holder.bytes == 0 || !mayBeCut) {
+        if (id == lease.id() || holder.isProtected || holder.bytes == 0 || !mayBeCut) {
             continue;
         }
         if (const std::pair rank{isStalled, holder.bytes}; rank > most) {
--- a/src/celeryramp/admission/body_budget.h
+++ b/src/celeryramp/admission/body_budget.h
@@ -17,7 +17,7 @@
  * Each holder may stay within the limits for one request while all together exceed the memory of
  * the process. A body that does not fit is refused, unless an unfinished one can be cut for it:
  * first those without progress, of these the largest; for a short body also the largest that still
- * makes progress. Finished bodies are never cut, as they may be at a server.
+ * makes progress. Protected bodies are never cut, as they may be at a server.
  */
 class BodyBudget
 {
@@ -57,8 +57,9 @@
     [[nodiscard]] Lease open(TimePoint now);
     /*! @brief Sets the bytes of a holder. @return False, without a change, if they do not fit. */
     [[nodiscard]] bool hold(const Lease &lease, std::size_t bytes, TimePoint now);
-    /*! @brief Marks a body as complete, so that it is not cut. */
-    void finish(const Lease &lease);
+    /*! @brief Keeps a body from being cut, or no longer: one that is complete, or that would take
+     * other requests of its caller with it. */
+    void protect(const Lease &lease, bool isProtected);
     /*! @return The holder to cut for `bytes` of this lease; nothing if it has to be refused. */
     [[nodiscard]] std::optional<HolderId> victim(const Lease &lease, std::size_t bytes,
                                                  TimePoint now) const;
--- a/src/celeryramp/engine/incoming_uploads.cpp
+++ b/src/celeryramp/engine/incoming_uploads.cpp
@@ -11,7 +11,7 @@
         return false;
     }
     // Only an upload that is under way is cut by its sender; the gate never cuts one.
-    m_budget.finish(lease);
+    m_budget.protect(lease, true);
     Upload upload{std::move(call), {}, std::move(lease), now};
     upload.bytes.reserve(upload.call.uploadBytes);
     m_uploads.insert_or_assign(Key{origin, upload.call.id}, std::move(upload));
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -463,6 +463,10 @@
         it = m_bodyLeases.emplace(connection, m_dependencies.bodies.open(now)).first;
     }
     while (!m_dependencies.bodies.hold(it->second, bytes, now)) {
+        for (const auto &[holder, lease] : m_bodyLeases) {
+            // A connection may carry an unfinished request behind one that a server runs.
+            m_dependencies.bodies.protect(lease, !holder->isUnfinished());
+        }
         const auto victim = m_dependencies.bodies.victim(it->second, bytes, now);
         const auto cut = std::find_if(
                 m_bodyLeases.begin(), m_bodyLeases.end(),
@@ -497,7 +501,7 @@
     }
     auto lease = std::move(it->second);
     m_bodyLeases.erase(it);
-    m_dependencies.bodies.finish(lease);
+    m_dependencies.bodies.protect(lease, true);
     return lease;
 }
 
--- a/test/admission/body_budget.cpp
+++ b/test/admission/body_budget.cpp
@@ -45,7 +45,7 @@
     REQUIRE(budget.hold(stopped, 2'000'000, kStart));
     REQUIRE(budget.hold(larger, 3'000'000, kStart));
     REQUIRE(budget.hold(finished, kLong, kStart));
-    budget.finish(finished);
+    budget.protect(finished, true);
     const auto lease = budget.open(kStart);
     REQUIRE_FALSE(budget.hold(lease, 2'000'000, kStart));
     REQUIRE_FALSE(budget.victim(lease, 2'000'000, kStart));
@@ -96,3 +96,16 @@
     last = BodyBudget::Lease{};
     REQUIRE(last.id() == 0);
 }
+
+TEST_CASE("A body behind a request that a server runs is cut only once that has ended")
+{
+    BodyBudget budget{kLimit};
+    const auto behind = budget.open(kStart);
+    REQUIRE(budget.hold(behind, kLimit, kStart));
+    budget.protect(behind, true);
+    const auto lease = budget.open(kStart);
+    const auto later = kStart + 2 * BodyBudget::kStallTime;
+    REQUIRE_FALSE(budget.victim(lease, 1'000, later));
+    budget.protect(behind, false);
+    REQUIRE(budget.victim(lease, 1'000, later) == behind.id());
+}
