--- a/src/celeryramp/admission/returning_callers.cpp
+++ b/src/celeryramp/admission/returning_callers.cpp
@@ -14,7 +14,7 @@
 {
     const auto tolerance = std::chrono::duration_cast<TimePoint::duration>(
             (deadline - now) * internal::kDeadlineTolerance);
-    m_entries[digest] = {target, deadline, deadline + tolerance, m_nextNumber};
+    m_entries[digest] = {target, deadline + tolerance, m_nextNumber};
     m_ages.push_back({digest, m_nextNumber});
     ++m_nextNumber;
     while (m_ages.size() > kMaxEntries) {
--- a/src/celeryramp/admission/returning_callers.h
+++ b/src/celeryramp/admission/returning_callers.h
@@ -47,7 +47,6 @@
     struct Entry
     {
         TimePoint target;
-        TimePoint deadline;
         TimePoint latestReturn; /*!< Deadline beyond which it is another caller. */
         std::uint64_t number = 0;
     };
--- a/src/celeryramp/admission/running_requests.h
+++ b/src/celeryramp/admission/running_requests.h
@@ -14,8 +14,6 @@
 {
     int rank = 0; /*!< Priority; 0 is the most urgent. */
     bool isRepeat = false; /*!< It had reached a server before. */
-    TimePoint target; /*!< Its answer meets the target latency until then. */
-    TimePoint deadline;
 };
 
 /*!
--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -298,9 +298,7 @@
     const auto left = millisBetween(now, call.deadline);
     call.isRunning = true;
     call.handedOverAt = now;
-    m_runningRequests.add(call.frame.requestId,
-                          {call.frame.rank, call.frame.isRepeat, call.arrivedAt + call.frame.target,
-                           call.deadline});
+    m_runningRequests.add(call.frame.requestId, {call.frame.rank, call.frame.isRepeat});
     if (left < internal::kMinServerTime) {
         finish(ticket, proxy::notRunReply(call.frame.id, proxy::Reason::DeadlinePassed),
                proxy::HandoverOutcome::NotSent, now);
--- a/src/celeryramp/links/peer_links.cpp
+++ b/src/celeryramp/links/peer_links.cpp
@@ -25,8 +25,7 @@
 constexpr const char *kIncarnationHeader = "Celeryramp-Incarnation";
 constexpr std::size_t kIncarnationBytes = 8;
 constexpr const char *kPath = "/links";
-/*! Maximum frame size. Long bodies are sent in parts; a whole published state is the longest frame.
- */
+/*! Maximum frame size; the longest frame is a whole published state. */
 constexpr std::size_t kMaxFrameBytes = 8 * 1024 * 1024;
 /*! Read buffer of websocketpp per link; a response of a few KB fits in one read. */
 constexpr std::size_t kReadBufferBytes = 8192;
--- a/src/celeryramp/proxy/server_gate.h
+++ b/src/celeryramp/proxy/server_gate.h
@@ -100,8 +100,11 @@
     /*! @brief Removes the calls that can no longer be served in time. @return The removed calls. */
     [[nodiscard]] std::vector<GateRefusal> expire(TimePoint now);
 
-    /*! @brief Records the end of a running call. @param spent Time since it was handed over. */
-    /*! @param onCalls Part of the time in which it waited for calls that the server made. */
+    /*!
+     * @brief Records the end of a running call.
+     * @param spent Time since it was handed over.
+     * @param onCalls Part of it in which the server waited for calls that it made.
+     */
     void finished(HandoverOutcome outcome, Micros spent, TimePoint now, std::uint32_t route = 0,
                   Micros onCalls = Micros{0});
 
--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -1,10 +1,10 @@
 #include "proxy/server_picker.h"
 
-#include "proxy/frames.h"
-
 #include <algorithm>
 #include <cmath>
 
+#include "proxy/frames.h"
+
 namespace celeryramp::proxy {
 
 namespace internal {
--- a/standin/lab/process_table.cpp
+++ b/standin/lab/process_table.cpp
@@ -91,6 +91,12 @@
     return m_pids.count(name) > 0 && wait(name, 0) == -1;
 }
 
+pid_t ProcessTable::id(const std::string &name) const
+{
+    const auto it = m_pids.find(name);
+    return it == m_pids.end() ? 0 : it->second;
+}
+
 void ProcessTable::kill(const std::string &name)
 {
     const auto it = m_pids.find(name);
--- a/standin/lab/process_table.h
+++ b/standin/lab/process_table.h
@@ -30,6 +30,9 @@
     /*! @return True when it was started and has not ended. */
     [[nodiscard]] bool isRunning(const std::string &name);
 
+    /*! @return Id of a process that was started and not waited for; 0 for any other name. */
+    [[nodiscard]] pid_t id(const std::string &name) const;
+
     /*! @brief Ends one process at once. */
     void kill(const std::string &name);
 
--- a/test/admission/running_requests.cpp
+++ b/test/admission/running_requests.cpp
@@ -7,10 +7,9 @@
 
 TEST_CASE("A call is nested only while the server runs the request that it names")
 {
-    const TimePoint start{std::chrono::hours{1}};
     RunningRequests running;
     REQUIRE_FALSE(running.find("q1"));
-    running.add("q1", {3, true, start, start + Millis{800}});
+    running.add("q1", {3, true});
     const auto parent = running.find("q1");
     REQUIRE(parent);
     REQUIRE(parent->rank == 3);
@@ -26,7 +25,7 @@
 {
     const TimePoint start{std::chrono::hours{1}};
     RunningRequests running;
-    running.add("q1", {0, false, start, start + Millis{800}});
+    running.add("q1", {0, false});
     running.onCallEnded("q1", start + Millis{10}, start + Millis{40});
     running.onCallEnded("q1", start + Millis{20}, start + Millis{60});
     running.onCallEnded("q1", start + Millis{100}, start + Millis{110});
--- a/test/crowd/crowd_site.cpp
+++ b/test/crowd/crowd_site.cpp
@@ -40,19 +40,6 @@
     return "node-" + std::to_string(index);
 }
 
-/*! @return Process id of a child that runs a program with this settings file, or 0. */
-int findProcess(const std::string &settings)
-{
-    for (const auto &entry : std::filesystem::directory_iterator{"/proc"}) {
-        std::ifstream file{entry.path() / "cmdline", std::ios::binary};
-        const std::string line{std::istreambuf_iterator<char>{file}, {}};
-        if (line.find(settings) != std::string::npos) {
-            return std::atoi(entry.path().filename().c_str());
-        }
-    }
-    return 0;
-}
-
 } // namespace
 
 void CrowdCaller::start(const Address &address, std::size_t pieces,
@@ -230,7 +217,7 @@
     constexpr std::size_t kBytesPerKilobyte = 1024;
     std::size_t most = 0;
     for (const int index : {0, 1}) {
-        const auto pid = findProcess(m_directory + "/" + nodeName(index) + ".toml");
+        const auto pid = m_processes.id(nodeName(index));
         std::ifstream status{"/proc/" + std::to_string(pid) + "/status"};
         for (std::string word; status >> word;) {
             if (std::size_t n = 0; word == "VmHWM:" && status >> n) {
@@ -245,7 +232,7 @@
 {
     std::size_t most = 0;
     for (const int index : {0, 1}) {
-        const auto pid = findProcess(m_directory + "/" + nodeName(index) + ".toml");
+        const auto pid = m_processes.id(nodeName(index));
         std::error_code ec;
         const std::filesystem::directory_iterator files{"/proc/" + std::to_string(pid) + "/fd", ec};
         if (!ec) {
