Read again: overload, retried requests and sustained concurrency by their usual names; one model of a link

The scheduler of bodies had a second leaky bucket beside that of admission::LinkBudget. Change: renames; BodyScheduler uses LinkBudget, with its share of the link for answers.

--- a/src/celeryramp/admission/concurrency_limit.h
+++ b/src/celeryramp/admission/concurrency_limit.h
@@ -11,7 +11,7 @@
 
 namespace celeryramp::admission {
 
-/*! @brief An ended call, as evidence of what a backend server takes well. */
+/*! @brief An ended call, as evidence of the concurrency that a backend server sustains. */
 struct ConcurrencySample
 {
     std::uint32_t route = 0;
@@ -31,7 +31,7 @@
     virtual void reset() = 0;
 };
 
-/*! @brief Takes the published slots for what the server takes well. */
+/*! @brief Uses the published slots as the limit. */
 class PublishedConcurrency final : public ConcurrencyLimit
 {
 public:
@@ -45,8 +45,7 @@
  *
  * Service times are compared with the mean of their route, so that unlike work does not look like
  * load. It begins with half of the slots and tries the neighbours of the best known concurrency
- * while nothing recent is known of them, which follows a server that changes. Without pressure
- * fewer calls run than the limit allows, and it stays where it is.
+ * while nothing recent is known of them, which follows a server that changes.
  */
 class ThroughputConcurrency final : public ConcurrencyLimit
 {
--- a/src/celeryramp/admission/fwd.h
+++ b/src/celeryramp/admission/fwd.h
@@ -7,7 +7,7 @@
 class ConcurrencyLimit;
 struct ConcurrencySample;
 class LinkBudget;
-class ReturningCallers;
+class RefusedRequests;
 struct RunningRequest;
 class RunningRequests;
 class ServiceTimeDistribution;
--- a/src/celeryramp/admission/link_budget.h
+++ b/src/celeryramp/admission/link_budget.h
@@ -28,8 +28,6 @@
     [[nodiscard]] Millis wait(TimePoint now) const;
     /*! @return Time that the link needs for these bytes alone. */
     [[nodiscard]] Millis transfer(std::size_t bytes) const;
-    /*! @return Bytes per millisecond that answers may take of the link; 0 if it is unknown. */
-    [[nodiscard]] double bytesPerMilli() const noexcept { return m_bytesPerMilli; }
     [[nodiscard]] bool isLimited() const noexcept { return m_bytesPerMilli > 0.0; }
 
 private:
--- a/src/celeryramp/admission/returning_callers.cpp
+++ b/src/celeryramp/admission/refused_requests.cpp
@@ -1,4 +1,4 @@
-#include "admission/returning_callers.h"
+#include "admission/refused_requests.h"
 
 namespace celeryramp::admission {
 
@@ -9,8 +9,8 @@
 
 } // namespace internal
 
-void ReturningCallers::onRefused(std::uint64_t digest, TimePoint target, TimePoint deadline,
-                                 TimePoint now)
+void RefusedRequests::onRefused(std::uint64_t digest, TimePoint target, TimePoint deadline,
+                                TimePoint now)
 {
     const auto tolerance = std::chrono::duration_cast<TimePoint::duration>(
             (deadline - now) * internal::kDeadlineTolerance);
@@ -27,8 +27,8 @@
     }
 }
 
-std::optional<TimePoint> ReturningCallers::take(std::uint64_t digest, TimePoint deadline,
-                                                TimePoint now)
+std::optional<TimePoint> RefusedRequests::take(std::uint64_t digest, TimePoint deadline,
+                                               TimePoint now)
 {
     const auto it = m_entries.find(digest);
     if (it == m_entries.end() || now >= it->second.latestReturn
@@ -40,7 +40,7 @@
     return target;
 }
 
-void ReturningCallers::sweep(TimePoint now)
+void RefusedRequests::sweep(TimePoint now)
 {
     while (!m_ages.empty()) {
         const auto it = m_entries.find(m_ages.front().digest);
--- a/src/celeryramp/admission/returning_callers.h
+++ b/src/celeryramp/admission/refused_requests.h
@@ -11,12 +11,13 @@
 namespace celeryramp::admission {
 
 /*!
- * @brief Requests that a node has refused, so that it knows them when their callers return.
+ * @brief Requests that a node has refused, so that it knows them when they are retried.
  *
- * A caller that returns has waited since its first attempt, and its target counts from there. A
- * node that took it for new would prefer it to requests that can still meet their target.
+ * The caller of a retried request has waited since its first attempt, and its target counts from
+ * there. A node that took the request for a new one would prefer it to requests that can still meet
+ * their target.
  */
-class ReturningCallers
+class RefusedRequests
 {
 public:
     /*! Refused requests that are remembered; the oldest are forgotten first. */
@@ -26,14 +27,14 @@
      * @brief Remembers a refused request.
      * @param digest See `proxy::requestDigest`.
      * @param target Latest time of an answer within the target of the first attempt.
-     * @param deadline Time until which its caller may return.
+     * @param deadline Time until which its caller may retry it.
      */
     void onRefused(std::uint64_t digest, TimePoint target, TimePoint deadline, TimePoint now);
 
     /*!
      * @param deadline Until when the caller waits. Another caller with the same request waits
      * longer than the refused one.
-     * @return Target of the first attempt if the request was refused before and this is its return;
+     * @return Target of the first attempt if the request was refused before and this is a retry;
      * the entry is removed then.
      */
     [[nodiscard]] std::optional<TimePoint> take(std::uint64_t digest, TimePoint deadline,
--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -89,7 +89,7 @@
 {
     m_admission.link().setRate(settings.linkMegabits);
     m_admission.setConcurrencyLimit(admission::makeConcurrencyLimit(settings.concurrency));
-    m_bodyScheduler.setRate(m_admission.link().bytesPerMilli());
+    m_bodyScheduler.setRate(settings.linkMegabits);
 }
 
 proxy::Reason BackendGate::reasonToClose() const
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -211,7 +211,7 @@
     const auto digest = proxy::requestDigest(account != nullptr ? account->name : "", request);
     policy.target
             = now + (route->targetLatency.count() > 0 ? route->targetLatency : route->timeout);
-    if (const auto first = m_returningCallers.take(digest, callerDeadline, now)) {
+    if (const auto first = m_refusedRequests.take(digest, callerDeadline, now)) {
         policy.target = std::min(policy.target, *first);
     }
     policy.deadline = deadline;
@@ -626,8 +626,8 @@
 void RequestDispatcher::giveUp(Call &call, const proxy::GiveUpStep &step, TimePoint now)
 {
     if (step.retryAfter) {
-        m_returningCallers.onRefused(call.digest, call.dispatcher.policy().target,
-                                     call.callerDeadline, now);
+        m_refusedRequests.onRefused(call.digest, call.dispatcher.policy().target,
+                                    call.callerDeadline, now);
     }
     answer(call,
            m_dependencies.headerAdapter.localAnswer(
@@ -855,7 +855,7 @@
 void RequestDispatcher::sweep(TimePoint now)
 {
     m_serverPicker.sweep(now);
-    m_returningCallers.sweep(now);
+    m_refusedRequests.sweep(now);
     for (auto it = m_leavingNodes.begin(); it != m_leavingNodes.end();) {
         it = millisBetween(it->second, now) > internal::kLeavingNodeTtl ? m_leavingNodes.erase(it)
                                                                         : std::next(it);
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -12,7 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "admission/body_budget.h"
-#include "admission/returning_callers.h"
+#include "admission/refused_requests.h"
 #include "core/random.h"
 #include "engine/backend_gate.h"
 #include "engine/peer_coordinator.h"
@@ -203,7 +203,7 @@
     proxy::SplitChooser m_splitChooser;
     proxy::ServerPicker m_serverPicker;
     proxy::AnswerSizes m_answerSizes;
-    admission::ReturningCallers m_returningCallers;
+    admission::RefusedRequests m_refusedRequests;
     RetryBudget m_retryBudget;
     RandomEngine m_random;
     std::map<std::uint64_t, Call> m_calls;
--- a/src/celeryramp/proxy/body_scheduler.cpp
+++ b/src/celeryramp/proxy/body_scheduler.cpp
@@ -12,7 +12,7 @@
  *  in 80 ms, and one of 100 Mbit/s with a round trip of 5 ms is kept busy. */
 constexpr std::size_t kLinkWindowBytes = 96 * 1024;
 /*! Time in which a link of known rate sends what may be under way on it. */
-constexpr double kBurstMillis = 20.0;
+constexpr Millis kBurstTime{20};
 /*! Bytes of one frame. */
 constexpr std::size_t kPieceBytes = 16 * 1024;
 /*! Time without a credit after which a receiver no longer holds up the others. */
@@ -92,11 +92,6 @@
     return body.underWay > 0 && millisBetween(body.progressAt, now) > internal::kStallTime;
 }
 
-double BodyScheduler::debtAt(TimePoint now) const
-{
-    return std::max(0.0, m_debt - secondsBetween(m_debtAt, now) * 1000.0 * m_bytesPerMilli);
-}
-
 bool BodyScheduler::mayProceed(const Body &body, TimePoint now) const
 {
     return body.available > 0 && body.underWay < kBodyWindowBytes && !isStalled(body, now);
@@ -107,11 +102,10 @@
     const bool isWaiting = std::any_of(m_bodies.begin(), m_bodies.end(), [&](const Body &body) {
         return body.isOnLink && mayProceed(body, now);
     });
-    if (m_bytesPerMilli <= 0.0 || !isWaiting) {
+    if (!m_sent.isLimited() || !isWaiting) {
         return std::nullopt;
     }
-    const double excess = debtAt(now) / m_bytesPerMilli - internal::kBurstMillis;
-    return Millis{static_cast<std::int64_t>(std::max(0.0, excess)) + 1};
+    return std::max(Millis{0}, m_sent.wait(now) - internal::kBurstTime) + Millis{1};
 }
 
 std::optional<BodyScheduler::Grant> BodyScheduler::next(TimePoint now)
@@ -120,9 +114,8 @@
     for (const auto &body : m_bodies) {
         underWay += body.isOnLink && !isStalled(body, now) ? body.underWay : 0;
     }
-    const bool hasLinkRoom = m_bytesPerMilli > 0.0
-            ? debtAt(now) <= m_bytesPerMilli * internal::kBurstMillis
-            : underWay < internal::kLinkWindowBytes;
+    const bool hasLinkRoom = m_sent.isLimited() ? m_sent.wait(now) <= internal::kBurstTime
+                                                : underWay < internal::kLinkWindowBytes;
     for (auto &body : m_bodies) {
         if (!mayProceed(body, now) || (body.isOnLink && !hasLinkRoom)) {
             continue;
@@ -134,8 +127,7 @@
         body.available -= n;
         body.underWay += n;
         if (body.isOnLink) {
-            m_debt = debtAt(now) + static_cast<double>(n);
-            m_debtAt = now;
+            m_sent.reserve(n, now);
         }
         return Grant{body.key, n};
     }
--- a/src/celeryramp/proxy/body_scheduler.h
+++ b/src/celeryramp/proxy/body_scheduler.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <utility>
 
+#include "admission/link_budget.h"
 #include "core/time.h"
 
 namespace celeryramp::proxy {
@@ -37,9 +38,9 @@
     /*!
      * @brief Sends at the rate of the link instead of by what receivers acknowledge. Callers that
      * read slowly then hold up nobody else, and still little is under way at a time.
-     * @param bytesPerMilli Rate of the link; 0 if it is unknown.
+     * @param megabits Rate of the link in Mbit/s; 0 if it is unknown.
      */
-    void setRate(double bytesPerMilli) noexcept { m_bytesPerMilli = bytesPerMilli; }
+    void setRate(double megabits) { m_sent.setRate(megabits); }
 
     /*! @return Time until the rate allows the next piece; nothing if no body waits for it. */
     [[nodiscard]] std::optional<Millis> pause(TimePoint now) const;
@@ -78,13 +79,10 @@
 
     [[nodiscard]] bool isStalled(const Body &body, TimePoint now) const;
 
-    [[nodiscard]] double debtAt(TimePoint now) const;
     /*! @return True if this body may send a piece as far as its receiver is concerned. */
     [[nodiscard]] bool mayProceed(const Body &body, TimePoint now) const;
 
-    double m_bytesPerMilli = 0.0;
-    double m_debt = 0.0; /*!< Bytes sent that the link has still to work off, at `m_debtAt`. */
-    TimePoint m_debtAt;
+    admission::LinkBudget m_sent; /*!< Bytes sent that the link has still to work off. */
     std::list<Body> m_bodies; /*!< In the order of their beginning. */
     std::map<Key, std::list<Body>::iterator> m_byKey;
 };
--- a/src/celeryramp/proxy/call_dispatcher.cpp
+++ b/src/celeryramp/proxy/call_dispatcher.cpp
@@ -24,7 +24,7 @@
 /*! Retry delay while a server has restarted and is not published yet. */
 constexpr Millis kUnpublishedRetryAfter{500};
 /*! Longest addition to the retry delay, as a share of it. */
-constexpr double kReturnSpread = 1.0;
+constexpr double kRetryJitter = 1.0;
 constexpr int kServerErrorStatus = 500;
 constexpr int kBadGatewayStatus = 502;
 constexpr int kUnavailableStatus = 503;
@@ -182,15 +182,15 @@
     }
 }
 
-Millis CallDispatcher::returnDelay() const
+Millis CallDispatcher::jitteredRetryDelay() const
 {
     const auto delay = std::max(m_retryAfter, internal::kMinRetryAfter);
     if (m_lastReason != Reason::Busy) {
         return delay;
     }
-    // Without spread, all callers that are refused in a moment would return in one.
+    // Without jitter, all callers that are refused in a moment would retry in one.
     return Millis{std::lround(static_cast<double>(delay.count())
-                              * (1.0 + internal::kReturnSpread * m_policy.jitter))};
+                              * (1.0 + internal::kRetryJitter * m_policy.jitter))};
 }
 
 GiveUpStep CallDispatcher::giveUp() const
@@ -201,7 +201,7 @@
     if (m_mayHaveRun && m_policy.reportsUnknown) {
         return {internal::kBadGatewayStatus, m_lastReason, std::nullopt};
     }
-    return {internal::kUnavailableStatus, m_lastReason, returnDelay()};
+    return {internal::kUnavailableStatus, m_lastReason, jitteredRetryDelay()};
 }
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/call_dispatcher.h
+++ b/src/celeryramp/proxy/call_dispatcher.h
@@ -23,8 +23,8 @@
     bool maySpill = true; /*!< Servers of other zones may be used to meet the target. */
     bool reportsUnknown = true; /*!< False: failures count as not run, for tests of the checks. */
     std::size_t answerBytes = 0; /*!< Expected length of the answer. */
-    bool isNested = false; /*!< Gates serve it before others, also while they are pressed. */
-    double jitter = 0.0; /*!< From 0 to 1; spreads the return of callers that are refused. */
+    bool isNested = false; /*!< Gates serve it before others, also while they are overloaded. */
+    double jitter = 0.0; /*!< From 0 to 1; spreads the retries of refused callers. */
 };
 
 /*! @brief Next step of a call: offer it to the gate of this server. */
@@ -118,8 +118,8 @@
     [[nodiscard]] CallStep onNotRun(const ReplyFrame &reply, const DispatchContext &context,
                                     TimePoint now);
     [[nodiscard]] GiveUpStep giveUp() const;
-    /*! @return Time after which a refused caller is told to return. */
-    [[nodiscard]] Millis returnDelay() const;
+    /*! @return Time after which a refused caller is told to retry. */
+    [[nodiscard]] Millis jitteredRetryDelay() const;
 
     CallPolicy m_policy;
     std::set<std::string>
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -121,11 +121,11 @@
     out.push_back(static_cast<int>(frame.kind));
     out.push_back(static_cast<int>(frame.reason));
     out.push_back(frame.reachedServer);
-    out.push_back(
-            Json::array({frame.load.running, frame.load.waiting, frame.load.slots,
-                         frame.load.serviceMillis, frame.load.rateWaitMillis,
-                         frame.load.failurePercent, rateLimitToJson(frame.load.rateLimit),
-                         frame.load.isLeaving, frame.load.linkWaitMillis, frame.load.isPressed}));
+    out.push_back(Json::array({frame.load.running, frame.load.waiting, frame.load.slots,
+                               frame.load.serviceMillis, frame.load.rateWaitMillis,
+                               frame.load.failurePercent, rateLimitToJson(frame.load.rateLimit),
+                               frame.load.isLeaving, frame.load.linkWaitMillis,
+                               frame.load.isOverloaded}));
     if (frame.kind == ReplyKind::Answer) {
         out.push_back(frame.answer.status);
         out.push_back(binary(frame.answer.reason));
--- a/src/celeryramp/proxy/gate_load.h
+++ b/src/celeryramp/proxy/gate_load.h
@@ -18,7 +18,7 @@
                                         `kNoRateLimit`; empty if the gate has no answer of it. */
     bool isLeaving = false; /*!< The server has announced in an answer that it leaves. */
     int linkWaitMillis = 0; /*!< Time that a long answer waits for the link of the node. */
-    bool isPressed = false; /*!< Calls that could meet their target do not all fit. */
+    bool isOverloaded = false; /*!< Calls that could meet their target do not all fit. */
 };
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -32,11 +32,11 @@
 constexpr double kLikelyServiceShare = 0.75;
 /*! Longest wait of a new call as a part of the time that it can spare before its target. */
 constexpr double kSpareShare = 0.5;
-/*! Time without a refusal of a call that could meet its target after which pressure is over. */
-constexpr Millis kPressureGap{250};
+/*! Time without a refusal of a call that could meet its target after which the overload is over. */
+constexpr Millis kOverloadGap{250};
 /*! Time for which such refusals go on before late calls are not admitted. A burst that ends sooner
  *  leaves room for late answers behind it. */
-constexpr Millis kPressureOnset{200};
+constexpr Millis kOverloadOnset{200};
 
 } // namespace internal
 
@@ -83,7 +83,7 @@
         // A link sends in order, so late answers on it would make those behind them late as well.
         return Millis{-1};
     }
-    if (call.isNested || isLateWork || (call.mayBeLate && !isPressed(now))) {
+    if (call.isNested || isLateWork || (call.mayBeLate && !isOverloaded(now))) {
         return millisBetween(now, latestStart(call)) - sending;
     }
     const auto spare = millisBetween(now, call.target) - likelyServiceTime(call) - sending;
@@ -91,18 +91,18 @@
                           : std::chrono::duration_cast<Millis>(spare * internal::kSpareShare);
 }
 
-bool ServerGate::isPressed(TimePoint now) const
+bool ServerGate::isOverloaded(TimePoint now) const
 {
-    return millisBetween(m_lastMisfitAt, now) <= internal::kPressureGap
-            && millisBetween(m_pressureSince, m_lastMisfitAt) >= internal::kPressureOnset;
+    return millisBetween(m_timelyRefusedAt, now) <= internal::kOverloadGap
+            && millisBetween(m_overloadSince, m_timelyRefusedAt) >= internal::kOverloadOnset;
 }
 
-void ServerGate::onMisfit(TimePoint now)
+void ServerGate::onTimelyRefused(TimePoint now)
 {
-    if (millisBetween(m_lastMisfitAt, now) > internal::kPressureGap) {
-        m_pressureSince = now;
+    if (millisBetween(m_timelyRefusedAt, now) > internal::kOverloadGap) {
+        m_overloadSince = now;
     }
-    m_lastMisfitAt = now;
+    m_timelyRefusedAt = now;
 }
 
 ServerGate::Precedence ServerGate::precedence(const GateCall &call, TimePoint now) const
@@ -154,7 +154,7 @@
         return Reason::DeadlinePassed;
     }
     const bool isTimely = !call.isNested && !isLate(call, now);
-    if (!call.isNested && !isTimely && isPressed(now)) {
+    if (!call.isNested && !isTimely && isOverloaded(now)) {
         return Reason::Busy;
     }
     const auto ahead = static_cast<std::size_t>(
@@ -168,7 +168,7 @@
     const bool startsAtOnce = isTimely && wait.count() == 0 && isLinkIdle;
     if (!startsAtOnce && wait > longestWait(call, now)) {
         if (isTimely) {
-            onMisfit(now);
+            onTimelyRefused(now);
         }
         return Reason::Busy;
     }
@@ -213,7 +213,7 @@
               [&](const GateCall &a, const GateCall &b) { return precedes(a, b, now); });
     std::vector<GateCall> remaining;
     for (const auto &call : m_waiting) {
-        const bool isUnwanted = !call.isNested && isPressed(now) && isLate(call, now);
+        const bool isUnwanted = !call.isNested && isOverloaded(now) && isLate(call, now);
         if (isUnwanted || now + estimateWait(remaining.size(), call, now) > latestStart(call)) {
             refusals.push_back({call.ticket, Reason::Busy});
         } else {
@@ -308,7 +308,7 @@
             m_rate.perSecond(),
             false,
             static_cast<int>(m_link.wait(now).count()),
-            isPressed(now)};
+            isOverloaded(now)};
 }
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/server_gate.h
+++ b/src/celeryramp/proxy/server_gate.h
@@ -67,13 +67,13 @@
      * server is cold; 0 for no limit. */
     void setServer(int slots, double coldPerSecond);
 
-    /*! @brief Limits the running calls to what the server takes well. Nested calls may take all
-     * slots, since running calls wait for them. */
+    /*! @brief Limits the running calls to the concurrency that the server sustains. Nested calls
+     * may take all slots, since running calls wait for them. */
     void setConcurrencyLimit(std::unique_ptr<admission::ConcurrencyLimit> limit)
     {
         m_concurrency = std::move(limit);
     }
-    /*! @brief Forgets what an earlier incarnation of the server took well. */
+    /*! @brief Forgets the concurrency that an earlier incarnation of the server sustained. */
     void onServerRestarted() { m_concurrency->reset(); }
     /*! @return Number of calls that the server gets at a time. */
     [[nodiscard]] int concurrency(TimePoint now) const
@@ -109,7 +109,7 @@
                   Micros onCalls = Micros{0});
 
     /*! @return True while calls that could meet their target do not all fit. */
-    [[nodiscard]] bool isPressed(TimePoint now) const;
+    [[nodiscard]] bool isOverloaded(TimePoint now) const;
 
     /*! @brief Removes a queued call. @return False if it was not in the queue. */
     bool cancel(std::uint64_t ticket);
@@ -134,7 +134,7 @@
     /*! @return Longest wait with which a new call is admitted; negative if it is not. */
     [[nodiscard]] Millis longestWait(const GateCall &call, TimePoint now) const;
     /*! @brief Records the refusal of a call that could have met its target. */
-    void onMisfit(TimePoint now);
+    void onTimelyRefused(TimePoint now);
     [[nodiscard]] Millis linkWait(const GateCall &call, TimePoint now) const;
     /*! Order of service: nested, timely or late, then the rank. */
     using Precedence = std::pair<int, int>;
@@ -164,8 +164,8 @@
     admission::ServiceTimes m_serviceTimes;
     std::unique_ptr<admission::ConcurrencyLimit> m_concurrency
             = std::make_unique<admission::PublishedConcurrency>();
-    TimePoint m_pressureSince;
-    TimePoint m_lastMisfitAt; /*!< When a call that could meet its target was last refused. */
+    TimePoint m_overloadSince;
+    TimePoint m_timelyRefusedAt; /*!< When a call that could meet its target was last refused. */
     int m_slots = 1;
     double m_coldPerSecond = 0.0;
     int m_running = 0;
--- a/src/celeryramp/proxy/server_picker.cpp
+++ b/src/celeryramp/proxy/server_picker.cpp
@@ -30,8 +30,8 @@
 /*! Multiple of the mean service time within which three of four calls end, with a usual
  *  distribution. */
 constexpr double kLikelyServiceFactor = 1.2;
-/*! A zone is pressed if more than this share of the weight of its reports says so. */
-constexpr double kPressedShare = 0.5;
+/*! A zone is overloaded if more than this share of the weight of its reports says so. */
+constexpr double kOverloadedShare = 0.5;
 /*! Weight of a report above which it outweighs those of the rest of the zone. */
 constexpr double kFreshReport = 0.7;
 /*! Randomly drawn candidates that are compared, in the local zone and in all others. */
@@ -94,34 +94,35 @@
     return summary;
 }
 
-std::set<std::string> ServerPicker::findPressedZones(const std::vector<Entry> &entries,
-                                                     TimePoint now)
+std::set<std::string> ServerPicker::findOverloadedZones(const std::vector<Entry> &entries,
+                                                        TimePoint now)
 {
-    std::map<std::string, std::pair<double, double>> weights; // of all reports, of the pressed ones
+    std::map<std::string, std::pair<double, double>>
+            weights; // of all reports, of those of overload
     for (const auto &entry : entries) {
         if (entry.state != nullptr) {
-            auto &[all, pressed] = weights[entry.candidate->server->zone];
+            auto &[all, overloaded] = weights[entry.candidate->server->zone];
             const double weight = internal::freshness(entry.state->updatedAt, now);
             all += weight;
-            pressed += entry.state->load.isPressed ? weight : 0.0;
+            overloaded += entry.state->load.isOverloaded ? weight : 0.0;
         }
     }
     std::set<std::string> zones;
     for (const auto &[zone, weight] : weights) {
-        if (weight.second > internal::kPressedShare * weight.first) {
+        if (weight.second > internal::kOverloadedShare * weight.first) {
             zones.insert(zone);
         }
     }
     return zones;
 }
 
-bool ServerPicker::isPressed(const Entry &entry, const PoolSummary &summary, TimePoint now)
+bool ServerPicker::isOverloaded(const Entry &entry, const PoolSummary &summary, TimePoint now)
 {
     const double weight
             = entry.state != nullptr ? internal::freshness(entry.state->updatedAt, now) : 0.0;
     return weight > internal::kFreshReport
-            ? entry.state->load.isPressed
-            : summary.pressedZones.count(entry.candidate->server->zone) > 0;
+            ? entry.state->load.isOverloaded
+            : summary.overloadedZones.count(entry.candidate->server->zone) > 0;
 }
 
 bool ServerPicker::isHealthy(const Entry &entry, const PoolSummary &summary)
@@ -176,9 +177,9 @@
 {
     const auto entries = collectEntries(candidates, now);
     auto summary = summarize(entries, now);
-    summary.skipsPressed = requirements.skipsPressed;
-    if (summary.skipsPressed) {
-        summary.pressedZones = findPressedZones(entries, now);
+    summary.skipsOverloaded = requirements.skipsOverloaded;
+    if (summary.skipsOverloaded) {
+        summary.overloadedZones = findOverloadedZones(entries, now);
     }
     summary.answerKb = static_cast<double>(requirements.answerBytes) / internal::kBytesPerKb;
     const auto local = eligible(entries, summary, true, now);
@@ -202,7 +203,7 @@
     std::vector<const Entry *> others;
     for (const auto &entry : entries) {
         const bool isSkipped = entry.candidate->isExcluded
-                || (summary.skipsPressed && isPressed(entry, summary, now));
+                || (summary.skipsOverloaded && isOverloaded(entry, summary, now));
         if (!isSkipped && entry.candidate->isLocalZone == isLocalZone) {
             (isHealthy(entry, summary) ? healthy : others).push_back(&entry);
         }
--- a/src/celeryramp/proxy/server_picker.h
+++ b/src/celeryramp/proxy/server_picker.h
@@ -31,7 +31,7 @@
     Millis left{0}; /*!< Time left until the answer is due. */
     bool maySpill = true; /*!< Other zones may be used if the local one is likely late. */
     std::size_t answerBytes = 0; /*!< Expected length of the answer. */
-    bool skipsPressed = false; /*!< Gates that cannot take all calls in time, by their reports or
+    bool skipsOverloaded = false; /*!< Gates that cannot take all calls in time, by their reports or
                                   by those of most of their zone, are not asked. */
 };
 
@@ -98,8 +98,8 @@
         double remoteUtilization = 0.0;
         double minFailureShare = 1.0;
         double answerKb = 0.0; /*!< Expected length of the answer. */
-        std::set<std::string> pressedZones; /*!< Zones whose recent reports are mostly so. */
-        bool skipsPressed = false; /*!< See `PickRequirements`. */
+        std::set<std::string> overloadedZones; /*!< Zones whose recent reports are mostly so. */
+        bool skipsOverloaded = false; /*!< See `PickRequirements`. */
     };
 
     /*! Expected times of a call at a server, in milliseconds. */
@@ -133,10 +133,10 @@
     [[nodiscard]] Choice pickBest(std::vector<const Entry *> pool, const PoolSummary &summary,
                                   TimePoint now);
     /*! @return True if the gate would likely refuse a call that is in time. */
-    [[nodiscard]] static bool isPressed(const Entry &entry, const PoolSummary &summary,
-                                        TimePoint now);
-    [[nodiscard]] static std::set<std::string> findPressedZones(const std::vector<Entry> &entries,
-                                                                TimePoint now);
+    [[nodiscard]] static bool isOverloaded(const Entry &entry, const PoolSummary &summary,
+                                           TimePoint now);
+    [[nodiscard]] static std::set<std::string>
+    findOverloadedZones(const std::vector<Entry> &entries, TimePoint now);
     [[nodiscard]] static bool isHealthy(const Entry &entry, const PoolSummary &summary);
     [[nodiscard]] static Estimate estimate(const Entry &entry, const PoolSummary &summary,
                                            TimePoint now);
--- a/test/admission/returning_callers.cpp
+++ b/test/admission/refused_requests.cpp
@@ -1,4 +1,4 @@
-#include "admission/returning_callers.h"
+#include "admission/refused_requests.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,9 +13,9 @@
 
 } // namespace
 
-TEST_CASE("Pattern: refused callers return - their target counts from the first attempt")
+TEST_CASE("Pattern: refused requests are retried - their target counts from the first attempt")
 {
-    ReturningCallers callers;
+    RefusedRequests callers;
     callers.onRefused(7, kTarget, kDeadline, kStart);
     const auto now = kStart + Millis{250};
     REQUIRE_FALSE(callers.take(8, kDeadline, now));
@@ -23,9 +23,9 @@
     REQUIRE_FALSE(callers.take(7, kDeadline, now));
 }
 
-TEST_CASE("Another caller with the same request is not taken for a returning one")
+TEST_CASE("Another caller with the same request is not taken for a retry")
 {
-    ReturningCallers callers;
+    RefusedRequests callers;
     callers.onRefused(7, kTarget, kDeadline, kStart);
     const auto now = kStart + Millis{400};
     REQUIRE_FALSE(callers.take(7, now + Millis{1200}, now));
@@ -34,23 +34,23 @@
 
 TEST_CASE("Refused requests are forgotten once their callers no longer wait and beyond a number")
 {
-    ReturningCallers callers;
+    RefusedRequests callers;
     callers.onRefused(7, kTarget, kDeadline, kStart);
     callers.sweep(kStart + Millis{1000});
     REQUIRE(callers.size() == 1);
     callers.sweep(kStart + Millis{1500});
     REQUIRE(callers.size() == 0);
-    for (std::uint64_t i = 0; i < 3 * ReturningCallers::kMaxEntries; ++i) {
+    for (std::uint64_t i = 0; i < 3 * RefusedRequests::kMaxEntries; ++i) {
         callers.onRefused(i, kTarget, kDeadline, kStart);
     }
-    REQUIRE(callers.size() == ReturningCallers::kMaxEntries);
+    REQUIRE(callers.size() == RefusedRequests::kMaxEntries);
     REQUIRE_FALSE(callers.take(0, kDeadline, kStart));
-    REQUIRE(callers.take(3 * ReturningCallers::kMaxEntries - 1, kDeadline, kStart) == kTarget);
+    REQUIRE(callers.take(3 * RefusedRequests::kMaxEntries - 1, kDeadline, kStart) == kTarget);
 }
 
 TEST_CASE("A request that is refused again and again occupies one entry")
 {
-    ReturningCallers callers;
+    RefusedRequests callers;
     for (int i = 0; i < 100; ++i) {
         callers.onRefused(7, kTarget, kDeadline, kStart + Millis{i});
     }
--- a/test/proxy/body_scheduler.cpp
+++ b/test/proxy/body_scheduler.cpp
@@ -25,7 +25,7 @@
 {
     // 14 Mbit/s; nothing of the first bodies is ever acknowledged.
     BodyScheduler scheduler;
-    scheduler.setRate(1750.0);
+    scheduler.setRate(14.0);
     for (std::uint64_t i = 0; i < 8; ++i) {
         scheduler.add({"peer-" + std::to_string(i), i}, true, kStart);
         scheduler.onAvailable({"peer-" + std::to_string(i), i}, 90'000);
--- a/test/proxy/call_dispatcher.cpp
+++ b/test/proxy/call_dispatcher.cpp
@@ -271,25 +271,26 @@
 TEST_CASE("Pattern: overload everywhere - a call is refused after one gate has said so")
 {
     TestService service{"near-1", "near-2", "near-3", "far-1", "far-2", "far-3"};
-    auto pressed = refusal(Reason::Busy);
-    pressed.load.isPressed = true;
+    auto overloaded = refusal(Reason::Busy);
+    overloaded.load.isOverloaded = true;
     int offers = 0;
     for (int i = 0; i < 20; ++i) {
         CallDispatcher dispatcher{policy()};
         auto step = dispatcher.begin(service.dispatchContext(), kStart);
         while (std::holds_alternative<OfferStep>(step)) {
-            step = dispatcher.onReply(pressed, service.dispatchContext(), kStart);
+            step = dispatcher.onReply(overloaded, service.dispatchContext(), kStart);
         }
         offers = dispatcher.offers();
     }
     REQUIRE(offers == 1);
 }
 
-TEST_CASE("Pattern: overload everywhere - calls of running work are still offered to pressed gates")
+TEST_CASE("Pattern: overload everywhere - calls of running work are still offered to overloaded "
+          "gates")
 {
     TestService service{"near-1", "near-2", "near-3"};
-    auto pressed = refusal(Reason::Busy);
-    pressed.load.isPressed = true;
+    auto overloaded = refusal(Reason::Busy);
+    overloaded.load.isOverloaded = true;
     int offers = 0;
     for (int i = 0; i < 20; ++i) {
         auto limits = policy();
@@ -297,7 +298,7 @@
         CallDispatcher dispatcher{limits};
         auto step = dispatcher.begin(service.dispatchContext(), kStart);
         while (std::holds_alternative<OfferStep>(step)) {
-            step = dispatcher.onReply(pressed, service.dispatchContext(), kStart);
+            step = dispatcher.onReply(overloaded, service.dispatchContext(), kStart);
         }
         offers = dispatcher.offers();
     }
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -60,7 +60,7 @@
     REQUIRE(backReply.load.rateLimit == kNoRateLimit);
     REQUIRE(backReply.load.isLeaving);
     REQUIRE(backReply.load.linkWaitMillis == 700);
-    REQUIRE(backReply.load.isPressed);
+    REQUIRE(backReply.load.isOverloaded);
 }
 
 TEST_CASE("Parts of request bodies and their credits are unchanged after encoding and decoding")
--- a/test/proxy/server_concurrency.cpp
+++ b/test/proxy/server_concurrency.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-TEST_CASE("Pattern: a server that slows from 60 % of its slots - it gets what it takes well")
+TEST_CASE("Pattern: a server that slows from 60 % of its slots - it gets what it sustains")
 {
     auto shape = shapeOf(1.5, "throughput");
     shape.crowdedFrom = 0.6;
