Read again: connections, bodies of answers and leaving peers in files of their own; one way to the parent of a call

The median rank of running calls stood beside the request that a call names. A part of an upload that found no room on the link ended the offer as not run; a late refusal of that offer could then have been taken for the reply to a second offer to the same gate. Change: CallerConnections, AnswerBodies, proxy::LeavingPeers, proxy::UploadWindow; RunningRequests tells what is typical where an id names none.

--- a/src/celeryramp/admission/running_requests.h
+++ b/src/celeryramp/admission/running_requests.h
@@ -13,7 +13,7 @@
 struct RunningRequest
 {
     int rank = 0; /*!< Priority; 0 is the most urgent. */
-    bool isRepeat = false; /*!< It had reached a server before. */
+    double repeatShare = 0.0; /*!< Probability that it had reached a server before. */
 };
 
 /*!
@@ -38,6 +38,9 @@
 
     /*! @return The request with this id; nothing if the server does not run it. */
     [[nodiscard]] std::optional<RunningRequest> find(const std::string &requestId) const;
+    /*! @return What holds for a running request that is not known, as ids need not name it: the
+     * median rank and the share of repeats. Nothing if the server runs none. */
+    [[nodiscard]] std::optional<RunningRequest> typical() const;
     [[nodiscard]] std::size_t size() const noexcept { return m_requests.size(); }
 
 private:
--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -25,11 +25,9 @@
 constexpr Millis kProbeTimeout{2000};
 /*! Time for which a server is treated as cold when its service configures no cold start time. */
 constexpr Millis kDefaultColdDuration{3000};
-/*! Bytes of a body that are read from the server ahead of what can be sent. */
-constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
 /*! Most bytes of one answer that are held: read whole, or read ahead and under way. */
 constexpr std::size_t kMaxAnswerBytes
-        = proxy::kWholeBodyBytes + kMaxUnsentBytes + proxy::kBodyWindowBytes;
+        = proxy::kWholeBodyBytes + AnswerBodies::kMaxUnsentBytes + proxy::kBodyWindowBytes;
 /*! With less time left, the server would start a request that it cannot finish. */
 constexpr Millis kMinServerTime{5};
 constexpr int kOk = 200;
@@ -81,15 +79,17 @@
               std::chrono::duration_cast<Millis>(
                       std::chrono::system_clock::now().time_since_epoch())
                       .count())},
-      m_expiryTimer{context}, m_probeTimer{context}, m_bodyTimer{context}, m_settings{settings},
+      m_expiryTimer{context}, m_probeTimer{context}, m_settings{settings},
       m_headerAdapter{headerAdapter}, m_crashes{crashes}, m_metrics{metrics},
       m_pool{context, settings.backend, http::PoolSettings{internal::kConnectTimeout}},
-      m_maxAnswers{
-              static_cast<int>(BufferLimits{settings.memoryBytes}.gate / internal::kMaxAnswerBytes)}
+      m_maxAnswers{static_cast<int>(BufferLimits{settings.memoryBytes}.gate
+                                    / internal::kMaxAnswerBytes)},
+      m_bodies{context, settings.linkMegabits, [this](const AnswerBodies::Key &key, TimePoint now) {
+                   cancel(std::string{key.first}, key.second, now);
+               }}
 {
     m_admission.link().setRate(settings.linkMegabits);
     m_admission.setConcurrencyLimit(admission::makeConcurrencyLimit(settings.concurrency));
-    m_bodyScheduler.setRate(settings.linkMegabits);
 }
 
 proxy::Reason BackendGate::reasonToClose() const
@@ -298,7 +298,7 @@
     const auto left = millisBetween(now, call.deadline);
     call.isRunning = true;
     call.handedOverAt = now;
-    m_runningRequests.add(call.frame.requestId, {call.frame.rank, call.frame.isRepeat});
+    m_runningRequests.add(call.frame.requestId, {call.frame.rank, call.frame.isRepeat ? 1.0 : 0.0});
     if (left < internal::kMinServerTime) {
         finish(ticket, proxy::notRunReply(call.frame.id, proxy::Reason::DeadlinePassed),
                proxy::HandoverOutcome::NotSent, now);
@@ -347,7 +347,8 @@
     }
     call.isStreaming = true;
     settleLink(call, length.value_or(call.linkBytes), now);
-    beginBody(call, now).connection = call.connection;
+    m_bodies.begin({call.origin, call.frame.id}, call.origin != kLocalOrigin, call.frame.requestId,
+                   call.replies.onBody, call.connection, now);
     proxy::ReplyFrame reply;
     reply.id = call.frame.id;
     reply.kind = proxy::ReplyKind::Answer;
@@ -361,110 +362,14 @@
 
 void BackendGate::onAnswerBytes(std::uint64_t ticket, std::string_view bytes)
 {
-    const auto call = m_calls.find(ticket);
-    if (call == m_calls.end()) {
-        return;
-    }
-    const BodyKey key{call->second.origin, call->second.frame.id};
-    const auto it = m_bodies.find(key);
-    if (it == m_bodies.end()) {
-        return;
-    }
-    auto &body = it->second;
-    m_bodyScheduler.onAvailable(key, bytes.size());
-    body.unsent.append(bytes);
-    if (body.unsent.size() > internal::kMaxUnsentBytes && body.connection) {
-        body.connection->setReadingPaused(true);
-    }
-    sendBodies(bootNow());
-}
-
-BackendGate::OutgoingBody &BackendGate::beginBody(const Call &call, TimePoint now)
-{
-    const BodyKey key{call.origin, call.frame.id};
-    m_bodyScheduler.add(key, call.origin != kLocalOrigin, now);
-    auto &body = m_bodies[key];
-    body = {};
-    body.send = call.replies.onBody;
-    body.requestId = call.frame.requestId;
-    return body;
-}
-
-void BackendGate::endBody(const BodyKey &key, proxy::BodyEnd end, TimePoint now)
-{
-    if (const auto it = m_bodies.find(key); it != m_bodies.end()) {
-        it->second.end = end;
-        it->second.connection.reset();
-        sendBodies(now);
-    }
-}
-
-void BackendGate::sendBodies(TimePoint now)
-{
-    std::vector<BodyKey> failed;
-    while (const auto grant = m_bodyScheduler.next(now)) {
-        const auto it = m_bodies.find(grant->key);
-        auto &body = it->second;
-        proxy::BodyFrame part{grant->key.second, body.offset, proxy::BodyEnd::More,
-                              body.unsent.substr(0, grant->bytes)};
-        body.unsent.erase(0, grant->bytes);
-        body.offset += grant->bytes;
-        if (body.unsent.empty() && body.end) {
-            part.end = *body.end;
-        }
-        if (body.unsent.size() < internal::kMaxUnsentBytes / 2 && body.connection) {
-            body.connection->setReadingPaused(false);
-        }
-        const bool isLast = part.end != proxy::BodyEnd::More;
-        if (!body.send(std::move(part))) {
-            logEvent(LogLevel::Warn, "gate", "body-not-sent", {{"request", body.requestId}});
-            m_bodyScheduler.remove(grant->key);
-            failed.push_back(grant->key);
-        } else if (isLast) {
-            m_bodyScheduler.finish(grant->key);
-            m_bodies.erase(it);
-        }
-    }
-    // Bodies that ended without further bytes after their last part.
-    for (auto it = m_bodies.begin(); it != m_bodies.end();) {
-        auto &body = it->second;
-        if (!body.end || !body.unsent.empty()) {
-            ++it;
-            continue;
-        }
-        if (!body.send({it->first.second, body.offset, *body.end, {}})) {
-            logEvent(LogLevel::Warn, "gate", "body-not-sent", {{"request", body.requestId}});
-        }
-        m_bodyScheduler.finish(it->first);
-        it = m_bodies.erase(it);
-    }
-    armBodyTimer(now);
-    for (const auto &[origin, id] : failed) {
-        // The body now has a gap, so nothing of it may follow.
-        cancel(origin, id, now);
-    }
-}
-
-void BackendGate::armBodyTimer(TimePoint now)
-{
-    const auto pause = m_bodyScheduler.pause(now);
-    if (!pause || std::exchange(m_isBodyTimerArmed, true)) {
-        return;
+    if (const auto it = m_calls.find(ticket); it != m_calls.end()) {
+        m_bodies.append({it->second.origin, it->second.frame.id}, bytes, bootNow());
     }
-    m_bodyTimer.expires_after(*pause);
-    m_bodyTimer.async_wait([this](const boost::system::error_code &ec) {
-        m_isBodyTimerArmed = false;
-        if (!ec) {
-            sendBodies(bootNow());
-        }
-    });
 }
 
 void BackendGate::addCredit(const std::string &origin, const proxy::CreditFrame &credit)
 {
-    const auto now = bootNow();
-    m_bodyScheduler.onCredit({origin, credit.id}, credit.bytes, now);
-    sendBodies(now);
+    m_bodies.onCredit({origin, credit.id}, credit.bytes, bootNow());
 }
 
 void BackendGate::onExchangeEnd(std::uint64_t ticket, http::ExchangeEnd end, http::Answer answer)
@@ -613,22 +518,21 @@
             .counter("gate_calls_total{outcome=\"" + std::string{proxy::reasonName(reply.reason)}
                      + "\"}")
             .add();
-    const BodyKey key{call.origin, call.frame.id};
+    const AnswerBodies::Key key{call.origin, call.frame.id};
     if (call.isStreaming) {
-        endBody(key,
-                reply.kind == proxy::ReplyKind::Answer ? proxy::BodyEnd::Complete
-                                                       : proxy::BodyEnd::Broken,
-                now);
+        m_bodies.end(key,
+                     reply.kind == proxy::ReplyKind::Answer ? proxy::BodyEnd::Complete
+                                                            : proxy::BodyEnd::Broken,
+                     now);
         return;
     }
     if (call.origin != kLocalOrigin && reply.answer.body.size() > proxy::kInlineBodyBytes) {
-        auto &body = beginBody(call, now);
-        body.unsent = std::exchange(reply.answer.body, {});
-        m_bodyScheduler.onAvailable(key, body.unsent.size());
+        auto body = std::exchange(reply.answer.body, {});
         reply.hasMore = true;
-        reply.length = body.unsent.size();
+        reply.length = body.size();
         call.replies.onReply(std::move(reply));
-        endBody(key, proxy::BodyEnd::Complete, now);
+        m_bodies.sendWhole(key, true, call.frame.requestId, call.replies.onBody, std::move(body),
+                           now);
         return;
     }
     call.replies.onReply(std::move(reply));
@@ -636,8 +540,7 @@
 
 void BackendGate::cancel(const std::string &origin, std::uint64_t id, TimePoint now)
 {
-    m_bodyScheduler.remove({origin, id});
-    m_bodies.erase({origin, id});
+    m_bodies.remove({origin, id});
     const auto entry = m_ticketsByCallId.find({origin, id});
     if (entry == m_ticketsByCallId.end()) {
         return;
@@ -674,14 +577,10 @@
          it != m_ticketsByCallId.end() && it->first.first == origin; ++it) {
         ids.push_back(it->first.second);
     }
-    for (auto it = m_bodies.lower_bound({origin, 0});
-         it != m_bodies.end() && it->first.first == origin; ++it) {
-        ids.push_back(it->first.second);
-    }
     for (const auto id : ids) {
         cancel(origin, id, now);
     }
-    m_bodyScheduler.removeAll(origin);
+    m_bodies.removeAll(origin);
 }
 
 void BackendGate::abandon(TimePoint now)
@@ -691,13 +590,12 @@
         const auto &call = m_calls.begin()->second;
         cancel(std::string{call.origin}, call.frame.id, now);
     }
-    while (!m_bodies.empty()) {
-        const auto key = m_bodies.begin()->first;
-        cancel(key.first, key.second, now);
+    for (const auto &key : m_bodies.keys()) {
+        m_bodies.remove(key);
     }
     m_expiryTimer.cancel();
     m_probeTimer.cancel();
-    m_bodyTimer.cancel();
+    m_bodies.stop();
     m_pool.closeIdle();
 }
 
@@ -708,33 +606,6 @@
     return load;
 }
 
-std::optional<int> BackendGate::medianRunningRank() const
-{
-    std::vector<int> ranks;
-    for (const auto &[ticket, call] : m_calls) {
-        if (call.isRunning) {
-            ranks.push_back(call.frame.rank);
-        }
-    }
-    if (ranks.empty()) {
-        return std::nullopt;
-    }
-    const auto middle = ranks.begin() + static_cast<std::ptrdiff_t>(ranks.size() / 2);
-    std::nth_element(ranks.begin(), middle, ranks.end());
-    return *middle;
-}
-
-double BackendGate::repeatShare() const
-{
-    int running = 0;
-    int repeats = 0;
-    for (const auto &[ticket, call] : m_calls) {
-        running += call.isRunning ? 1 : 0;
-        repeats += call.isRunning && call.frame.isRepeat ? 1 : 0;
-    }
-    return running > 0 ? static_cast<double>(repeats) / running : 0.0;
-}
-
 void BackendGate::assumeCold(const char *cause)
 {
     const auto cold = m_service.coldStart.count() > 0 ? m_service.coldStart
@@ -814,8 +685,7 @@
 {
     m_pool.sweep(now);
     reportHungCalls(now);
-    m_bodyScheduler.sweep(now);
-    sendBodies(now); // of receivers that others have stopped waiting for
+    m_bodies.sweep(now);
     if (m_admission.waiting() > 0) {
         probeIfNeeded(now);
     }
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -13,10 +13,10 @@
 
 #include "admission/running_requests.h"
 #include "directory/directory.h"
+#include "engine/answer_bodies.h"
 #include "engine/engine_settings.h"
 #include "http/client_pool.h"
 #include "observe/metrics_registry.h"
-#include "proxy/body_scheduler.h"
 #include "proxy/crash_registry.h"
 #include "proxy/frames.h"
 #include "proxy/hang_detector.h"
@@ -87,16 +87,15 @@
      * server whose state is unknown. */
     void sweep(TimePoint now);
 
-    [[nodiscard]] bool isIdle() const noexcept { return m_calls.empty() && m_bodies.empty(); }
+    [[nodiscard]] bool isIdle() const noexcept { return m_calls.empty() && m_bodies.size() == 0; }
     [[nodiscard]] const std::string &serverId() const noexcept { return m_server.id; }
     /*! @return Load of the gate and state of the server, for the senders of calls. */
     [[nodiscard]] proxy::GateLoad load(TimePoint now);
 
-    /*! @return The request of this id if the server runs it now; its calls are nested in it. */
-    [[nodiscard]] std::optional<admission::RunningRequest>
-    findRunning(const std::string &requestId) const
+    /*! @return Requests that the server runs now, whose calls are nested in them. */
+    [[nodiscard]] const admission::RunningRequests &runningRequests() const noexcept
     {
-        return m_runningRequests.find(requestId);
+        return m_runningRequests;
     }
 
     /*! @brief Records a call that the server made for a request that it runs. */
@@ -106,14 +105,8 @@
     }
     /*! @return Number of calls that the server gets at a time. */
     [[nodiscard]] int concurrency(TimePoint now) const { return m_admission.concurrency(now); }
-
-    /*! @return Median rank of the running calls, or nothing if no call is running. Calls that the
-     * server itself sends get this rank. */
-    [[nodiscard]] std::optional<int> medianRunningRank() const;
-
-    /*! @return Share of the running calls that are repeats. Calls that the server itself sends are
-     * repeats with this probability. */
-    [[nodiscard]] double repeatShare() const;
+    /*! @return Bytes of answers that were read from the server and not sent yet. */
+    [[nodiscard]] std::size_t unsentBytes() const { return m_bodies.unsentBytes(); }
 
 private:
     struct Call
@@ -130,19 +123,6 @@
         std::size_t linkBytes = 0; /*!< Expected bytes of the answer on the link. */
     };
 
-    /*! A body that is sent in parts. It can outlast its call, whose server is done. */
-    struct OutgoingBody
-    {
-        std::function<bool(proxy::BodyFrame)> send;
-        std::string requestId;
-        std::string unsent;
-        std::uint64_t offset = 0; /*!< Of `unsent` in the body. */
-        std::optional<proxy::BodyEnd>
-                end; /*!< How it ends after `unsent`; empty while more comes. */
-        http::ClientConnectionPtr connection; /*!< Source of more. */
-    };
-    using BodyKey = proxy::BodyScheduler::Key;
-
     /*! @return Expected bytes of the answer on the link if they matter to it, or 0. */
     [[nodiscard]] static std::size_t linkBytes(const Call &call);
     /*! @brief Corrects the expected bytes of an answer once its length is known. */
@@ -155,12 +135,6 @@
     void onAnswerHead(std::uint64_t ticket, http::Answer head, std::optional<std::uint64_t> length);
     void onAnswerBytes(std::uint64_t ticket, std::string_view bytes);
     void onExchangeEnd(std::uint64_t ticket, http::ExchangeEnd end, http::Answer answer);
-    /*! @brief Begins to send a body in parts. */
-    OutgoingBody &beginBody(const Call &call, TimePoint now);
-    void endBody(const BodyKey &key, proxy::BodyEnd end, TimePoint now);
-    /*! @brief Sends what the scheduler allows. */
-    void sendBodies(TimePoint now);
-    void armBodyTimer(TimePoint now);
     void refuse(std::uint64_t ticket, proxy::Reason reason, TimePoint now);
     void finish(std::uint64_t ticket, proxy::ReplyFrame reply, proxy::HandoverOutcome outcome,
                 TimePoint now);
@@ -191,7 +165,6 @@
     std::uint64_t m_startedUnixMillis; /*!< The same as Unix time in milliseconds. */
     boost::asio::steady_timer m_expiryTimer;
     boost::asio::steady_timer m_probeTimer;
-    boost::asio::steady_timer m_bodyTimer; /*!< Until the rate of the link allows more. */
     const EngineSettings &m_settings;
     const proxy::HeaderAdapter &m_headerAdapter;
     proxy::CrashRegistry &m_crashes;
@@ -210,8 +183,7 @@
     std::map<std::uint64_t, Call> m_calls; /*!< By ticket. */
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t>
             m_ticketsByCallId; /*!< By origin and call id. */
-    std::map<BodyKey, OutgoingBody> m_bodies;
-    proxy::BodyScheduler m_bodyScheduler;
+    AnswerBodies m_bodies;
     std::uint64_t m_nextTicket = 1;
     TimePoint m_lastProbeAt;
     bool m_needsProbe = true; /*!< It is unknown whether the server is cold or warm. */
@@ -221,7 +193,6 @@
     bool m_isMismatched = false; /*!< The server rejected the id under which it is published. */
     bool m_isShuttingDown = false;
     bool m_isExpiryTimerArmed = false;
-    bool m_isBodyTimerArmed = false;
     bool m_isDispatchScheduled = false;
 };
 
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -101,7 +101,7 @@
     m_dispatcher.sweep(now);
     m_crashes.sweep(now);
     m_uploads.sweep(now);
-    m_bodies.setOtherBytes(m_peers.unsentBytes() + m_dispatcher.unsentBytes());
+    m_bodies.setOtherBytes(m_peers.unsentBytes() + m_dispatcher.connections().unsentBytes());
     m_readinessEndpoint.sweep(now);
     m_metricsEndpoint.sweep(now);
     if (m_shutdown && continueShutdown(now)) {
@@ -127,7 +127,7 @@
     }
     m_shutdown.emplace(now, m_settings.grace);
     logEvent(LogLevel::Info, "engine", "leaving",
-             {{"connections", std::to_string(m_dispatcher.connectionCount())}});
+             {{"connections", std::to_string(m_dispatcher.connections().size())}});
     m_dispatcher.beginShutdown(*m_shutdown);
     for (const auto &node : m_peers.openPeers()) {
         sendShutdownState(node, now);
@@ -152,7 +152,7 @@
         m_dispatcher.closeIdleConnections(now);
     }
     const bool isIdle = m_hasStoppedListening && m_dispatcher.isIdle() && m_gate.isIdle()
-            && m_dispatcher.connectionCount() == 0;
+            && m_dispatcher.connections().size() == 0;
     const bool isOverdue = m_shutdown->isOverdue(now);
     if (isIdle && !m_stopNotice.hasClosed() && !isOverdue) {
         // All replies precede this frame on the links. It lets peers send the calls elsewhere that
@@ -215,7 +215,7 @@
         gauge("directory_age_ms", m_replica.age(bootNow()).count());
         gauge("directory_servers", view.servers.size());
         gauge("directory_evacuated_zones", view.evacuatedZones.size());
-        gauge("caller_connections", m_dispatcher.connectionCount());
+        gauge("caller_connections", m_dispatcher.connections().size());
         gauge("link_frame_bytes_total", m_peers.frameBytes());
         gauge("caller_unsent_bytes", callerBytes());
         gauge("link_unsent_bytes", m_peers.unsentBytes());
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -67,7 +67,10 @@
     void stop(TimePoint now);
 
     /*! @return Bytes of responses that callers have not taken yet. */
-    [[nodiscard]] std::size_t callerBytes() const { return m_dispatcher.unsentBytes(); }
+    [[nodiscard]] std::size_t callerBytes() const
+    {
+        return m_dispatcher.connections().unsentBytes();
+    }
 
     void onFrame(const Address &peer, std::string_view bytes) override;
     void onLinkOpen(const Address &peer) override;
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <numeric>
 #include <vector>
 
 #include <boost/asio/post.hpp>
@@ -13,18 +12,11 @@
 #include "engine/call_log.h"
 #include "observe/log.h"
 #include "proxy/frame_codec.h"
-#include "proxy/idle_callers.h"
-#include "proxy/stalled_callers.h"
 
 namespace celeryramp::engine {
 
 namespace internal {
 
-/*! Time for which a node that announced its shutdown is avoided; afterwards it has restarted or is
- *  gone. */
-constexpr Millis kLeavingNodeTtl{8000};
-/*! Time for which a server that announced that it leaves is avoided; it has ended by then. */
-constexpr Millis kLeavingServerTtl{60'000};
 /*! Time after which callers may retry when the request is over its limit, or when the configuration
  *  or current keys are missing. */
 constexpr Millis kRetryAfter{500};
@@ -37,9 +29,6 @@
 constexpr double kRetryReserve = 1.0;
 /*! Scales the priority of the account, so that it outweighs the priority of the route. */
 constexpr int kRanksPerAccountPriority = 16;
-/*! Time without a request after which a leaving node closes a connection. The first request of a
- *  new connection arrives within it. */
-constexpr Millis kIdleBeforeClose{150};
 /*! Bytes sent to a caller after which the gate is allowed as many more. */
 constexpr std::uint64_t kCreditStep = 32 * 1024;
 /*! Time after the caller's deadline after which an unfinished answer is broken off. Callers leave
@@ -61,7 +50,9 @@
     : m_context{context}, m_dependencies{dependencies}, m_splitChooser{seed}, m_serverPicker{seed},
       m_retryBudget{dependencies.settings.retryRatio * internal::kRetryBudgetShare,
                     internal::kRetryReserve, internal::kRetryReserve},
-      m_random{seed ^ 0x5bd1e995U}, m_nextId{(seed << 20U) | 1U}
+      m_random{seed ^ 0x5bd1e995U}, m_connections{dependencies.settings, dependencies.bodies,
+                                                  dependencies.metrics},
+      m_nextId{(seed << 20U) | 1U}
 { }
 
 http::RequestLimits RequestDispatcher::requestLimits() const
@@ -74,42 +65,17 @@
 
 void RequestDispatcher::accept(boost::asio::ip::tcp::socket socket, TimePoint now)
 {
-    if (!makeRoomForConnection(now)) {
+    if (!m_connections.makeRoom(now)) {
         return; // the socket is closed
     }
     auto connection = std::make_shared<http::CallerConnection>(std::move(socket), *this, now);
-    m_connections.insert(connection);
+    m_connections.add(connection);
     if (m_shutdown) {
         connection->closeAfterResponse();
     }
     connection->start();
 }
 
-bool RequestDispatcher::makeRoomForConnection(TimePoint now)
-{
-    const auto limit = m_dependencies.settings.maxConnections;
-    if (limit == 0 || m_connections.size() < limit) {
-        return true;
-    }
-    const std::vector<http::CallerConnectionPtr> connections{m_connections.begin(),
-                                                             m_connections.end()};
-    std::vector<proxy::CallerState> states;
-    states.reserve(connections.size());
-    for (const auto &connection : connections) {
-        states.push_back({connection->isUnfinished(), connection->unchangedFor(now)});
-    }
-    const auto replaced = proxy::selectReplacedCaller(states);
-    m_dependencies.metrics
-            .counter(std::string{"connections_closed_total{which=\""} + (replaced ? "idle" : "new")
-                     + "\"}")
-            .add();
-    if (!replaced) {
-        return false;
-    }
-    connections[*replaced]->close();
-    return true;
-}
-
 void RequestDispatcher::refuseRequest(const http::ResponseWriter &response,
                                       const std::string &requestId, int status,
                                       proxy::Reason reason, std::optional<Millis> retryAfter,
@@ -220,7 +186,7 @@
     // Where accounts have keys, only servers call open routes; elsewhere the id tells.
     const auto parent = metadata.parentId.empty()
             ? std::nullopt
-            : m_dependencies.gate.findRunning(metadata.parentId);
+            : m_dependencies.gate.runningRequests().find(metadata.parentId);
     policy.isNested
             = routing.needsKeys() ? route->isOpen && account == nullptr : parent.has_value();
     // A long answer may come from another zone if the links of the local servers are full.
@@ -251,21 +217,20 @@
     call.frame.rank
             = (account != nullptr ? account->priority : 0) * internal::kRanksPerAccountPriority
             + route->priority;
-    if (call.frame.isNested && parent) {
-        m_retryBudget.onFirstAttempt(call.frame.service, parent->isRepeat ? 1.0 : 0.0);
-        call.frame.rank = parent->rank;
-    } else if (call.frame.isNested) {
+    const auto running = parent || !call.frame.isNested
+            ? parent
+            : m_dependencies.gate.runningRequests().typical();
+    if (call.frame.isNested && running) {
         // The urgency is that of the request which waits for this one at the local server.
-        m_retryBudget.onFirstAttempt(call.frame.service, m_dependencies.gate.repeatShare());
-        call.frame.rank = m_dependencies.gate.medianRunningRank().value_or(call.frame.rank);
-    } else {
-        m_retryBudget.onFirstAttempt(call.frame.service, 0.0);
+        call.frame.rank = running->rank;
     }
+    m_retryBudget.onFirstAttempt(call.frame.service,
+                                 call.frame.isNested && running ? running->repeatShare : 0.0);
     call.frame.request = std::move(request);
     if (call.frame.request.body.size() > proxy::kInlineBodyBytes) {
         call.frame.longBody = std::make_shared<const admission::HeldBody>(
                 admission::HeldBody{std::exchange(call.frame.request.body, {}),
-                                    takeBodyLease(*call.response.connection(), now)});
+                                    m_connections.takeLease(*call.response.connection(), now)});
     }
     http::eraseHopByHop(call.frame.request.headers);
     m_dependencies.headerAdapter.stripCaller(call.frame.request.headers);
@@ -326,23 +291,20 @@
             || (mechanisms.evacuation && view.evacuatedZones.count(server->zone) > 0)) {
             continue;
         }
-        if (mechanisms.draining
-            && m_leavingServers.count({server->id, server->startedMillis}) > 0) {
+        if (mechanisms.draining && m_leavingPeers.isLeaving(*server)) {
             continue;
         }
         const bool isLocal = server->address.host == m_dependencies.settings.links.host;
         const auto &host = server->address.host;
         if (!isLocal
-            && (m_closedNodes.count(host) > 0
+            && (m_leavingPeers.isClosed(host)
                 || !m_dependencies.peers.isReachable({host, m_dependencies.settings.links.port},
                                                      now))) {
             continue;
         }
         const proxy::Candidate candidate{server, server->zone == m_dependencies.settings.zone,
                                          excluded.count(server->id) > 0};
-        const auto leaving = m_leavingNodes.find(host);
-        const bool isLeaving = leaving != m_leavingNodes.end();
-        (isLeaving ? leavingCandidates : preferred).push_back(candidate);
+        (m_leavingPeers.isLeaving(host) ? leavingCandidates : preferred).push_back(candidate);
     }
     const bool areAllAsked
             = std::all_of(preferred.begin(), preferred.end(),
@@ -410,99 +372,42 @@
     call.frame.sentAt
             = std::chrono::duration_cast<std::chrono::nanoseconds>(now.time_since_epoch()).count();
     call.frame.uploadBytes = call.frame.longBody ? call.frame.longBody->bytes.size() : 0;
-    call.uploadSent = 0;
-    call.uploadCredited = 0;
-    if (!m_dependencies.peers.send(call.peer, proxy::encodeFrame(call.frame), now)
-        || !sendUpload(call, now)) {
+    call.upload = {};
+    if (m_dependencies.peers.send(call.peer, proxy::encodeFrame(call.frame), now)) {
+        sendUpload(call, now);
+    } else {
         boost::asio::post(m_context, [this, id] {
             onGateReply(id, proxy::notRunReply(id, proxy::Reason::Unreachable), bootNow());
         });
     }
 }
 
-bool RequestDispatcher::sendUpload(Call &call, TimePoint now)
+void RequestDispatcher::sendUpload(Call &call, TimePoint now)
 {
-    while (call.uploadSent < call.frame.uploadBytes
-           && call.uploadSent - call.uploadCredited < proxy::kUploadWindowBytes) {
-        proxy::UploadFrame part{
-                call.id, call.uploadSent,
-                call.frame.longBody->bytes.substr(call.uploadSent, proxy::kUploadPartBytes)};
-        call.uploadSent += part.bytes.size();
-        if (!m_dependencies.peers.sendFollowUp(call.peer, proxy::encodeFrame(std::move(part)),
-                                               now)) {
-            return false;
+    if (!call.frame.longBody || call.peer.host.empty()) {
+        return;
+    }
+    while (const auto part = call.upload.next(call.id, call.frame.longBody->bytes)) {
+        if (!m_dependencies.peers.sendFollowUp(call.peer, proxy::encodeFrame(*part), now)) {
+            return; // no room on the link; the rest follows with the next credit or sweep
         }
+        call.upload.onSent(part->bytes.size());
     }
-    return true;
 }
 
 void RequestDispatcher::onUploadCredit(const Address &peer, const proxy::UploadCreditFrame &credit,
                                        TimePoint now)
 {
-    const auto it = m_calls.find(credit.id);
-    if (it == m_calls.end() || !isExpecting(it->second, peer)) {
-        return;
-    }
-    auto &call = it->second;
-    call.uploadCredited = std::min(call.uploadSent, call.uploadCredited + credit.bytes);
-    if (!sendUpload(call, now)) {
-        cancelOffer(call, now);
-        onGateReply(credit.id, proxy::notRunReply(credit.id, proxy::Reason::Unreachable), now);
+    if (const auto it = m_calls.find(credit.id);
+        it != m_calls.end() && isExpecting(it->second, peer)) {
+        it->second.upload.onCredit(credit.bytes);
+        sendUpload(it->second, now);
     }
 }
 
 bool RequestDispatcher::mayHold(const http::CallerConnectionPtr &connection, std::size_t bytes)
 {
-    const auto now = bootNow();
-    if (bytes == 0) {
-        m_bodyLeases.erase(connection);
-        return true;
-    }
-    auto it = m_bodyLeases.find(connection);
-    if (it == m_bodyLeases.end()) {
-        it = m_bodyLeases.emplace(connection, m_dependencies.bodies.open(now)).first;
-    }
-    while (!m_dependencies.bodies.hold(it->second, bytes, now)) {
-        for (const auto &[holder, lease] : m_bodyLeases) {
-            // A connection may carry an unfinished request behind one that a server runs.
-            m_dependencies.bodies.protect(lease, !holder->isUnfinished());
-        }
-        const auto victim = m_dependencies.bodies.victim(it->second, bytes, now);
-        const auto cut = std::find_if(
-                m_bodyLeases.begin(), m_bodyLeases.end(),
-                [&victim](const auto &entry) { return victim && entry.second.id() == *victim; });
-        if (cut == m_bodyLeases.end()) {
-            m_dependencies.metrics.counter("bodies_refused_total").add();
-            logEvent(LogLevel::Warn, "desk", "body-refused",
-                     {{"bytes", std::to_string(bytes)},
-                      {"held_bytes", std::to_string(m_dependencies.bodies.heldBytes())}});
-            m_bodyLeases.erase(it);
-            return false;
-        }
-        const auto holder = cut->first;
-        m_bodyLeases.erase(cut);
-        m_dependencies.metrics.counter("bodies_cut_total").add();
-        logEvent(LogLevel::Warn, "desk", "body-cut",
-                 {{"bytes", std::to_string(holder->heldBytes())},
-                  {"held_bytes", std::to_string(m_dependencies.bodies.heldBytes())}});
-        holder->reset();
-    }
-    return true;
-}
-
-admission::BodyBudget::Lease
-RequestDispatcher::takeBodyLease(const http::CallerConnection &connection, TimePoint now)
-{
-    const auto it = std::find_if(
-            m_bodyLeases.begin(), m_bodyLeases.end(),
-            [&connection](const auto &entry) { return entry.first.get() == &connection; });
-    if (it == m_bodyLeases.end()) {
-        return m_dependencies.bodies.open(now);
-    }
-    auto lease = std::move(it->second);
-    m_bodyLeases.erase(it);
-    m_dependencies.bodies.protect(lease, true);
-    return lease;
+    return m_connections.mayHold(connection, bytes, bootNow());
 }
 
 void RequestDispatcher::onReply(const Address &peer, const proxy::ReplyFrame &reply, TimePoint now)
@@ -521,7 +426,7 @@
     }
     auto &call = it->second;
     if (reply.load.isLeaving) {
-        m_leavingServers[{call.frame.serverId, call.serverStartedMillis}] = now;
+        m_leavingPeers.onServerLeaving(call.frame.serverId, call.serverStartedMillis, now);
     }
     const auto step = call.dispatcher.onReply(reply, dispatchContext(), now);
     if (std::holds_alternative<proxy::OfferStep>(step)) {
@@ -718,8 +623,7 @@
 
 void RequestDispatcher::onClosed(const http::CallerConnectionPtr &connection)
 {
-    m_connections.erase(connection);
-    m_bodyLeases.erase(connection);
+    m_connections.remove(connection);
     if (!m_dependencies.settings.mechanisms.cancellation) {
         return;
     }
@@ -761,14 +665,12 @@
 
 void RequestDispatcher::onLinkOpen(const Address &peer)
 {
-    m_leavingNodes.erase(peer.host);
-    m_closedNodes.erase(peer.host);
+    m_leavingPeers.forgetNode(peer.host);
 }
 
 void RequestDispatcher::onLinkLost(const Address &peer, links::LinkLoss loss, TimePoint now)
 {
-    m_leavingNodes.erase(peer.host);
-    m_closedNodes.erase(peer.host);
+    m_leavingPeers.forgetNode(peer.host);
     for (const auto id : callsExpecting(peer)) {
         const auto it = m_calls.find(id);
         if (it == m_calls.end()
@@ -831,12 +733,12 @@
 
 void RequestDispatcher::onPeerLeaving(const Address &peer, TimePoint now)
 {
-    m_leavingNodes[peer.host] = now;
+    m_leavingPeers.onNodeLeaving(peer.host, now);
 }
 
 void RequestDispatcher::onPeerClosed(const Address &peer, TimePoint now)
 {
-    m_closedNodes.insert(peer.host);
+    m_leavingPeers.onNodeClosed(peer.host);
     for (const auto id : callsExpecting(peer)) {
         const auto it = m_calls.find(id);
         if (it == m_calls.end() || it->second.isStreaming || it->second.isOnSilentLink) {
@@ -856,57 +758,21 @@
 {
     m_serverPicker.sweep(now);
     m_refusedRequests.sweep(now);
-    for (auto it = m_leavingNodes.begin(); it != m_leavingNodes.end();) {
-        it = millisBetween(it->second, now) > internal::kLeavingNodeTtl ? m_leavingNodes.erase(it)
-                                                                        : std::next(it);
-    }
-    for (auto it = m_leavingServers.begin(); it != m_leavingServers.end();) {
-        it = millisBetween(it->second, now) > internal::kLeavingServerTtl
-                ? m_leavingServers.erase(it)
-                : std::next(it);
-    }
+    m_leavingPeers.sweep(now);
     const auto &routing = m_dependencies.replica.view()->routing;
     const auto limits = routing ? routing->limits() : directory::InputLimits{};
-    const auto connections = m_connections;
-    for (const auto &connection : connections) {
-        connection->checkTimeouts(limits.headerTimeout, limits.idleTimeout, now);
-    }
-    resetStalledConnections(now);
-}
-
-std::size_t RequestDispatcher::unsentBytes() const
-{
-    return std::accumulate(m_connections.begin(), m_connections.end(), std::size_t{0},
-                           [](std::size_t sum, const http::CallerConnectionPtr &connection) {
-                               return sum + connection->unsentBytes();
-                           });
-}
-
-void RequestDispatcher::resetStalledConnections(TimePoint now)
-{
-    const std::vector<http::CallerConnectionPtr> connections{m_connections.begin(),
-                                                             m_connections.end()};
-    std::vector<proxy::UnreadResponses> unread;
-    unread.reserve(connections.size());
-    for (const auto &connection : connections) {
-        unread.push_back({connection->unsentBytes(), connection->stalledFor(now)});
-    }
-    const auto limit = BufferLimits{m_dependencies.settings.memoryBytes}.callers;
-    for (const auto i : proxy::selectStalledCallers(unread, limit)) {
-        m_dependencies.metrics.counter("caller_resets_total").add();
-        logEvent(LogLevel::Warn, "desk", "caller-reset",
-                 {{"unsent_bytes", std::to_string(unread[i].bytes)},
-                  {"stalled_ms", std::to_string(unread[i].stalledFor.count())}});
-        connections[i]->reset();
+    m_connections.sweep(limits, BufferLimits{m_dependencies.settings.memoryBytes}.callers, now);
+    for (auto &[id, call] : m_calls) {
+        if (!call.dispatcher.pendingServer().empty()) {
+            sendUpload(call, now);
+        }
     }
 }
 
 void RequestDispatcher::beginShutdown(const proxy::ShutdownSchedule &shutdown)
 {
     m_shutdown = shutdown;
-    for (const auto &connection : m_connections) {
-        connection->closeAfterResponse();
-    }
+    m_connections.closeAfterResponses();
 }
 
 void RequestDispatcher::endCalls(TimePoint now)
@@ -922,22 +788,4 @@
     }
 }
 
-void RequestDispatcher::closeIdleConnections(TimePoint now)
-{
-    const auto connections = m_connections;
-    for (const auto &connection : connections) {
-        if (connection->idleFor(now) >= internal::kIdleBeforeClose) {
-            connection->close();
-        }
-    }
-}
-
-void RequestDispatcher::abandon()
-{
-    const auto connections = m_connections;
-    for (const auto &connection : connections) {
-        connection->close();
-    }
-}
-
 } // namespace celeryramp::engine
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -11,19 +11,21 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "admission/body_budget.h"
 #include "admission/refused_requests.h"
 #include "core/random.h"
 #include "engine/backend_gate.h"
+#include "engine/caller_connections.h"
 #include "engine/peer_coordinator.h"
 #include "http/caller_connection.h"
 #include "links/peer_links.h"
 #include "proxy/answer_sizes.h"
 #include "proxy/call_dispatcher.h"
 #include "proxy/fleet_limiter.h"
+#include "proxy/leaving_peers.h"
 #include "proxy/server_picker.h"
 #include "proxy/shutdown_schedule.h"
 #include "proxy/split_chooser.h"
+#include "proxy/upload_window.h"
 #include "routing/retry_budget.h"
 
 namespace celeryramp::engine {
@@ -60,8 +62,6 @@
     void onClosed(const http::CallerConnectionPtr &connection) override;
     [[nodiscard]] http::RequestLimits requestLimits() const override;
     [[nodiscard]] bool mayOverlap(const http::Request &request) const override;
-    /*! @brief Holds what a caller sends within the memory for request bodies, by cutting the
-     * unfinished bodies of others or by refusing it. */
     [[nodiscard]] bool mayHold(const http::CallerConnectionPtr &connection,
                                std::size_t bytes) override;
     void onBodyWritten(const http::CallerConnection &connection, std::uint64_t id,
@@ -103,21 +103,23 @@
     /*! @brief Closes connections that are idle or slow beyond the limits, and drops old state. */
     void sweep(TimePoint now);
 
-    /*! @return Bytes of responses that callers have not taken yet, over all connections. */
-    [[nodiscard]] std::size_t unsentBytes() const;
+    [[nodiscard]] const CallerConnections &connections() const noexcept { return m_connections; }
     /*! @brief Closes each connection, present or new, after its pending answer. Requests that could
      * outlast the shutdown are refused. */
     void beginShutdown(const proxy::ShutdownSchedule &shutdown);
     /*! @brief Ends all calls with an answer that says whether a server may have run them. */
     void endCalls(TimePoint now);
     /*! @brief Closes connections that have carried no request for a moment. */
-    void closeIdleConnections(TimePoint now);
+    void closeIdleConnections(TimePoint now) { m_connections.closeIdle(kIdleBeforeClose, now); }
     /*! @brief Closes all connections and forgets their calls. */
-    void abandon();
+    void abandon() { m_connections.closeAll(); }
     [[nodiscard]] bool isIdle() const noexcept { return m_calls.empty(); }
-    [[nodiscard]] std::size_t connectionCount() const noexcept { return m_connections.size(); }
 
 private:
+    /*! Time without a request after which a leaving node closes a connection. The first request of
+     *  a new connection arrives within it. */
+    static constexpr Millis kIdleBeforeClose{150};
+
     struct Call
     {
         std::uint64_t id = 0;
@@ -139,26 +141,18 @@
         std::uint64_t bodyReceived = 0; /*!< Bytes of the body received so far. */
         TimePoint streamBeganAt;
         std::uint64_t bodyCredited = 0; /*!< Bytes that the gate was told it may replace. */
-        std::uint64_t uploadSent = 0; /*!< Bytes of the request body sent to the gate. */
-        std::uint64_t uploadCredited = 0; /*!< Of these, acknowledged. */
+        proxy::UploadWindow upload; /*!< Of a long body, to the gate that was offered it last. */
         std::uint64_t bodyUnacknowledged = 0; /*!< Bytes sent to the caller, without credit yet. */
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
 
-    /*! @brief Keeps the connections within their limit, by closing an idle one.
-     * @return False if a new one has to be closed. */
-    [[nodiscard]] bool makeRoomForConnection(TimePoint now);
     /*! @brief Answers a request that was offered to no gate. */
     void refuseRequest(const http::ResponseWriter &response, const std::string &requestId,
                        int status, proxy::Reason reason, std::optional<Millis> retryAfter,
                        const std::string &account = {}, const std::string &detail = {});
     void sendToGate(Call &call, const proxy::OfferStep &step, TimePoint now);
-    /*! @brief Sends of a long request body what the window allows. @return False if a part cannot
-     * be sent; nothing may follow it. */
-    [[nodiscard]] bool sendUpload(Call &call, TimePoint now);
-    /*! @return The memory that the body of a complete request holds. */
-    [[nodiscard]] admission::BodyBudget::Lease
-    takeBodyLease(const http::CallerConnection &connection, TimePoint now);
+    /*! @brief Sends of a long request body what the window and the link allow. */
+    void sendUpload(Call &call, TimePoint now);
     void onGateReply(std::uint64_t id, const proxy::ReplyFrame &reply, TimePoint now);
     [[nodiscard]] std::vector<proxy::Candidate> candidates(const std::string &service,
                                                            const std::set<std::string> &excluded,
@@ -177,9 +171,6 @@
     /*! @brief Begins the answer to the caller with the first part of a long body. */
     void beginStream(Call &call, const proxy::ReplyFrame &reply, TimePoint now);
     void sendCredit(Call &call, std::uint64_t bytes, TimePoint now);
-    /*! @brief Resets connections of callers that take little, until what the others leave unread is
-     * within the limit. */
-    void resetStalledConnections(TimePoint now);
     /*! @brief Fails an answer of which the body cannot be completed. */
     void abortStream(Call &call, proxy::Reason reason, TimePoint now);
     /*! @brief Counts and logs the end of a call. */
@@ -210,15 +201,8 @@
     /*! Calls by connection and number of the request on it. */
     std::map<std::pair<const http::CallerConnection *, std::uint64_t>, std::uint64_t>
             m_callIdsByResponse;
-    std::set<http::CallerConnectionPtr> m_connections;
-    /*! Memory of unfinished requests, by connection. */
-    std::map<http::CallerConnectionPtr, admission::BodyBudget::Lease> m_bodyLeases;
-    std::map<std::string, TimePoint>
-            m_leavingNodes; /*!< When nodes announced their shutdown, by host. */
-    /*! When servers last announced that they leave, by id and time of their start. Kept apart from
-     * the directory, whose entries can lapse and return. */
-    std::map<std::pair<std::string, std::uint64_t>, TimePoint> m_leavingServers;
-    std::set<std::string> m_closedNodes; /*!< Nodes that have shut down, by host. */
+    CallerConnections m_connections;
+    proxy::LeavingPeers m_leavingPeers;
     std::uint64_t m_nextId = 1;
     std::optional<proxy::ShutdownSchedule> m_shutdown;
 };
--- a/src/celeryramp/http/caller_connection.h
+++ b/src/celeryramp/http/caller_connection.h
@@ -123,8 +123,8 @@
     {
         return m_reader.heldBytes() + (m_next ? m_next->body.capacity() : 0);
     }
-    /*! @return True if nothing of a request is being served or passed on. */
-    [[nodiscard]] bool isUnfinished() const noexcept { return m_pending.empty() && !m_next; }
+    /*! @return True if a request is being served, or waits to be passed on. */
+    [[nodiscard]] bool isServed() const noexcept { return !m_pending.empty() || m_next; }
     /*! @return Time since the current request began or a response made progress. */
     [[nodiscard]] Millis unchangedFor(TimePoint now) const noexcept
     {
--- a/src/celeryramp/proxy/idle_callers.cpp
+++ b/src/celeryramp/proxy/idle_callers.cpp
@@ -7,7 +7,7 @@
     std::optional<std::size_t> chosen;
     auto longest = kIdleBeforeReplaced;
     for (std::size_t i = 0; i < callers.size(); ++i) {
-        if (callers[i].isUnfinished && callers[i].unchangedFor >= longest) {
+        if (callers[i].isUnserved && callers[i].unchangedFor >= longest) {
             longest = callers[i].unchangedFor;
             chosen = i;
         }
--- a/src/celeryramp/proxy/idle_callers.h
+++ b/src/celeryramp/proxy/idle_callers.h
@@ -16,13 +16,13 @@
 /*! @brief State of a caller's connection, as far as it matters for closing it. */
 struct CallerState
 {
-    bool isUnfinished = false; /*!< No request of it is served: it is idle or sends one. */
+    bool isUnserved = false; /*!< No request of it is served: it is idle or sends one. */
     Millis unchangedFor{0};
 };
 
 /*!
  * @brief Chooses the connection that is closed so that a new one has a descriptor.
- * @return Index of the one that has been idle or unfinished for longest; nothing if all are in use,
+ * @return Index of the one that has been idle or unserved for longest; nothing if all are in use,
  * and the new one is closed then.
  */
 [[nodiscard]] std::optional<std::size_t>
