Read again: one account of memory for all purposes, known refusals before an upload, tests of failures

Cause: limits of the other purposes did not know what bodies hold, so that together they could exceed the memory; an upload was sent to a gate that was closed; routes without a target were held to half of their timeout; parts without a test of a failure.

--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -183,10 +183,7 @@
     held.linkBytes = linkBytes(held);
     const auto &frame = held.frame;
     m_ticketsByCallId[{origin, frame.id}] = ticket;
-    auto reason = m_admission.closedReason();
-    if (reason == proxy::Reason::None && frame.serverId != m_server.id) {
-        reason = proxy::Reason::WrongServer;
-    }
+    auto reason = reasonToRefuse(frame);
     if (reason == proxy::Reason::None || m_isMismatched) {
         probeIfNeeded(now);
     }
@@ -205,6 +202,19 @@
     scheduleDispatch();
 }
 
+proxy::Reason BackendGate::reasonToRefuse(const proxy::CallFrame &call) const
+{
+    const auto reason = m_admission.closedReason();
+    return reason == proxy::Reason::None && call.serverId != m_server.id
+            ? proxy::Reason::WrongServer
+            : reason;
+}
+
+void BackendGate::setAnswerLimit(std::size_t bytes)
+{
+    m_maxAnswers = std::max(1, static_cast<int>(bytes / internal::kMaxAnswerBytes));
+}
+
 std::size_t BackendGate::linkBytes(const Call &call)
 {
     const bool isLong = call.frame.answerBytes > proxy::kInlineBodyBytes;
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -62,6 +62,11 @@
     /*! @brief Allows a call to send further bytes of its body. */
     void addCredit(const std::string &origin, const proxy::CreditFrame &credit);
 
+    /*! @return Reason for which the gate refuses a call whatever its load, or `None`. */
+    [[nodiscard]] proxy::Reason reasonToRefuse(const proxy::CallFrame &call) const;
+    /*! @brief Limits the answers that are received or sent on, beside what request bodies hold. */
+    void setAnswerLimit(std::size_t bytes);
+
     /*! @brief Cancels a call because its caller disconnected or the sending node is lost. No reply
      * is sent. */
     void cancel(const std::string &origin, std::uint64_t id, TimePoint now);
--- a/src/celeryramp/engine/caller_connections.cpp
+++ b/src/celeryramp/engine/caller_connections.cpp
@@ -71,10 +71,9 @@
         m_bodies.protect(holder.lease, connection->isServed());
     }
     const auto victim = m_bodies.victim(lease, bytes, now);
-    const auto it
-            = std::find_if(m_holders.begin(), m_holders.end(), [&victim](const auto &entry) {
-                  return victim && entry.second.lease.id() == *victim;
-              });
+    const auto it = std::find_if(m_holders.begin(), m_holders.end(), [&victim](const auto &entry) {
+        return victim && entry.second.lease.id() == *victim;
+    });
     if (it == m_holders.end()) {
         return false;
     }
@@ -88,8 +87,8 @@
     return true;
 }
 
-admission::BodyBudget::Lease
-CallerConnections::takeLease(const http::CallerConnection &connection, TimePoint now)
+admission::BodyBudget::Lease CallerConnections::takeLease(const http::CallerConnection &connection,
+                                                          TimePoint now)
 {
     const auto it = m_holders.find(&connection);
     if (it == m_holders.end()) {
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -4,7 +4,6 @@
 #include "core/hash.h"
 #include "engine/buffer_limits.h"
 #include "observe/log.h"
-#include "observe/process_usage.h"
 #include "proxy/frame_codec.h"
 
 namespace celeryramp::engine {
@@ -101,7 +100,10 @@
     m_dispatcher.sweep(now);
     m_crashes.sweep(now);
     m_uploads.sweep(now);
-    m_bodies.setOtherBytes(m_peers.unsentBytes() + m_dispatcher.connections().unsentBytes());
+    m_bodies.setOtherBytes(m_peers.heldBytes() + callerBytes() + m_gate.unsentBytes());
+    const BufferLimits limits{m_settings.memoryBytes, m_bodies.heldBytes()};
+    m_peers.setTotalLimit(limits.links);
+    m_gate.setAnswerLimit(limits.gate);
     m_readinessEndpoint.sweep(now);
     m_metricsEndpoint.sweep(now);
     if (m_shutdown && continueShutdown(now)) {
@@ -191,45 +193,6 @@
     m_context.stop();
 }
 
-http::Answer Engine::respondReadiness(std::string_view path) const
-{
-    http::Answer answer;
-    const bool isReady = !m_shutdown && m_replica.view()->routing != nullptr;
-    answer.status = path != m_bindings.readinessPath ? 404 : isReady ? 200 : 503;
-    return answer;
-}
-
-http::Answer Engine::respondMetrics(std::string_view path) const
-{
-    http::Answer answer;
-    answer.status = path == m_bindings.metricsPath ? 200 : 404;
-    if (answer.status == 200) {
-        const auto &view = *m_replica.view();
-        answer.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-        // Gauges come first: collectors that cut a long exposition off lose the least.
-        const auto gauge = [&answer](const char *name, auto value) {
-            answer.body += std::string{name} + " " + std::to_string(value) + "\n";
-        };
-        gauge("directory_version", view.routing ? view.routing->version() : 0);
-        gauge("directory_revision", m_replica.revision());
-        gauge("directory_age_ms", m_replica.age(bootNow()).count());
-        gauge("directory_servers", view.servers.size());
-        gauge("directory_evacuated_zones", view.evacuatedZones.size());
-        gauge("caller_connections", m_dispatcher.connections().size());
-        gauge("link_frame_bytes_total", m_peers.frameBytes());
-        gauge("caller_unsent_bytes", callerBytes());
-        gauge("link_unsent_bytes", m_peers.unsentBytes());
-        gauge("gate_concurrency_limit", m_gate.concurrency(bootNow()));
-        gauge("request_body_bytes", m_bodies.heldBytes());
-        gauge("request_body_limit_bytes", m_bodies.limit());
-        const auto usage = processUsage();
-        gauge("process_cpu_seconds_total", usage.cpuSeconds);
-        gauge("process_resident_bytes", usage.residentBytes);
-        answer.body += m_metrics.exposition();
-    }
-    return answer;
-}
-
 void Engine::onFrame(const Address &peer, std::string_view bytes)
 {
     auto decoded = proxy::decodeFrame(bytes);
@@ -299,11 +262,15 @@
         return;
     }
     const auto id = call.id;
-    if (!m_uploads.begin(peer.text(), std::move(call), now)) {
+    auto reason = m_gate.reasonToRefuse(call);
+    if (reason == proxy::Reason::None && !m_uploads.begin(peer.text(), std::move(call), now)) {
         m_metrics.counter("uploads_refused_total").add();
         logEvent(LogLevel::Warn, "engine", "upload-refused",
                  {{"peer", peer.text()}, {"held_bytes", std::to_string(m_bodies.heldBytes())}});
-        auto reply = proxy::notRunReply(id, proxy::Reason::Busy);
+        reason = proxy::Reason::Busy;
+    }
+    if (reason != proxy::Reason::None) {
+        auto reply = proxy::notRunReply(id, reason);
         reply.load = m_gate.load(now);
         static_cast<void>(m_peers.sendFollowUp(peer, proxy::encodeFrame(reply), now));
     }
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -105,7 +105,7 @@
     /*! @brief Offers a call of a peer to the gate once all of it has arrived. */
     void submitCall(const Address &peer, proxy::CallFrame call, TimePoint now);
     [[nodiscard]] http::Answer respondReadiness(std::string_view path) const;
-    [[nodiscard]] http::Answer respondMetrics(std::string_view path) const;
+    [[nodiscard]] http::Answer respondMetrics(std::string_view path);
 
     boost::asio::io_context &m_context;
     EngineSettings m_settings;
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -1,7 +1,6 @@
 #include "engine/request_dispatcher.h"
 
 #include <algorithm>
-#include <cctype>
 #include <vector>
 
 #include <boost/asio/post.hpp>
@@ -35,14 +34,6 @@
  *  by themselves before. */
 constexpr Millis kStreamGrace{1000};
 
-[[nodiscard]] std::string normalizeHost(std::string_view hostHeader)
-{
-    auto host = std::string{hostHeader.substr(0, hostHeader.rfind(':'))};
-    std::transform(host.begin(), host.end(), host.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return host;
-}
-
 } // namespace internal
 
 RequestDispatcher::RequestDispatcher(boost::asio::io_context &context,
@@ -189,11 +180,8 @@
             : m_dependencies.gate.runningRequests().find(metadata.parentId);
     policy.isNested
             = routing.needsKeys() ? route->isOpen && account == nullptr : parent.has_value();
-    // A long answer may come from another zone if the links of the local servers are full.
-    const bool isBoundByLink = m_dependencies.settings.linkMegabits > 0.0
-            && policy.answerBytes > proxy::kInlineBodyBytes;
-    policy.maySpill = isBoundByLink
-            || request.body.size() + policy.answerBytes <= proxy::spillAllowance(route->priority);
+    policy.maySpill = proxy::maySpill(request.body.size(), policy.answerBytes, route->priority,
+                                      m_dependencies.settings.linkMegabits > 0.0);
     auto &call = m_calls.emplace(id, Call{}).first->second;
     call.id = id;
     call.response = std::move(response);
@@ -220,6 +208,9 @@
     const auto running = parent || !call.frame.isNested
             ? parent
             : m_dependencies.gate.runningRequests().typical();
+    if (call.frame.isNested) {
+        m_dependencies.metrics.counter("nested_calls_total").add();
+    }
     if (call.frame.isNested && running) {
         // The urgency is that of the request which waits for this one at the local server.
         call.frame.rank = running->rank;
@@ -254,7 +245,7 @@
                                                      const http::Request &request)
 {
     const std::string_view target = request.target;
-    return routing.findRoute(internal::normalizeHost(http::findHeader(request.headers, "Host")),
+    return routing.findRoute(http::normalizedHost(request.headers),
                              target.substr(0, target.find('?')));
 }
 
@@ -387,9 +378,13 @@
     if (!call.frame.longBody || call.peer.host.empty()) {
         return;
     }
+    // Replies and credits keep half of the room on the links.
+    const BufferLimits limits{m_dependencies.settings.memoryBytes,
+                              m_dependencies.bodies.heldBytes()};
     while (const auto part = call.upload.next(call.id, call.frame.longBody->bytes)) {
-        if (!m_dependencies.peers.sendFollowUp(call.peer, proxy::encodeFrame(*part), now)) {
-            return; // no room on the link; the rest follows with the next credit or sweep
+        if (m_dependencies.peers.heldBytes() > limits.links / 2
+            || !m_dependencies.peers.sendFollowUp(call.peer, proxy::encodeFrame(*part), now)) {
+            return; // the rest follows with the next credit or sweep
         }
         call.upload.onSent(part->bytes.size());
     }
@@ -761,7 +756,9 @@
     m_leavingPeers.sweep(now);
     const auto &routing = m_dependencies.replica.view()->routing;
     const auto limits = routing ? routing->limits() : directory::InputLimits{};
-    m_connections.sweep(limits, BufferLimits{m_dependencies.settings.memoryBytes}.callers, now);
+    const BufferLimits buffers{m_dependencies.settings.memoryBytes,
+                               m_dependencies.bodies.heldBytes()};
+    m_connections.sweep(limits, buffers.callers, now);
     for (auto &[id, call] : m_calls) {
         if (!call.dispatcher.pendingServer().empty()) {
             sendUpload(call, now);
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -103,6 +103,8 @@
     /*! @brief Closes connections that are idle or slow beyond the limits, and drops old state. */
     void sweep(TimePoint now);
 
+    /*! @return Number of refused requests whose callers may retry them. */
+    [[nodiscard]] std::size_t refusedRequests() const noexcept { return m_refusedRequests.size(); }
     [[nodiscard]] const CallerConnections &connections() const noexcept { return m_connections; }
     /*! @brief Closes each connection, present or new, after its pending answer. Requests that could
      * outlast the shutdown are refused. */
--- a/src/celeryramp/engine/settings_reader.cpp
+++ b/src/celeryramp/engine/settings_reader.cpp
@@ -25,6 +25,8 @@
 constexpr double kMinMemoryMegabytes = 32.0;
 constexpr double kMaxMemoryMegabytes = 1024.0 * 1024.0;
 
+/*! Range of the rate of a link. */
+constexpr double kMinLinkMegabits = 1e-3;
 constexpr double kMaxLinkMegabits = 1e6;
 /*! Range of the limit on open descriptors, and the part of it that callers may take. The rest is
  * for peers, the server and files. */
@@ -111,6 +113,44 @@
     return value && *value >= 0.0 && *value <= 1.0;
 }
 
+void applyMetricsPort(double value, EngineSettings &settings)
+{
+    settings.metrics = Address{settings.links.host, static_cast<std::uint16_t>(value)};
+}
+
+void applyMemory(double value, EngineSettings &settings)
+{
+    settings.memoryBytes = static_cast<std::size_t>(value) << 20U;
+}
+
+void applyLinkRate(double value, EngineSettings &settings)
+{
+    settings.linkMegabits = value;
+}
+
+void applyDescriptors(double value, EngineSettings &settings)
+{
+    settings.maxConnections = static_cast<std::size_t>(value * kCallerDescriptorShare);
+}
+
+struct NumberKey
+{
+    std::string_view name;
+    double least;
+    double most;
+    std::string_view accepted; /*!< For the error of any other value. */
+    void (*apply)(double, EngineSettings &);
+};
+
+constexpr std::array<NumberKey, 4> kNumberKeys{
+        {{"metrics_port", 1.0, 65535.0, "not in the range from 1 to 65535", &applyMetricsPort},
+         {"memory_mb", kMinMemoryMegabytes, kMaxMemoryMegabytes,
+          "not in the range from 32 to 1048576", &applyMemory},
+         {"link_mbps", kMinLinkMegabits, kMaxLinkMegabits, "not in the range from 0.001 to 1000000",
+          &applyLinkRate},
+         {"max_descriptors", kMinDescriptors, kMaxDescriptors,
+          "not in the range from 64 to 10000000", &applyDescriptors}}};
+
 struct BoundKey
 {
     std::string_view name;
@@ -194,37 +234,16 @@
         return SettingsError{"source", "not an address of the form IP:port"};
     }
     settings.source = *source;
-    if (table.contains("metrics_port") && !internal::isUnset(table["metrics_port"])) {
-        const auto port = internal::number(table["metrics_port"]);
-        if (!port || *port < 1.0 || *port > 65535.0) {
-            return SettingsError{"metrics_port", "not in the range from 1 to 65535"};
+    for (const auto &key : internal::kNumberKeys) {
+        const auto node = table[key.name];
+        if (!table.contains(key.name) || internal::isUnset(node)) {
+            continue;
         }
-        settings.engine.metrics
-                = Address{settings.engine.links.host, static_cast<std::uint16_t>(*port)};
-    }
-    if (table.contains("memory_mb") && !internal::isUnset(table["memory_mb"])) {
-        const auto megabytes = internal::number(table["memory_mb"]);
-        if (!megabytes || *megabytes < internal::kMinMemoryMegabytes
-            || *megabytes > internal::kMaxMemoryMegabytes) {
-            return SettingsError{"memory_mb", "not in the range from 32 to 1048576"};
-        }
-        settings.engine.memoryBytes = static_cast<std::size_t>(*megabytes) << 20U;
-    }
-    if (table.contains("link_mbps") && !internal::isUnset(table["link_mbps"])) {
-        const auto megabits = internal::number(table["link_mbps"]);
-        if (!megabits || !(*megabits > 0.0) || *megabits > internal::kMaxLinkMegabits) {
-            return SettingsError{"link_mbps", "not greater than 0 and at most 1000000"};
-        }
-        settings.engine.linkMegabits = *megabits;
-    }
-    if (table.contains("max_descriptors") && !internal::isUnset(table["max_descriptors"])) {
-        const auto descriptors = internal::number(table["max_descriptors"]);
-        if (!descriptors || *descriptors < internal::kMinDescriptors
-            || *descriptors > internal::kMaxDescriptors) {
-            return SettingsError{"max_descriptors", "not in the range from 64 to 10000000"};
+        const auto value = internal::number(node);
+        if (!value || !(*value >= key.least && *value <= key.most)) {
+            return SettingsError{std::string{key.name}, std::string{key.accepted}};
         }
-        settings.engine.maxConnections
-                = static_cast<std::size_t>(*descriptors * internal::kCallerDescriptorShare);
+        key.apply(*value, settings.engine);
     }
     if (table.contains("concurrency") && !internal::isUnset(table["concurrency"])) {
         settings.engine.concurrency = table["concurrency"].value_or(std::string{});
--- a/src/celeryramp/http/message.cpp
+++ b/src/celeryramp/http/message.cpp
@@ -59,6 +59,15 @@
     return {};
 }
 
+std::string normalizedHost(const Headers &headers)
+{
+    const auto header = findHeader(headers, "Host");
+    auto host = std::string{header.substr(0, header.rfind(':'))};
+    std::transform(host.begin(), host.end(), host.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return host;
+}
+
 int countHeaders(const Headers &headers, std::string_view name) noexcept
 {
     return static_cast<int>(std::count_if(headers.begin(), headers.end(), [name](const Header &it) {
--- a/src/celeryramp/http/message.h
+++ b/src/celeryramp/http/message.h
@@ -45,6 +45,9 @@
 /*! @return Value of the first header with this name, or an empty string. */
 [[nodiscard]] std::string_view findHeader(const Headers &headers, std::string_view name) noexcept;
 
+/*! @return Host that a request names, in lower case and without port. */
+[[nodiscard]] std::string normalizedHost(const Headers &headers);
+
 /*! @return Number of headers with this name. */
 [[nodiscard]] int countHeaders(const Headers &headers, std::string_view name) noexcept;
 
--- a/src/celeryramp/proxy/answer_sizes.cpp
+++ b/src/celeryramp/proxy/answer_sizes.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "proxy/frames.h"
+
 namespace celeryramp::proxy {
 
 namespace internal {
@@ -18,6 +20,13 @@
     return internal::kMaxUrgentBytes / static_cast<std::size_t>(1 + std::max(0, priority));
 }
 
+bool maySpill(std::size_t requestBytes, std::size_t answerBytes, int priority,
+              bool areLinksKnown) noexcept
+{
+    return (areLinksKnown && answerBytes > kInlineBodyBytes)
+            || requestBytes + answerBytes <= spillAllowance(priority);
+}
+
 void AnswerSizes::onAnswer(const std::string &route, std::size_t bytes)
 {
     const auto newest = static_cast<double>(bytes);
--- a/src/celeryramp/proxy/answer_sizes.h
+++ b/src/celeryramp/proxy/answer_sizes.h
@@ -14,6 +14,14 @@
  */
 [[nodiscard]] std::size_t spillAllowance(int priority) noexcept;
 
+/*!
+ * @return True if a call may use other zones to meet its target: its bytes are within the
+ * allowance, or the answer is long and the links of the local servers may be full.
+ * @param areLinksKnown The rates of links are known, and their waits are reported.
+ */
+[[nodiscard]] bool maySpill(std::size_t requestBytes, std::size_t answerBytes, int priority,
+                            bool areLinksKnown) noexcept;
+
 /*! @brief Keeps a moving average of the answer size of each route. */
 class AnswerSizes
 {
--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -83,7 +83,8 @@
         // A link sends in order, so late answers on it would make those behind them late as well.
         return Millis{-1};
     }
-    if (call.isNested || isLateWork || (call.mayBeLate && !isOverloaded(now))) {
+    const bool hasTarget = call.target < call.deadline;
+    if (call.isNested || isLateWork || !hasTarget || (call.mayBeLate && !isOverloaded(now))) {
         return millisBetween(now, latestStart(call)) - sending;
     }
     const auto spare = millisBetween(now, call.target) - likelyServiceTime(call) - sending;
--- a/test/proxy/answer_sizes.cpp
+++ b/test/proxy/answer_sizes.cpp
@@ -24,3 +24,11 @@
     CHECK(spillAllowance(1) > spillAllowance(2));
     CHECK(spillAllowance(100) < 1000);
 }
+
+TEST_CASE("Long answers may come from other zones only where links report their waits")
+{
+    REQUIRE(maySpill(500, 1'000, 2, false));
+    REQUIRE_FALSE(maySpill(500, 90'000, 0, false));
+    REQUIRE(maySpill(500, 90'000, 2, true));
+    REQUIRE_FALSE(maySpill(500, 10'000, 2, true));
+}
--- a/test/proxy/call_dispatcher.cpp
+++ b/test/proxy/call_dispatcher.cpp
@@ -304,3 +304,25 @@
     }
     REQUIRE(offers >= 3);
 }
+
+TEST_CASE("A report of overload that is old no longer keeps calls from a gate")
+{
+    TestService service{"near-1", "near-2"};
+    auto overloaded = refusal(Reason::Busy);
+    overloaded.load.isOverloaded = true;
+    for (int i = 0; i < 20; ++i) {
+        CallDispatcher dispatcher{policy()};
+        auto step = dispatcher.begin(service.dispatchContext(), kStart);
+        while (std::holds_alternative<OfferStep>(step)) {
+            step = dispatcher.onReply(overloaded, service.dispatchContext(), kStart);
+        }
+    }
+    const auto later = kStart + Millis{1500};
+    auto limits = policy();
+    limits.target = later + Millis{500};
+    limits.deadline = later + Millis{1200};
+    CallDispatcher dispatcher{limits};
+    auto step = dispatcher.begin(service.dispatchContext(), later);
+    step = dispatcher.onReply(refusal(Reason::Busy), service.dispatchContext(), later);
+    REQUIRE(std::holds_alternative<OfferStep>(step));
+}
--- a/test/proxy/server_gate_overload.cpp
+++ b/test/proxy/server_gate_overload.cpp
@@ -85,3 +85,20 @@
         REQUIRE(gate.next(start) == 1U);
     }
 }
+
+TEST_CASE("Pattern: a route without a target - calls wait for as long as their deadline allows")
+{
+    const TimePoint start{std::chrono::hours{1}};
+    ServerGate gate;
+    gate.setServer(1, 0.0);
+    gate.setClosed(Reason::None);
+    int taken = 0;
+    for (std::uint64_t i = 1; i <= 40; ++i) {
+        const GateCall call{i, 0, false, false, start, start + Millis{2000}, start + Millis{2000},
+                            1};
+        taken += gate.offer(call, start) == Reason::None ? 1 : 0;
+    }
+    // A slot ends 19 calls of 100 ms each before the last one would be late.
+    REQUIRE(taken >= 13);
+    REQUIRE(taken <= 19);
+}
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -82,7 +82,8 @@
 {
     const auto now = bootNow();
     ++m_revision;
-    std::vector<directory::ItemChange> items{{"configuration", "1", 1, false}};
+    std::vector<directory::ItemChange> items{
+            {"configuration", std::to_string(m_version), m_version, false}};
     for (std::size_t i = 0; i < nodes.size(); ++i) {
         const auto &id = nodes[i]->serverId;
         if (missing.count(static_cast<int>(i)) > 0) {
@@ -101,6 +102,13 @@
     }
 }
 
+void Mesh::removeAccounts()
+{
+    m_decoder.base.accounts.clear();
+    m_version = ++m_revision;
+    publish();
+}
+
 void Mesh::failSource()
 {
     for (const auto &node : nodes) {
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -66,6 +66,9 @@
      */
     void publish(const std::set<int> &draining = {}, const std::set<int> &missing = {});
 
+    /*! @brief Publishes a configuration without accounts, so that no request needs a key. */
+    void removeAccounts();
+
     /*! @brief Lets a read of all nodes fail that was sent just now. */
     void failSource();
 
@@ -126,6 +129,7 @@
     std::vector<engine::EngineSettings> m_settings; /*!< Of each node. */
     std::vector<std::unique_ptr<engine::Engine>> m_stoppedEngines;
     std::int64_t m_revision = 1;
+    std::int64_t m_version = 1; /*!< Of the configuration, and its revision. */
     int m_nextRequest = 1;
 };
 
