A zone that does not answer is found out at once and left alone

Ruled out: hung servers, as gates of the zone went on serving. Change: ZoneReachability suspects a zone that owes a response and leaves pings to two of its nodes unanswered; calls stay away, repeatable ones move, others without a server are refused as not run.

--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -310,8 +310,14 @@
                   now);
 }
 
+void Engine::onPeerHeard(const Address &peer)
+{
+    m_dispatcher.onPeerHeard(peer, bootNow());
+}
+
 void Engine::onLinkOpen(const Address &peer)
 {
+    m_dispatcher.onPeerHeard(peer, bootNow());
     logEvent(LogLevel::Info, "engine", "peer-regained", {{"peer", peer.text()}});
     m_dispatcher.onLinkOpen(peer);
     if (!m_replica.isComplete()) {
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -73,6 +73,7 @@
     }
 
     void onFrame(const Address &peer, std::string_view bytes) override;
+    void onPeerHeard(const Address &peer) override;
     void onLinkOpen(const Address &peer) override;
     void onLinkLost(const Address &peer, links::LinkLoss loss) override;
     void onLinkSilent(const Address &peer) override;
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -43,6 +43,7 @@
                     internal::kRetryReserve, internal::kRetryReserve},
       m_random{seed ^ 0x5bd1e995U}, m_connections{dependencies.settings, dependencies.bodies,
                                                   dependencies.metrics},
+      m_zones{dependencies.settings, dependencies.peers, dependencies.metrics, seed},
       m_nextId{(seed << 20U) | 1U}
 { }
 
@@ -92,6 +93,7 @@
 void RequestDispatcher::onRequest(http::ResponseWriter response, http::Request request)
 {
     const auto now = bootNow();
+    pollZones(now);
     const auto metadata = m_dependencies.headerAdapter.readCaller(request.headers);
     const auto &view = m_dependencies.replica.view();
     if (!view->routing) {
@@ -288,7 +290,7 @@
         const bool isLocal = server->address.host == m_dependencies.settings.links.host;
         const auto &host = server->address.host;
         if (!isLocal
-            && (m_leavingPeers.isClosed(host)
+            && (m_zones.isSuspected(server->zone) || m_leavingPeers.isClosed(host)
                 || !m_dependencies.peers.isReachable({host, m_dependencies.settings.links.port},
                                                      now))) {
             continue;
@@ -365,6 +367,7 @@
     call.frame.uploadBytes = call.frame.longBody ? call.frame.longBody->bytes.size() : 0;
     call.upload = {};
     if (m_dependencies.peers.send(call.peer, proxy::encodeFrame(call.frame), now)) {
+        m_zones.onSent(call.peer, now);
         sendUpload(call, now);
     } else {
         boost::asio::post(m_context, [this, id] {
@@ -749,8 +752,22 @@
                        [&peer](const auto &entry) { return isExpecting(entry.second, peer); });
 }
 
+void RequestDispatcher::pollZones(TimePoint now)
+{
+    if (m_isPollingZones) {
+        return; // calls that are tried elsewhere are sent, too
+    }
+    m_isPollingZones = true;
+    m_zones.onDirectory(m_dependencies.replica.view());
+    for (const auto &peer : m_zones.poll(now)) {
+        onLinkSilent(peer, now);
+    }
+    m_isPollingZones = false;
+}
+
 void RequestDispatcher::sweep(TimePoint now)
 {
+    pollZones(now);
     m_serverPicker.sweep(now);
     m_refusedRequests.sweep(now);
     m_leavingPeers.sweep(now);
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -16,6 +16,7 @@
 #include "engine/backend_gate.h"
 #include "engine/caller_connections.h"
 #include "engine/peer_coordinator.h"
+#include "engine/zone_monitor.h"
 #include "http/caller_connection.h"
 #include "links/peer_links.h"
 #include "proxy/answer_sizes.h"
@@ -76,6 +77,8 @@
     void onBody(const Address &peer, proxy::BodyFrame part, TimePoint now);
     /*! @brief Sends more of a long request body to the gate of a peer. */
     void onUploadCredit(const Address &peer, const proxy::UploadCreditFrame &credit, TimePoint now);
+    /*! @brief Records that anything arrived from a peer. */
+    void onPeerHeard(const Address &peer, TimePoint now) { m_zones.onHeard(peer, now); }
     /*! @brief Takes a peer with a newly opened link for available. */
     void onLinkOpen(const Address &peer);
     /*! @brief Fails the attempts that wait for a reply over a lost link. */
@@ -155,6 +158,9 @@
     void sendToGate(Call &call, const proxy::OfferStep &step, TimePoint now);
     /*! @brief Sends of a long request body what the window and the link allow. */
     void sendUpload(Call &call, TimePoint now);
+    /*! @brief Looks for zones that are silent, and tries repeatable calls elsewhere that wait
+     * there. */
+    void pollZones(TimePoint now);
     void onGateReply(std::uint64_t id, const proxy::ReplyFrame &reply, TimePoint now);
     [[nodiscard]] std::vector<proxy::Candidate> candidates(const std::string &service,
                                                            const std::set<std::string> &excluded,
@@ -205,6 +211,8 @@
             m_callIdsByResponse;
     CallerConnections m_connections;
     proxy::LeavingPeers m_leavingPeers;
+    ZoneMonitor m_zones;
+    bool m_isPollingZones = false;
     std::uint64_t m_nextId = 1;
     std::optional<proxy::ShutdownSchedule> m_shutdown;
 };
--- a/src/celeryramp/links/link_events.h
+++ b/src/celeryramp/links/link_events.h
@@ -24,6 +24,8 @@
 
     /*! @brief A frame was received. */
     virtual void onFrame(const Address &peer, std::string_view frame) = 0;
+    /*! @brief Anything arrived from a peer: a frame, or the answer to a ping. */
+    virtual void onPeerHeard(const Address &peer) = 0;
     /*! @brief A link has been opened. */
     virtual void onLinkOpen(const Address &peer) = 0;
     /*! @brief A link has ended or could not be opened. */
--- a/src/celeryramp/links/peer_links.cpp
+++ b/src/celeryramp/links/peer_links.cpp
@@ -138,6 +138,7 @@
     void updateLastReceived(const Address &peer, const Handle &handle)
     {
         const auto now = bootNow();
+        events.onPeerHeard(peer);
         if (const auto it = links.find(peer); it != links.end()) {
             it->second.lastReceivedAt = now;
         } else if (const auto silent = findSilent(peer, handle); silent != silentLinks.end()) {
@@ -518,6 +519,17 @@
     m_impl->maxTotal = bytes;
 }
 
+void PeerLinks::probe(const Address &peer, TimePoint now)
+{
+    if (const auto it = m_impl->links.find(peer); it == m_impl->links.end()) {
+        if (isReachable(peer, now)) {
+            static_cast<void>(m_impl->open(peer, now));
+        }
+    } else if (it->second.isOpen && it->second.lastPingAt <= it->second.lastReceivedAt) {
+        m_impl->ping(it->second, now);
+    }
+}
+
 bool PeerLinks::isOpen(const Address &peer) const
 {
     const auto it = m_impl->links.find(peer);
--- a/src/celeryramp/links/peer_links.h
+++ b/src/celeryramp/links/peer_links.h
@@ -68,6 +68,9 @@
      */
     [[nodiscard]] bool sendFollowUp(const Address &peer, std::string frame, TimePoint now);
 
+    /*! @brief Provokes a sign of life: pings the peer, or opens a link to it. */
+    void probe(const Address &peer, TimePoint now);
+
     /*! @return True if a link to the peer is open. */
     [[nodiscard]] bool isOpen(const Address &peer) const;
 
--- a/src/celeryramp/proxy/fwd.h
+++ b/src/celeryramp/proxy/fwd.h
@@ -24,5 +24,6 @@
 class StopNotice;
 class TransitDelay;
 class UsageAggregator;
+class ZoneReachability;
 
 } // namespace celeryramp::proxy
--- a/test/links/paused_peers.cpp
+++ b/test/links/paused_peers.cpp
@@ -26,6 +26,7 @@
     {
         received += bytes.size();
     }
+    void onPeerHeard(const Address & /*peer*/) override { }
     void onLinkOpen(const Address & /*peer*/) override { }
     void onLinkLost(const Address & /*peer*/, links::LinkLoss /*loss*/) override { }
     void onLinkSilent(const Address & /*peer*/) override { }
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -30,11 +30,17 @@
 
 std::unique_ptr<Mesh> Mesh::withProxy(const std::string &proxyHost, int count)
 {
-    return std::unique_ptr<Mesh>{new Mesh{count, 0, proxyHost}};
+    return std::unique_ptr<Mesh>{new Mesh{count, 0, proxyHost, 1}};
 }
 
-Mesh::Mesh(int count, int south, const std::string &proxyHost)
+std::unique_ptr<Mesh> Mesh::withZoneBehindProxies(int south)
 {
+    return std::unique_ptr<Mesh>{new Mesh{1 + south, south, "127.0.0.51", south}};
+}
+
+Mesh::Mesh(int count, int south, const std::string &proxyHost, int proxied)
+{
+    const auto lastDot = proxyHost.rfind('.');
     m_decoder.base.services = {{"stock", "/health", 0, Millis{3000}, 15.0}};
     m_decoder.base.routes
             = {route("safe", "/safe/", true, true), route("once", "/once/", false, true),
@@ -45,11 +51,14 @@
         auto node = std::make_unique<Node>();
         node->host = "127.0.0." + std::to_string(11 + i);
         node->backendHost = node->host;
-        if (!proxyHost.empty() && i == count - 1) {
+        if (const int n = i - (count - proxied); n >= 0) {
             // Peers take the host of the server for that of its node.
-            node->backendHost = proxyHost;
-            proxy = std::make_unique<standin::soak::LinkProxy>(
-                    context, Address{node->backendHost, kLinkPort}, Address{node->host, kLinkPort});
+            const auto octet = std::stoi(proxyHost.substr(lastDot + 1)) + n;
+            node->backendHost = proxyHost.substr(0, lastDot + 1) + std::to_string(octet);
+            proxies.push_back(std::make_unique<standin::soak::LinkProxy>(
+                    context, Address{node->backendHost, kLinkPort},
+                    Address{node->host, kLinkPort}));
+            proxy = proxies.back().get();
         }
         node->serverId = "s" + std::to_string(i);
         node->server = std::make_unique<ScriptedServer>(
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -50,7 +50,7 @@
 public:
     /*! @param count Number of nodes. @param south Number of nodes in zone `south`, the last ones.
      */
-    explicit Mesh(int count, int south = 0) : Mesh{count, south, std::string{}} { }
+    explicit Mesh(int count, int south = 0) : Mesh{count, south, std::string{}, 0} { }
 
     /*!
      * @return A mesh in which the links that others open to the last node lead through `proxy`.
@@ -59,6 +59,10 @@
     [[nodiscard]] static std::unique_ptr<Mesh>
     withProxy(const std::string &proxyHost = "127.0.0.51", int count = 2);
 
+    /*! @return A mesh of one node in zone `north` and `south` nodes in zone `south`, to each of
+     * which the links of others lead through one of `proxies`. */
+    [[nodiscard]] static std::unique_ptr<Mesh> withZoneBehindProxies(int south);
+
     /*!
      * @brief Sends a complete list of items to all nodes.
      * @param draining Indexes of servers listed as draining.
@@ -119,10 +123,13 @@
     static constexpr std::uint16_t kReadinessPort = 17803;
     static constexpr std::uint16_t kServerPort = 17804;
 
-    std::unique_ptr<standin::soak::LinkProxy> proxy;
+    std::vector<std::unique_ptr<standin::soak::LinkProxy>> proxies;
+    standin::soak::LinkProxy *proxy = nullptr; /*!< The last of `proxies`. */
 
 private:
-    Mesh(int count, int south, const std::string &proxyHost);
+    /*! @param proxied Number of nodes behind proxies, the last ones; the last octet of `proxyHost`
+     * grows from the first to the last. */
+    Mesh(int count, int south, const std::string &proxyHost, int proxied);
 
     TestHeaderAdapter m_headerAdapter;
     TextDecoder m_decoder;
