Frames of a former process are not read once its successor has a link

Ruled out: links that were not opened, refusals after handing over. Change: connections are told by incarnation; those of a former process are closed and not read.

--- a/src/celeryramp/links/peer_links.cpp
+++ b/src/celeryramp/links/peer_links.cpp
@@ -71,6 +71,13 @@
     std::string incarnation; /*!< Of the peer's process; empty until the link is open. */
 };
 
+/*! Process at the other end of a connection. */
+struct RemoteProcess
+{
+    Address peer;
+    std::string incarnation; /*!< Empty until the link is open. */
+};
+
 void setSocketOptions(boost::asio::ip::tcp::socket &socket)
 {
     http::applySocketOptions(socket);
@@ -83,6 +90,7 @@
     using Handle = websocketpp::connection_hdl;
     using SilentMap = std::multimap<Address, internal::Link, internal::AddressLess>;
     using LinkMap = std::map<Address, internal::Link, internal::AddressLess>;
+    using ProcessMap = std::map<Handle, internal::RemoteProcess, std::owner_less<Handle>>;
 
     Impl(boost::asio::io_context &context, Address own, LinkEvents &sink)
         : self{std::move(own)}, incarnation{randomHex(internal::kIncarnationBytes)}, events{sink}
@@ -109,8 +117,7 @@
     }
 
     template <typename Endpoint>
-    void setHandlers(Endpoint &endpoint,
-                     std::map<Handle, Address, std::owner_less<Handle>> &peerByHandle)
+    void setHandlers(Endpoint &endpoint, ProcessMap &processes)
     {
         endpoint.set_tcp_post_init_handler([&endpoint](const Handle &handle) {
             websocketpp::lib::error_code ec;
@@ -118,21 +125,21 @@
                 internal::setSocketOptions(connection->get_raw_socket());
             }
         });
-        endpoint.set_message_handler(
-                [this, &peerByHandle](const Handle &handle, const auto &message) {
-                    if (const auto it = peerByHandle.find(handle); it != peerByHandle.end()) {
-                        frameByteCount += message->get_payload().size();
-                        updateLastReceived(it->second, handle);
-                        events.onFrame(Address{it->second}, message->get_payload());
-                    }
-                });
-        endpoint.set_pong_handler([this, &peerByHandle](const Handle &handle, const std::string &) {
-            if (const auto it = peerByHandle.find(handle); it != peerByHandle.end()) {
-                updateLastReceived(it->second, handle);
+        endpoint.set_message_handler([this, &processes](const Handle &handle, const auto &message) {
+            if (const auto it = processes.find(handle); it != processes.end()) {
+                frameByteCount += message->get_payload().size();
+                const Address peer = it->second.peer;
+                updateLastReceived(peer, handle);
+                events.onFrame(peer, message->get_payload());
+            }
+        });
+        endpoint.set_pong_handler([this, &processes](const Handle &handle, const std::string &) {
+            if (const auto it = processes.find(handle); it != processes.end()) {
+                updateLastReceived(Address{it->second.peer}, handle);
             }
         });
         endpoint.set_close_handler(
-                [this, &peerByHandle](const Handle &handle) { onClosed(handle, peerByHandle); });
+                [this, &processes](const Handle &handle) { onClosed(handle, processes); });
     }
 
     void updateLastReceived(const Address &peer, const Handle &handle)
@@ -163,9 +170,28 @@
         return silentLinks.end();
     }
 
+    /*! Stops reading from earlier processes of a peer. What they sent may arrive late, after a cut,
+     *  and must not be taken for frames of the present one. */
+    void forgetOtherProcesses(ProcessMap &processes, const Address &peer,
+                              const std::string &current)
+    {
+        for (auto it = processes.begin(); it != processes.end();) {
+            const auto &process = it->second;
+            const bool isOther = process.peer == peer && !process.incarnation.empty()
+                    && process.incarnation != current;
+            const auto handle = it->first;
+            it = isOther ? processes.erase(it) : std::next(it);
+            if (isOther) {
+                closeSocket(handle, &processes == &outgoingPeers);
+            }
+        }
+    }
+
     /*! Ends the calls with an earlier process of a peer. */
     void dropOtherIncarnations(const Address &peer, const std::string &current)
     {
+        forgetOtherProcesses(incomingPeers, peer, current);
+        forgetOtherProcesses(outgoingPeers, peer, current);
         bool isAnyDropped = false;
         const auto [first, last] = silentLinks.equal_range(peer);
         for (auto it = first; it != last;) {
@@ -191,7 +217,7 @@
             return;
         }
         const auto peerIncarnation = connection->get_request_header(internal::kIncarnationHeader);
-        incomingPeers[handle] = *peer;
+        incomingPeers[handle] = {*peer, peerIncarnation};
         dropOtherIncarnations(*peer, peerIncarnation);
         auto &link = links[*peer];
         // If both nodes open a link at the same time, frames are read from both links.
@@ -218,19 +244,19 @@
         events.onLinkOpen(*peer);
     }
 
-    void onOpen(const Handle &handle,
-                std::map<Handle, Address, std::owner_less<Handle>> &peerByHandle)
+    void onOpen(const Handle &handle, ProcessMap &processes)
     {
-        const auto it = peerByHandle.find(handle);
-        if (it == peerByHandle.end()) {
+        const auto it = processes.find(handle);
+        if (it == processes.end()) {
             return;
         }
-        const Address peer = it->second;
+        const Address peer = it->second.peer;
         failedAt.erase(peer);
         websocketpp::lib::error_code ec;
         const auto connection = client.get_con_from_hdl(handle, ec);
         const auto peerIncarnation
                 = ec ? "" : connection->get_response_header(internal::kIncarnationHeader);
+        it->second.incarnation = peerIncarnation;
         dropOtherIncarnations(peer, peerIncarnation);
         auto &link = links[peer];
         if (link.handle.lock() != handle.lock()) {
@@ -248,15 +274,14 @@
         events.onLinkOpen(peer);
     }
 
-    void onClosed(const Handle &handle,
-                  std::map<Handle, Address, std::owner_less<Handle>> &peerByHandle)
+    void onClosed(const Handle &handle, ProcessMap &processes)
     {
-        const auto it = peerByHandle.find(handle);
-        if (it == peerByHandle.end()) {
+        const auto it = processes.find(handle);
+        if (it == processes.end()) {
             return;
         }
-        const Address peer = it->second;
-        peerByHandle.erase(it);
+        const Address peer = it->second.peer;
+        processes.erase(it);
         removeLink(peer, handle);
     }
 
@@ -296,21 +321,25 @@
         events.onLinkSilent(peer);
     }
 
-    void closeSocket(const internal::Link &link)
+    void closeSocket(const Handle &handle, bool isOutgoing)
     {
         websocketpp::lib::error_code ec;
         boost::system::error_code ignored;
-        if (link.isOutgoing) {
-            if (const auto connection = client.get_con_from_hdl(link.handle, ec); !ec) {
-                outgoingPeers.erase(link.handle);
+        if (isOutgoing) {
+            if (const auto connection = client.get_con_from_hdl(handle, ec); !ec) {
                 connection->get_raw_socket().close(ignored);
             }
-        } else if (const auto connection = server.get_con_from_hdl(link.handle, ec); !ec) {
-            incomingPeers.erase(link.handle);
+        } else if (const auto connection = server.get_con_from_hdl(handle, ec); !ec) {
             connection->get_raw_socket().close(ignored);
         }
     }
 
+    void closeSocket(const internal::Link &link)
+    {
+        (link.isOutgoing ? outgoingPeers : incomingPeers).erase(link.handle);
+        closeSocket(link.handle, link.isOutgoing);
+    }
+
     /*! Closes the socket of a link without a closing handshake. */
     void closeAbruptly(const Address &peer)
     {
@@ -350,7 +379,7 @@
         connection->append_header(internal::kNodeHeader, self.text());
         connection->append_header(internal::kIncarnationHeader, incarnation);
         connection->set_open_handshake_timeout(static_cast<long>(kOpenTimeout.count()));
-        outgoingPeers[connection->get_handle()] = peer;
+        outgoingPeers[connection->get_handle()] = {peer, {}};
         links[peer] = {connection->get_handle(), true, false, {}, 0, now, now, {}, {}};
         client.connect(connection);
         return true;
@@ -431,8 +460,8 @@
     LinkMap links;
     SilentMap silentLinks;
     std::map<Address, TimePoint, internal::AddressLess> failedAt;
-    std::map<Handle, Address, std::owner_less<Handle>> incomingPeers;
-    std::map<Handle, Address, std::owner_less<Handle>> outgoingPeers;
+    ProcessMap incomingPeers;
+    ProcessMap outgoingPeers;
     std::uint64_t frameByteCount = 0;
     std::size_t maxTotal = kDefaultMaxTotalBytes;
     std::size_t heldAtMost = 0; /*!< Upper bound of `heldBytes`, which is costly to sum up. */
--- a/test/engine/silent_zone.cpp
+++ b/test/engine/silent_zone.cpp
@@ -81,8 +81,8 @@
     cut.load(Millis{800});
     cut.setState({});
     cut.mesh->run(Millis{1000});
-    const auto before = cut.mesh->nodes[1]->server->seen.size()
-            + cut.mesh->nodes[2]->server->seen.size();
+    const auto before
+            = cut.mesh->nodes[1]->server->seen.size() + cut.mesh->nodes[2]->server->seen.size();
     REQUIRE(cut.mesh->callAndWait(0, "POST", "/once/", {}, "x").answer.status == 200);
     REQUIRE(cut.mesh->nodes[1]->server->seen.size() + cut.mesh->nodes[2]->server->seen.size()
             > before);
--- /dev/null
+++ b/test/links/former_process.cpp
@@ -0,0 +1,83 @@
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "core/boot_clock.h"
+#include "links/peer_links.h"
+#include "soak/link_proxy.h"
+
+using namespace celeryramp;
+using links::PeerLinks;
+using standin::soak::LinkProxy;
+using standin::soak::LinkState;
+
+namespace {
+
+constexpr std::uint16_t kPort = 17808;
+const Address kNode{"127.0.0.71", kPort};
+const Address kNodeBehindProxy{"127.0.0.91", kPort};
+const Address kRestarting{"127.0.0.72", kPort};
+
+class RecordedEvents final : public links::LinkEvents
+{
+public:
+    void onFrame(const Address & /*peer*/, std::string_view bytes) override
+    {
+        frames.emplace_back(bytes);
+    }
+    void onPeerHeard(const Address & /*peer*/) override { }
+    void onLinkOpen(const Address & /*peer*/) override { ++opened; }
+    void onLinkLost(const Address & /*peer*/, links::LinkLoss loss) override
+    {
+        losses.push_back(loss);
+    }
+    void onLinkSilent(const Address & /*peer*/) override { }
+    void onLinkReplaced(const Address & /*peer*/) override { }
+    [[nodiscard]] bool isAwaiting(const Address & /*peer*/) const override { return false; }
+
+    std::vector<std::string> frames;
+    std::vector<links::LinkLoss> losses;
+    int opened = 0;
+};
+
+} // namespace
+
+// Guards against a refusal that is not true: the last frame of a process that has been replaced
+// says that it runs nothing, and must not be taken for a word of its successor.
+TEST_CASE("Former process: frames that a cut held up are not taken for those of its successor")
+{
+    boost::asio::io_context context;
+    const auto run = [&context](Millis time) {
+        context.restart();
+        context.run_for(time);
+    };
+    RecordedEvents events;
+    PeerLinks node{context, kNode, events};
+    REQUIRE(node.listen(kNode));
+    LinkProxy proxy{context, kNodeBehindProxy, kNode};
+    RecordedEvents formerEvents;
+    PeerLinks former{context, kRestarting, formerEvents};
+    REQUIRE(former.send(kNodeBehindProxy, "first", bootNow()));
+    run(Millis{200});
+    REQUIRE(events.frames == std::vector<std::string>{"first"});
+
+    proxy.setPresentState(LinkState::held());
+    REQUIRE(former.send(kNodeBehindProxy, "held up", bootNow()));
+    run(Millis{50});
+    RecordedEvents successorEvents;
+    PeerLinks successor{context, kRestarting, successorEvents};
+    REQUIRE(successor.send(kNodeBehindProxy, "second", bootNow()));
+    run(Millis{200});
+    REQUIRE(events.frames == std::vector<std::string>{"first", "second"});
+    REQUIRE(events.losses == std::vector<links::LinkLoss>{links::LinkLoss::PeerGone});
+
+    proxy.setState({});
+    run(Millis{300});
+    REQUIRE(events.frames == std::vector<std::string>{"first", "second"});
+    REQUIRE(successor.send(kNodeBehindProxy, "third", bootNow()));
+    REQUIRE(node.send(kRestarting, "reply", bootNow()));
+    run(Millis{200});
+    REQUIRE(events.frames == std::vector<std::string>{"first", "second", "third"});
+    REQUIRE(successorEvents.frames == std::vector<std::string>{"reply"});
+}
