Long answers are admitted by half of the time they can spare for the link

Answers that would be late were also taken whenever the gate itself was not overloaded. Change: the wait for the link may take half of the spare time, as that for a slot; beyond it only a link that is nearly idle takes an answer.

--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -70,26 +70,22 @@
     return (mayBeLate ? call.deadline : call.target) - minServiceTime(call);
 }
 
-Millis ServerGate::linkWait(const GateCall &call, TimePoint now) const
-{
-    return call.linkBytes > 0 ? m_link.wait(now) + m_link.transfer(call.linkBytes) : Millis{0};
-}
-
 Millis ServerGate::longestWait(const GateCall &call, TimePoint now) const
 {
-    const auto sending = linkWait(call, now);
-    const bool isLateWork = !call.isNested && isLate(call, now);
-    if (isLateWork && call.linkBytes > 0 && m_link.wait(now) > m_link.transfer(call.linkBytes)) {
+    const auto linkWait = call.linkBytes > 0 ? m_link.wait(now) : Millis{0};
+    const auto transfer = m_link.transfer(call.linkBytes);
+    const auto spare = millisBetween(now, call.target) - likelyServiceTime(call) - transfer;
+    const auto shortWait = std::chrono::duration_cast<Millis>(spare * internal::kSpareShare);
+    const bool hasTarget = call.target < call.deadline;
+    if (!call.isNested && hasTarget && linkWait > std::max(transfer, shortWait)) {
         // A link sends in order, so late answers on it would make those behind them late as well.
         return Millis{-1};
     }
-    const bool hasTarget = call.target < call.deadline;
+    const bool isLateWork = !call.isNested && isLate(call, now);
     if (call.isNested || isLateWork || !hasTarget || (call.mayBeLate && !isOverloaded(now))) {
-        return millisBetween(now, latestStart(call)) - sending;
+        return millisBetween(now, latestStart(call)) - linkWait - transfer;
     }
-    const auto spare = millisBetween(now, call.target) - likelyServiceTime(call) - sending;
-    return call.mayBeLate ? spare
-                          : std::chrono::duration_cast<Millis>(spare * internal::kSpareShare);
+    return (call.mayBeLate ? spare : shortWait) - linkWait;
 }
 
 bool ServerGate::isOverloaded(TimePoint now) const
--- a/src/celeryramp/proxy/server_gate.h
+++ b/src/celeryramp/proxy/server_gate.h
@@ -135,7 +135,6 @@
     [[nodiscard]] Millis longestWait(const GateCall &call, TimePoint now) const;
     /*! @brief Records the refusal of a call that could have met its target. */
     void onTimelyRefused(TimePoint now);
-    [[nodiscard]] Millis linkWait(const GateCall &call, TimePoint now) const;
     /*! Order of service: nested, timely or late, then the rank. */
     using Precedence = std::pair<int, int>;
     /*! Calls per second, as a moving average. */
--- a/test/proxy/server_gate_overload.cpp
+++ b/test/proxy/server_gate_overload.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <map>
 
 #include <catch2/catch.hpp>
 
@@ -66,6 +67,52 @@
             == Reason::None);
 }
 
+TEST_CASE("Pattern: a link beyond its capacity - answers that would be late do not take its time")
+{
+    // Long answers at 1.3 times the rate of the link, each offered again for a late answer.
+    constexpr std::size_t kBytes = 90'000;
+    constexpr Millis kTarget{500};
+    const TimePoint start{std::chrono::hours{1}};
+    ServerGate gate;
+    gate.setServer(5, 0.0);
+    gate.setClosed(Reason::None);
+    gate.link().setRate(14.0);
+    const auto transfer = gate.link().transfer(kBytes);
+    const auto interval = std::chrono::duration_cast<Micros>(transfer) * 10 / 13;
+    const Micros service{60'000};
+    std::multimap<TimePoint, std::uint64_t> ends;
+    auto linkFreeAt = start;
+    int inTarget = 0;
+    int answered = 0;
+    std::uint64_t ticket = 0;
+    auto nextAt = start;
+    for (auto now = start; now < start + Millis{20'000}; now += Millis{1}) {
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const auto arrived = ends.begin()->first - service;
+            ends.erase(ends.begin());
+            gate.finished(HandoverOutcome::Served, service, now, 1);
+            linkFreeAt = std::max(linkFreeAt, now) + transfer;
+            ++answered;
+            inTarget += linkFreeAt <= arrived + kTarget ? 1 : 0;
+        }
+        for (; nextAt <= now; nextAt += interval) {
+            GateCall call{++ticket,           2, false, false, now, now + kTarget,
+                          now + Millis{2000}, 1, kBytes};
+            if (gate.offer(call, now) != Reason::None) {
+                call.mayBeLate = true;
+                static_cast<void>(gate.offer(call, now));
+            }
+        }
+        static_cast<void>(gate.expire(now));
+        while (gate.next(now)) {
+            ends.emplace(now + service, ticket);
+        }
+    }
+    const auto capacity = Millis{20'000} / transfer;
+    REQUIRE(inTarget >= 0.9 * static_cast<double>(capacity));
+    REQUIRE(answered - inTarget <= 0.05 * answered);
+}
+
 TEST_CASE("Pattern: a server that was slow for a while - calls start again and renew its estimate")
 {
     const TimePoint start{std::chrono::hours{1}};
