Callers refused by cold servers return when the first is warm

Ruled out: an unused rate of the cold servers. Change: gates tell how long their server stays cold; returnDelay() chooses the return from that, from whether any server can be reached, or from the queue as before.

--- a/src/celeryramp/admission/fwd.h
+++ b/src/celeryramp/admission/fwd.h
@@ -8,6 +8,7 @@
 struct ConcurrencySample;
 class LinkBudget;
 class RefusedRequests;
+struct RefusalState;
 struct RunningRequest;
 class RunningRequests;
 class ServiceTimeDistribution;
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -174,6 +174,7 @@
         policy.target = std::min(policy.target, *first);
     }
     policy.deadline = deadline;
+    policy.callerDeadline = callerDeadline;
     policy.answerBytes = m_answerSizes.expected(route->name);
     policy.jitter = m_random.unit();
     // Where accounts have keys, only servers call open routes; elsewhere the id tells.
@@ -797,7 +798,7 @@
         if (call.isStreaming) {
             abortStream(call, proxy::Reason::Draining, now);
         } else {
-            giveUp(call, call.dispatcher.onShutdown(dispatchContext()), now);
+            giveUp(call, call.dispatcher.onShutdown(dispatchContext(), now), now);
         }
     }
 }
--- a/src/celeryramp/proxy/call_dispatcher.cpp
+++ b/src/celeryramp/proxy/call_dispatcher.cpp
@@ -1,7 +1,8 @@
 #include "proxy/call_dispatcher.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "admission/return_delay.h"
 
 namespace celeryramp::proxy {
 
@@ -23,8 +24,6 @@
 constexpr Millis kMaxRetryAfter{1000};
 /*! Retry delay while a server has restarted and is not published yet. */
 constexpr Millis kUnpublishedRetryAfter{500};
-/*! Longest addition to the retry delay, as a share of it. */
-constexpr double kRetryJitter = 1.0;
 constexpr int kServerErrorStatus = 500;
 constexpr int kBadGatewayStatus = 502;
 constexpr int kUnavailableStatus = 503;
@@ -84,7 +83,7 @@
         if (m_lastReason == Reason::None) {
             m_lastReason = Reason::NoServer;
         }
-        return giveUp();
+        return giveUp(now);
     }
     ++m_offers;
     m_triedServers.insert(choice.server->id);
@@ -116,22 +115,21 @@
     if (reply.kind == ReplyKind::Answer) {
         return AnswerStep{};
     }
-    return giveUp();
+    return giveUp(now);
 }
 
 CallStep CallDispatcher::onNotRun(const ReplyFrame &reply, const DispatchContext &context,
                                   TimePoint now)
 {
-    const auto delay = internal::retryDelay(reply.reason, reply.load);
-    m_retryAfter = m_retryAfter.count() == 0 ? delay : std::min(m_retryAfter, delay);
+    noteRefusal(reply);
     if (reply.reachedServer) {
         ++m_attempts;
         if (m_attempts >= m_policy.maxAttempts || !context.retries.trySpend(m_policy.service)) {
-            return giveUp();
+            return giveUp(now);
         }
     }
     if (millisBetween(now, m_policy.deadline) < internal::kMinTimeLeft) {
-        return giveUp();
+        return giveUp(now);
     }
     return advance(context, now);
 }
@@ -163,15 +161,15 @@
         m_pendingServer.clear();
     }
     m_lastReason = Reason::TimedOut;
-    return giveUp();
+    return giveUp(now);
 }
 
-GiveUpStep CallDispatcher::onShutdown(const DispatchContext &context)
+GiveUpStep CallDispatcher::onShutdown(const DispatchContext &context, TimePoint now)
 {
     m_mayHaveRun = m_mayHaveRun || !m_pendingServer.empty();
     onCallerLeft(context);
     m_lastReason = Reason::Draining;
-    return giveUp();
+    return giveUp(now);
 }
 
 void CallDispatcher::onCallerLeft(const DispatchContext &context)
@@ -182,18 +180,19 @@
     }
 }
 
-Millis CallDispatcher::jitteredRetryDelay() const
+void CallDispatcher::noteRefusal(const ReplyFrame &reply)
 {
-    const auto delay = std::max(m_retryAfter, internal::kMinRetryAfter);
-    if (m_lastReason != Reason::Busy) {
-        return delay;
+    const auto delay = internal::retryDelay(reply.reason, reply.load);
+    m_retryAfter = m_retryAfter.count() == 0 ? delay : std::min(m_retryAfter, delay);
+    if (reply.reason != Reason::Busy || reply.load.coldMillis == 0) {
+        m_areAllCold = false;
+        return;
     }
-    // Without jitter, all callers that are refused in a moment would retry in one.
-    return Millis{std::lround(static_cast<double>(delay.count())
-                              * (1.0 + internal::kRetryJitter * m_policy.jitter))};
+    const Millis warmIn{reply.load.coldMillis};
+    m_warmIn = m_warmIn.count() == 0 ? warmIn : std::min(m_warmIn, warmIn);
 }
 
-GiveUpStep CallDispatcher::giveUp() const
+GiveUpStep CallDispatcher::giveUp(TimePoint now) const
 {
     if (m_lastReason == Reason::TimedOut) {
         return {internal::kGatewayTimeoutStatus, m_lastReason, std::nullopt};
@@ -201,7 +200,17 @@
     if (m_mayHaveRun && m_policy.reportsUnknown) {
         return {internal::kBadGatewayStatus, m_lastReason, std::nullopt};
     }
-    return {internal::kUnavailableStatus, m_lastReason, jitteredRetryDelay()};
+    admission::RefusalState refusal;
+    refusal.callerTimeLeft
+            = millisBetween(now, m_policy.callerDeadline.value_or(m_policy.deadline));
+    refusal.queueDelay = m_retryAfter;
+    refusal.isQueueFull = m_lastReason == Reason::Busy;
+    refusal.isUnreachable = m_offers == 0;
+    if (m_areAllCold && m_warmIn.count() > 0) {
+        refusal.warmIn = m_warmIn;
+    }
+    refusal.jitter = m_policy.jitter;
+    return {internal::kUnavailableStatus, m_lastReason, admission::returnDelay(refusal)};
 }
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/call_dispatcher.h
+++ b/src/celeryramp/proxy/call_dispatcher.h
@@ -25,6 +25,7 @@
     std::size_t answerBytes = 0; /*!< Expected length of the answer. */
     bool isNested = false; /*!< Gates serve it before others, also while they are overloaded. */
     double jitter = 0.0; /*!< From 0 to 1; spreads the retries of refused callers. */
+    std::optional<TimePoint> callerDeadline; /*!< If later than `deadline`, that of the route. */
 };
 
 /*! @brief Next step of a call: offer it to the gate of this server. */
@@ -94,7 +95,7 @@
     /*! @brief Ends the call when its deadline or the timeout of its route is reached. */
     [[nodiscard]] GiveUpStep onTimeout(const DispatchContext &context, TimePoint now);
     /*! @brief Ends the call because its node ends before a reply can arrive. */
-    [[nodiscard]] GiveUpStep onShutdown(const DispatchContext &context);
+    [[nodiscard]] GiveUpStep onShutdown(const DispatchContext &context, TimePoint now);
     /*! @brief Handles that the caller closed its connection or cancelled the call. */
     void onCallerLeft(const DispatchContext &context);
 
@@ -117,9 +118,9 @@
     [[nodiscard]] bool mayRepeat(const DispatchContext &context, TimePoint now) const;
     [[nodiscard]] CallStep onNotRun(const ReplyFrame &reply, const DispatchContext &context,
                                     TimePoint now);
-    [[nodiscard]] GiveUpStep giveUp() const;
-    /*! @return Time after which a refused caller is told to retry. */
-    [[nodiscard]] Millis jitteredRetryDelay() const;
+    [[nodiscard]] GiveUpStep giveUp(TimePoint now) const;
+    /*! @brief Records what a refusal tells of when to return. */
+    void noteRefusal(const ReplyFrame &reply);
 
     CallPolicy m_policy;
     std::set<std::string>
@@ -133,6 +134,8 @@
     bool m_sawBusy = false; /*!< A gate refused because it could not serve the call in time. */
     Reason m_lastReason = Reason::None;
     Millis m_retryAfter{0};
+    Millis m_warmIn{0}; /*!< Shortest time for which a server that refused stays cold. */
+    bool m_areAllCold = true; /*!< All gates that refused have cold servers. */
     Millis m_likelyLatency{0};
 };
 
--- a/src/celeryramp/proxy/cold_start_limiter.h
+++ b/src/celeryramp/proxy/cold_start_limiter.h
@@ -41,6 +41,12 @@
 
     [[nodiscard]] bool isCold(TimePoint now) const noexcept { return now < m_coldUntil; }
 
+    /*! @return Time for which the server is treated as cold. */
+    [[nodiscard]] Millis remaining(TimePoint now) const noexcept
+    {
+        return std::max(Millis{0}, millisBetween(now, m_coldUntil));
+    }
+
     /*! @return Requests that may be handed over now; negative if there is no limit. */
     [[nodiscard]] int available(double perSecond, TimePoint now);
 
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -125,7 +125,7 @@
                                frame.load.serviceMillis, frame.load.rateWaitMillis,
                                frame.load.failurePercent, rateLimitToJson(frame.load.rateLimit),
                                frame.load.isLeaving, frame.load.linkWaitMillis,
-                               frame.load.isOverloaded}));
+                               frame.load.isOverloaded, frame.load.coldMillis}));
     if (frame.kind == ReplyKind::Answer) {
         out.push_back(frame.answer.status);
         out.push_back(binary(frame.answer.reason));
@@ -162,7 +162,8 @@
                   rateLimitFromJson(load, 6),
                   load.size() > 7 && load[7].get<bool>(),
                   load.size() > 8 ? std::clamp(load[8].get<int>(), 0, kMaxWaitMillis) : 0,
-                  load.size() > 9 && load[9].get<bool>()};
+                  load.size() > 9 && load[9].get<bool>(),
+                  load.size() > 10 ? std::clamp(load[10].get<int>(), 0, kMaxWaitMillis) : 0};
     if (frame.kind == ReplyKind::Answer) {
         frame.answer.status = json.at(6).get<int>();
         frame.answer.reason = bytesOf(json.at(7));
--- a/src/celeryramp/proxy/gate_load.h
+++ b/src/celeryramp/proxy/gate_load.h
@@ -19,6 +19,7 @@
     bool isLeaving = false; /*!< The server has announced in an answer that it leaves. */
     int linkWaitMillis = 0; /*!< Time that a long answer waits for the link of the node. */
     bool isOverloaded = false; /*!< Calls that could meet their target do not all fit. */
+    int coldMillis = 0; /*!< Time for which the server stays cold; 0 if it is warm. */
 };
 
 } // namespace celeryramp::proxy
--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -305,7 +305,8 @@
             m_rate.perSecond(),
             false,
             static_cast<int>(m_link.wait(now).count()),
-            isOverloaded(now)};
+            isOverloaded(now),
+            m_coldPerSecond > 0.0 ? static_cast<int>(m_cold.remaining(now).count()) : 0};
 }
 
 } // namespace celeryramp::proxy
--- a/test/proxy/call_dispatcher.cpp
+++ b/test/proxy/call_dispatcher.cpp
@@ -248,6 +248,35 @@
     REQUIRE(*std::get<GiveUpStep>(step).retryAfter == Millis{600});
 }
 
+TEST_CASE("Pattern: power returns - callers are told when the first server is warm")
+{
+    TestService service{"near-1", "near-2"};
+    CallPolicy limits = policy(true);
+    limits.callerDeadline = kStart + Millis{6000};
+    CallDispatcher dispatcher{limits};
+    auto step = dispatcher.begin(service.dispatchContext(), kStart);
+    auto reply = refusal(Reason::Busy);
+    reply.load.coldMillis = 1800;
+    while (const auto *offer = std::get_if<OfferStep>(&step)) {
+        reply.load.coldMillis = offer->server->id == "near-2" ? 1500 : 1800;
+        step = dispatcher.onReply(reply, service.dispatchContext(), kStart);
+    }
+    REQUIRE(*std::get<GiveUpStep>(step).retryAfter == Millis{1500});
+}
+
+TEST_CASE("Pattern: one cold server of two - the queue of the warm one decides on the return")
+{
+    TestService service{"near-1", "near-2"};
+    CallDispatcher dispatcher{policy(true)};
+    auto step = dispatcher.begin(service.dispatchContext(), kStart);
+    auto reply = refusal(Reason::Busy);
+    while (const auto *offer = std::get_if<OfferStep>(&step)) {
+        reply.load.coldMillis = offer->server->id == "near-2" ? 1500 : 0;
+        step = dispatcher.onReply(reply, service.dispatchContext(), kStart);
+    }
+    REQUIRE(*std::get<GiveUpStep>(step).retryAfter <= Millis{100});
+}
+
 TEST_CASE("Pattern: many callers refused in one moment - they are told to return at several times")
 {
     TestService service{"near-1"};
