A call that other gates refused waits no longer than others while load does not fit

Cause: refused calls are offered again for a late answer, and under overload a gate let these wait for all the time that three of four calls of their route can spare, so one in four ended late and its slot was lost. Change: the same bound for both.

--- a/src/celeryramp/proxy/server_gate.cpp
+++ b/src/celeryramp/proxy/server_gate.cpp
@@ -85,7 +85,7 @@
     if (call.isNested || isLateWork || !hasTarget || (call.mayBeLate && !isOverloaded(now))) {
         return millisBetween(now, latestStart(call)) - linkWait - transfer;
     }
-    return (call.mayBeLate ? spare : shortWait) - linkWait;
+    return shortWait - linkWait;
 }
 
 bool ServerGate::isOverloaded(TimePoint now) const
