celeryrampctl check: entries that never match, limits that contradict, differences

Cause: the operators asked for a check of a configuration before it is sent; the command told errors only.

--- a/apps/celeryrampctl.cpp
+++ b/apps/celeryrampctl.cpp
@@ -18,7 +18,10 @@
 
 const char *const kUsage = R"(Usage: celeryrampctl COMMAND [options]
 
-  check FOLDER                 validate the parts in a folder before they are published
+  check FOLDER                 validate the parts in a folder before they are published, and note
+                               entries that never match and limits that contradict each other;
+                               --node IP:PORT or --against FOLDER tells what differs from the
+                               version in force; --strict: notes are not good
   status  --node IP:PORT       version in force on every node, laggards marked
   dump    --node IP:PORT       the whole state of one process as JSON
   explain --node IP:PORT PATH  where a call on this path would go, and why
@@ -42,6 +45,15 @@
     return line;
 }
 
+std::string readToken(const cxxopts::ParseResult &parsed)
+{
+    if (parsed.count("token-file") == 0) {
+        return {};
+    }
+    std::ifstream in{parsed["token-file"].as<std::string>()};
+    return readLine(in);
+}
+
 CtlOutput askNode(const cxxopts::ParseResult &parsed, const std::string &command,
                   const std::vector<std::string> &words)
 {
@@ -52,12 +64,7 @@
     if (!node) {
         return usage("--node accepts an IP number with a port");
     }
-    std::string token;
-    if (parsed.count("token-file") > 0) {
-        std::ifstream in{parsed["token-file"].as<std::string>()};
-        token = readLine(in);
-    }
-    const celeryramp::OperatorClient client{token};
+    const celeryramp::OperatorClient client{readToken(parsed)};
     const bool asJson = parsed.count("json") > 0;
     if (command == "status") {
         return celeryramp::siteStatus(client, *node, asJson);
@@ -69,6 +76,35 @@
                              : usage("explain needs a path");
 }
 
+CtlOutput check(const cxxopts::ParseResult &parsed, const std::string &folder)
+{
+    celeryramp::CheckOptions options;
+    options.asJson = parsed.count("json") > 0;
+    options.isStrict = parsed.count("strict") > 0;
+    if (parsed.count("against") > 0 && parsed.count("node") > 0) {
+        return usage("check takes --node or --against");
+    }
+    if (parsed.count("against") > 0) {
+        const auto other = celeryramp::loadFolder(parsed["against"].as<std::string>(), false);
+        if (!other) {
+            return other.error();
+        }
+        options.inForce = other.value();
+    } else if (parsed.count("node") > 0) {
+        const auto node = celeryramp::parseAddress(parsed["node"].as<std::string>());
+        if (!node) {
+            return usage("--node accepts an IP number with a port");
+        }
+        const auto other
+                = celeryramp::loadInForce(celeryramp::OperatorClient{readToken(parsed)}, *node);
+        if (!other) {
+            return other.error();
+        }
+        options.inForce = other.value();
+    }
+    return celeryramp::checkFolder(folder, options);
+}
+
 CtlOutput trace(const std::vector<std::string> &words)
 {
     celeryramp::RequestTrace trace{words[1]};
@@ -94,8 +130,7 @@
     }
     const auto &command = words.front();
     if (command == "check") {
-        return words.size() == 2 ? celeryramp::checkFolder(words[1], parsed.count("json") > 0)
-                                 : usage("check needs a folder");
+        return words.size() == 2 ? check(parsed, words[1]) : usage("check needs a folder");
     }
     if (command == "status" || command == "dump" || command == "explain") {
         return askNode(parsed, command, words);
@@ -118,9 +153,11 @@
     std::signal(SIGPIPE, SIG_IGN);
     cxxopts::Options options{"celeryrampctl", "The operator's tool"};
     options.add_options()("words", "", cxxopts::value<std::vector<std::string>>())(
-            "node", "", cxxopts::value<std::string>())("token-file", "",
-                                                       cxxopts::value<std::string>())(
-            "account", "", cxxopts::value<std::string>())("json", "")("version", "")("help", "");
+            "node", "", cxxopts::value<std::string>())(
+            "token-file", "", cxxopts::value<std::string>())("account", "",
+                                                             cxxopts::value<std::string>())(
+            "against", "", cxxopts::value<std::string>())("strict", "")("json", "")("version",
+                                                                                    "")("help", "");
     options.parse_positional({"words"});
     try {
         const auto parsed = options.parse(argc, argv);
--- a/src/celeryramp/admission/return_delay.cpp
+++ b/src/celeryramp/admission/return_delay.cpp
@@ -27,8 +27,8 @@
     const auto patience = internal::part(refusal.callerTimeLeft, internal::kPatience);
     auto delay = refusal.queueDelay;
     if (refusal.warmIn) {
-        delay = std::min(patience, *refusal.warmIn
-                                 + internal::part(internal::kWarmSpread, refusal.jitter));
+        delay = std::min(patience,
+                         *refusal.warmIn + internal::part(internal::kWarmSpread, refusal.jitter));
     } else if (refusal.isUnreachable) {
         delay = internal::part(patience, 0.5 + 0.5 * refusal.jitter);
     } else if (refusal.isQueueFull) {
--- a/src/celeryramp/admission/return_delay.h
+++ b/src/celeryramp/admission/return_delay.h
@@ -6,7 +6,8 @@
 
 namespace celeryramp::admission {
 
-/*! @brief What is known when a request is refused, from the replies of the gates that were asked. */
+/*! @brief What is known when a request is refused, from the replies of the gates that were asked.
+ */
 struct RefusalState
 {
     Millis callerTimeLeft{0}; /*!< Until the caller's deadline. */
--- a/src/celeryramp/ctl/commands.cpp
+++ b/src/celeryramp/ctl/commands.cpp
@@ -1,6 +1,7 @@
 #include "ctl/commands.h"
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <filesystem>
 #include <fstream>
@@ -12,6 +13,7 @@
 #include "config/limits.h"
 #include "config/parse.h"
 #include "core/hash.h"
+#include "ctl/config_review.h"
 
 namespace celeryramp {
 
@@ -116,41 +118,137 @@
     return out.str();
 }
 
+[[nodiscard]] const char *kindName(ReviewKind kind)
+{
+    return kind == ReviewKind::NeverMatches ? "never matches" : "contradiction";
+}
+
+[[nodiscard]] const char *kindName(ChangeKind kind)
+{
+    constexpr std::array<const char *, 3> kNames{"removed", "added", "changed"};
+    return kNames.at(static_cast<std::size_t>(kind));
+}
+
+[[nodiscard]] std::string noteLines(const std::vector<ReviewNote> &notes)
+{
+    std::string text;
+    for (const auto &note : notes) {
+        text += std::string{kindName(note.kind)} + ": " + note.part + ".json: " + note.place + ": "
+                + note.text + "\n";
+    }
+    return text;
+}
+
+[[nodiscard]] std::string changeLines(const std::vector<ConfigChange> &changes, bool isCompared)
+{
+    std::string text = isCompared && changes.empty() ? "no difference\n" : "";
+    for (const auto &change : changes) {
+        text += std::string{kindName(change.kind)} + ": " + change.entity
+                + (change.detail.empty() ? "" : ": " + change.detail) + "\n";
+    }
+    return text;
+}
+
+[[nodiscard]] Json notesJson(const std::vector<ReviewNote> &notes)
+{
+    auto list = Json::array();
+    for (const auto &note : notes) {
+        list.push_back({{"kind", kindName(note.kind)},
+                        {"part", note.part},
+                        {"place", note.place},
+                        {"text", note.text}});
+    }
+    return list;
+}
+
+[[nodiscard]] Json changesJson(const std::vector<ConfigChange> &changes)
+{
+    auto list = Json::array();
+    for (const auto &change : changes) {
+        list.push_back({{"kind", kindName(change.kind)},
+                        {"entity", change.entity},
+                        {"detail", change.detail}});
+    }
+    return list;
+}
+
 } // namespace internal
 
-CtlOutput checkFolder(const std::string &folder, bool asJson)
+Result<SnapshotPtr, CtlOutput> loadFolder(const std::string &folder, bool asJson)
 {
     auto parts = internal::readParts(folder);
     if (!parts) {
         return parts.error();
     }
-    const auto snapshot = buildSnapshot(makeDocument(1, std::move(parts.value())));
+    auto snapshot = buildSnapshot(makeDocument(1, std::move(parts.value())));
+    if (snapshot) {
+        return std::move(snapshot.value());
+    }
+    const auto &error = snapshot.error();
+    if (asJson) {
+        return CtlOutput{CtlExit::Bad,
+                         internal::pretty({{"good", false},
+                                           {"part", error.part},
+                                           {"place", error.place},
+                                           {"reason", error.reason}}),
+                         {}};
+    }
+    return internal::failed(CtlExit::Bad,
+                            folder + "/" + error.part + ".json: " + error.place + ": "
+                                    + error.reason);
+}
+
+Result<SnapshotPtr, CtlOutput> loadInForce(const OperatorClient &client, const Address &node)
+{
+    const auto answer = client.get(node, "/configuration");
+    if (!answer) {
+        return internal::failed(CtlExit::Unreachable, answer.error().reason);
+    }
+    const auto &json = answer.value();
+    if (!json.contains("parts") || !json["parts"].is_object() || json["parts"].empty()) {
+        return internal::failed(CtlExit::Bad, node.text() + " has no configuration in force");
+    }
+    std::map<std::string, std::string> parts;
+    for (const auto &[name, text] : json["parts"].items()) {
+        parts[name] = text.is_string() ? text.get<std::string>() : std::string{};
+    }
+    auto snapshot = buildSnapshot(
+            makeDocument(json.value("version", std::uint64_t{1}), std::move(parts)));
     if (!snapshot) {
-        const auto &error = snapshot.error();
-        if (asJson) {
-            return {CtlExit::Bad,
-                    internal::pretty({{"good", false},
-                                      {"part", error.part},
-                                      {"place", error.place},
-                                      {"reason", error.reason}}),
-                    {}};
-        }
-        return internal::failed(CtlExit::Bad,
-                                folder + "/" + error.part + ".json: " + error.place + ": "
-                                        + error.reason);
+        return internal::failed(CtlExit::Bad, node.text() + ": " + snapshot.error().text());
+    }
+    return std::move(snapshot.value());
+}
+
+CtlOutput checkFolder(const std::string &folder, const CheckOptions &options)
+{
+    const auto snapshot = loadFolder(folder, options.asJson);
+    if (!snapshot) {
+        return snapshot.error();
     }
     const auto &model = snapshot.value()->model();
-    const internal::Json summary{{"good", true},
-                                 {"zones", model.zones.size()},
-                                 {"services", model.services.size()},
-                                 {"routes", model.routes.size()},
-                                 {"accounts", model.accounts.size()},
-                                 {"keys", model.keys.size()},
-                                 {"servers", model.servers.size()}};
-    if (asJson) {
-        return {CtlExit::Good, internal::pretty(summary), {}};
+    const auto notes = reviewConfig(*snapshot.value());
+    const auto changes = options.inForce ? compareConfigs(options.inForce->model(), model)
+                                         : std::vector<ConfigChange>{};
+    const auto exit = options.isStrict && !notes.empty() ? CtlExit::Bad : CtlExit::Good;
+    internal::Json summary{{"good", true},
+                           {"zones", model.zones.size()},
+                           {"services", model.services.size()},
+                           {"routes", model.routes.size()},
+                           {"accounts", model.accounts.size()},
+                           {"keys", model.keys.size()},
+                           {"servers", model.servers.size()}};
+    if (!options.asJson) {
+        return {exit,
+                "good: " + folder + " " + summary.dump() + "\n" + internal::noteLines(notes)
+                        + internal::changeLines(changes, options.inForce != nullptr),
+                {}};
+    }
+    summary["notes"] = internal::notesJson(notes);
+    if (options.inForce) {
+        summary["changes"] = internal::changesJson(changes);
     }
-    return {CtlExit::Good, "good: " + folder + " " + summary.dump() + "\n", {}};
+    return {exit, internal::pretty(summary), {}};
 }
 
 CtlOutput siteStatus(const OperatorClient &client, const Address &node, bool asJson)
--- a/src/celeryramp/ctl/config_review.cpp
+++ b/src/celeryramp/ctl/config_review.cpp
@@ -103,9 +103,10 @@
 
     void checkAccounts()
     {
-        const bool needsAccounts = std::any_of(
-                m_model.routes.begin(), m_model.routes.end(),
-                [](const Route &route) { return route.access == RouteAccess::Account; });
+        const bool needsAccounts
+                = std::any_of(m_model.routes.begin(), m_model.routes.end(), [](const Route &route) {
+                      return route.access == RouteAccess::Account;
+                  });
         std::set<std::string> withKeys;
         for (const auto &[id, key] : m_model.keys) {
             withKeys.insert(key.account);
@@ -183,21 +184,19 @@
 {
     Entries entries;
     for (const auto &[name, zone] : model.zones) {
-        entries["zone " + name]
-                = {{"region", zone.region},
-                   {"status", zone.status == ZoneStatus::InService ? "in" : "out"}};
+        entries["zone " + name] = {{"region", zone.region},
+                                   {"status", zone.status == ZoneStatus::InService ? "in" : "out"}};
     }
     for (const auto &[name, service] : model.services) {
         entries["service " + name] = {};
     }
     for (const auto &[name, it] : model.classes) {
-        entries["class " + name]
-                = {{"latency_ms", std::to_string(it.latency.count())},
-                   {"success", numberText(it.success)},
-                   {"repeat",
-                    it.repeat == RepeatSafety::Idempotent ? "idempotent" : "at-most-once"},
-                   {"deadline_ms", std::to_string(it.deadline.count())},
-                   {"key_freshness_ms", std::to_string(it.keyFreshness.count())}};
+        entries["class " + name] = {
+                {"latency_ms", std::to_string(it.latency.count())},
+                {"success", numberText(it.success)},
+                {"repeat", it.repeat == RepeatSafety::Idempotent ? "idempotent" : "at-most-once"},
+                {"deadline_ms", std::to_string(it.deadline.count())},
+                {"key_freshness_ms", std::to_string(it.keyFreshness.count())}};
     }
     for (const auto &route : model.routes) {
         entries["route " + route.path] = {{"service", route.service},
@@ -209,8 +208,7 @@
                 = {{"rate", numberText(account.rate)}, {"burst", numberText(account.burst)}};
     }
     for (const auto &[id, key] : model.keys) {
-        entries["key " + id]
-                = {{"account", key.account}, {"salt", key.salt}, {"hash", key.hash}};
+        entries["key " + id] = {{"account", key.account}, {"salt", key.salt}, {"hash", key.hash}};
     }
     for (const auto &[name, server] : model.servers) {
         entries["server " + name] = {{"service", server.service},
--- a/src/celeryramp/node/node.cpp
+++ b/src/celeryramp/node/node.cpp
@@ -320,6 +320,12 @@
     return list;
 }
 
+nlohmann::json Node::configuration() const
+{
+    const auto document = m_control.document();
+    return {{"version", document.manifest.version}, {"parts", document.parts}};
+}
+
 nlohmann::json Node::state() const
 {
     const auto now = Clock::now();
--- a/src/celeryramp/node/node.h
+++ b/src/celeryramp/node/node.h
@@ -73,6 +73,7 @@
     [[nodiscard]] nlohmann::json state() const override;
     [[nodiscard]] nlohmann::json status() const override;
     [[nodiscard]] nlohmann::json servers() const override;
+    [[nodiscard]] nlohmann::json configuration() const override;
     [[nodiscard]] nlohmann::json explain(const std::string &path) const override;
     [[nodiscard]] bool ready() const override { return isReady(Clock::now()); }
 
--- a/src/celeryramp/node/operator_port.cpp
+++ b/src/celeryramp/node/operator_port.cpp
@@ -86,6 +86,9 @@
     if (request.path == "/servers") {
         return internal::json(m_view.servers());
     }
+    if (request.path == "/configuration") {
+        return internal::json(m_view.configuration());
+    }
     if (request.path == "/explain") {
         return internal::json(m_view.explain(request.query("path")));
     }
--- a/src/celeryramp/node/operator_port.h
+++ b/src/celeryramp/node/operator_port.h
@@ -27,6 +27,9 @@
     /*! @return All declared servers with zone and operator address. */
     [[nodiscard]] virtual nlohmann::json servers() const = 0;
 
+    /*! @return Version and parts of the configuration in force; no parts without one. */
+    [[nodiscard]] virtual nlohmann::json configuration() const = 0;
+
     /*! @return Candidate servers for a call on this path, with a verdict for each. */
     [[nodiscard]] virtual nlohmann::json explain(const std::string &path) const = 0;
 
@@ -35,7 +38,8 @@
 };
 
 /*!
- * @brief HTTP server for operators: `/state`, `/status`, `/servers`, `/explain`, `/metrics`,
+ * @brief HTTP server for operators: `/state`, `/status`, `/servers`, `/configuration`, `/explain`,
+ * `/metrics`,
  * `/healthz`, `/readyz`, `PUT /log-level`, and `PUT /faults` when the settings allow it. Requires
  * a token unless it listens on loopback.
  */
--- a/test/ctl/config_review.cpp
+++ b/test/ctl/config_review.cpp
@@ -43,13 +43,11 @@
 TEST_CASE("review: entries that can never match are noted with their place")
 {
     REQUIRE(hasOnly(edited("services",
-                           [](json &part) {
-                               part["classes"]["slow"] = part["classes"]["lookup"];
-                           }),
+                           [](json &part) { part["classes"]["slow"] = part["classes"]["lookup"]; }),
                     ReviewKind::NeverMatches, "/classes/slow"));
-    REQUIRE(hasOnly(edited("services",
-                           [](json &part) { part["services"]["spare"] = json::object(); }),
-                    ReviewKind::NeverMatches, "/services/spare"));
+    REQUIRE(hasOnly(
+            edited("services", [](json &part) { part["services"]["spare"] = json::object(); }),
+            ReviewKind::NeverMatches, "/services/spare"));
     REQUIRE(hasOnly(edited("zones",
                            [](json &part) {
                                part["zones"]["z9"] = {{"region", "r"}, {"status", "in"}};
@@ -95,12 +93,12 @@
                     "/accounts/acme/burst")
             == false);
     // Six servers with four slots end 480 calls of 50 ms a second.
-    REQUIRE(hasOnly(testsupport::sampleSnapshot(1, {3, 2, 481.0, 500.0}),
-                    ReviewKind::Contradiction, "/accounts/acme/rate"));
+    REQUIRE(hasOnly(testsupport::sampleSnapshot(1, {3, 2, 481.0, 500.0}), ReviewKind::Contradiction,
+                    "/accounts/acme/rate"));
     REQUIRE(reviewConfig(*testsupport::sampleSnapshot(1, {3, 2, 480.0, 500.0})).empty());
-    REQUIRE(hasOnly(edited("services",
-                           [](json &part) { part["classes"]["lookup"]["success"] = 1.0; }),
-                    ReviewKind::Contradiction, "/classes/lookup/success"));
+    REQUIRE(hasOnly(
+            edited("services", [](json &part) { part["classes"]["lookup"]["success"] = 1.0; }),
+            ReviewKind::Contradiction, "/classes/lookup/success"));
 }
 
 TEST_CASE("comparison: equal configurations do not differ")
@@ -114,10 +112,8 @@
     const auto from = testsupport::sampleSnapshot(1);
     const auto to = edited("services", [](json &part) {
         part["routes"].erase(1);
-        part["routes"].push_back({{"path", "/new"},
-                                  {"service", "stock"},
-                                  {"class", "record"},
-                                  {"access", "open"}});
+        part["routes"].push_back(
+                {{"path", "/new"}, {"service", "stock"}, {"class", "record"}, {"access", "open"}});
         part["classes"]["lookup"]["latency_ms"] = 80;
     });
     const auto changes = compareConfigs(from->model(), to->model());
