Nodes of a zone that the store turns away try it together like a few

Ruled out: reads of whole states after large changes (291 lists, most of them at the start). Change: readBackoff() grows with the number of failing nodes of the zone beyond four; the first that succeeds informs the others, as before.

--- a/src/celeryramp/directory/item_sink.h
+++ b/src/celeryramp/directory/item_sink.h
@@ -46,6 +46,8 @@
      * `ItemSource::resume` is called.
      */
     [[nodiscard]] virtual std::optional<Millis> readPause() const = 0;
+    /*! @return Number of other nodes of the zone whose reads have failed lately. */
+    [[nodiscard]] virtual std::size_t failingPeers() const = 0;
 };
 
 /*! @brief Reads items from the platform and passes them to an `ItemSink`. */
--- a/src/celeryramp/directory/reader_selection.cpp
+++ b/src/celeryramp/directory/reader_selection.cpp
@@ -1,5 +1,7 @@
 #include "directory/reader_selection.h"
 
+#include <algorithm>
+
 namespace celeryramp::directory {
 
 namespace internal {
@@ -12,6 +14,11 @@
  *  replica of a node that receives updates from a reader is up to 1 s old. */
 constexpr Millis kTakeOverAge{1300};
 constexpr Millis kTakeOverAgeStep{200};
+/*! Longest pause after the first failed read, and how often it doubles. */
+constexpr Millis kInitialBackoff{100};
+constexpr int kMaxDoublings = 3;
+/*! Nodes of a zone that try a failing platform at the full rate. */
+constexpr std::size_t kTryingNodes = 4;
 
 } // namespace internal
 
@@ -27,4 +34,12 @@
     return std::nullopt;
 }
 
+Millis readBackoff(int failures, std::size_t failingPeers) noexcept
+{
+    const auto own = internal::kInitialBackoff
+            * (1 << std::clamp(failures - 1, 0, internal::kMaxDoublings));
+    const auto nodes = std::max(failingPeers + 1, internal::kTryingNodes);
+    return own * static_cast<Millis::rep>(nodes) / static_cast<Millis::rep>(internal::kTryingNodes);
+}
+
 } // namespace celeryramp::directory
--- a/src/celeryramp/directory/reader_selection.h
+++ b/src/celeryramp/directory/reader_selection.h
@@ -27,4 +27,15 @@
  */
 [[nodiscard]] std::optional<Millis> readPause(const ReaderPosition &position) noexcept;
 
+/*!
+ * @brief Longest pause before a read that follows failed ones.
+ *
+ * It doubles with each failure up to 800 ms. While the platform turns many nodes of a zone away,
+ * it grows with their number, so that the zone's attempts stay those of a few nodes: the first one
+ * that succeeds informs the others.
+ * @param failures Failed reads in a row.
+ * @param failingPeers Other nodes of the zone whose reads have failed lately.
+ */
+[[nodiscard]] Millis readBackoff(int failures, std::size_t failingPeers) noexcept;
+
 } // namespace celeryramp::directory
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -417,6 +417,11 @@
     return m_replica.isComplete() ? m_replica.revision() : 0;
 }
 
+std::size_t Engine::failingPeers() const
+{
+    return m_coordinator.failingPeers(bootNow());
+}
+
 std::optional<Millis> Engine::readPause() const
 {
     return m_coordinator.readPause(bootNow());
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -87,6 +87,7 @@
     void onSourceFailed(const std::string &reason, TimePoint requestedAt) override;
     [[nodiscard]] std::int64_t heldRevision() const override;
     [[nodiscard]] std::optional<Millis> readPause() const override;
+    [[nodiscard]] std::size_t failingPeers() const override;
 
 private:
     void tick();
--- a/src/celeryramp/engine/peer_coordinator.cpp
+++ b/src/celeryramp/engine/peer_coordinator.cpp
@@ -131,6 +131,15 @@
     return directory::readPause(position);
 }
 
+std::size_t PeerCoordinator::failingPeers(TimePoint now) const
+{
+    const auto nodes = nodesInZone(m_settings.zone);
+    return static_cast<std::size_t>(
+            std::count_if(nodes.begin(), nodes.end(), [this, now](const Address &node) {
+                return hasReadFailed(node.host, now);
+            }));
+}
+
 bool PeerCoordinator::hasReadFailed(const std::string &host, TimePoint now) const
 {
     const auto it = m_readFailedAt.find(host);
--- a/src/celeryramp/engine/peer_coordinator.h
+++ b/src/celeryramp/engine/peer_coordinator.h
@@ -61,6 +61,8 @@
      * @return Pause after changes, or nothing if the node does not read.
      */
     [[nodiscard]] std::optional<Millis> readPause(TimePoint now) const;
+    /*! @return Number of other nodes of the zone whose reads have failed lately. */
+    [[nodiscard]] std::size_t failingPeers(TimePoint now) const;
     /*! @brief Sets whether this node can read the platform, and tells its zone when that changes.
      */
     void setCanRead(bool canRead, TimePoint now);
--- a/test/directory/reader_selection.cpp
+++ b/test/directory/reader_selection.cpp
@@ -63,3 +63,18 @@
     CHECK(readPause({50, schedule.selfReadAge + Millis{1}, false, schedule.selfReadAge}));
     CHECK_FALSE(readPause({50, schedule.selfReadAge, false, schedule.selfReadAge}));
 }
+
+TEST_CASE("Failure: the platform turns a whole zone away - its nodes together try it like a few")
+{
+    using celeryramp::directory::readBackoff;
+    CHECK(readBackoff(1, 0) == Millis{100});
+    CHECK(readBackoff(2, 3) == Millis{200});
+    CHECK(readBackoff(9, 0) == Millis{800});
+    for (const std::size_t nodes : {4U, 18U, 230U}) {
+        // A node waits for half of its backoff on average.
+        const double perSecond
+                = 2000.0 * static_cast<double>(nodes) / readBackoff(9, nodes - 1).count();
+        CHECK(perSecond <= 10.1);
+        CHECK(perSecond >= 9.9);
+    }
+}
--- a/test/platform/store_source.cpp
+++ b/test/platform/store_source.cpp
@@ -46,6 +46,7 @@
     }
     [[nodiscard]] std::int64_t heldRevision() const override { return held; }
     [[nodiscard]] std::optional<Millis> readPause() const override { return Millis{0}; }
+    [[nodiscard]] std::size_t failingPeers() const override { return 0; }
 
     std::int64_t held = 0;
     std::size_t itemCount = 0;
