The engine's large files split by subject; refusals before a gate in functions of their own

Change: bodies in parts, peers that are lost, and the state of the server in files of their own; what refuses a request for its key or for load is returned as a value. No change of behaviour is meant.

--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -28,11 +28,6 @@
 constexpr double kRetryReserve = 1.0;
 /*! Scales the priority of the account, so that it outweighs the priority of the route. */
 constexpr int kRanksPerAccountPriority = 16;
-/*! Bytes sent to a caller after which the gate is allowed as many more. */
-constexpr std::uint64_t kCreditStep = 32 * 1024;
-/*! Time after the caller's deadline after which an unfinished answer is broken off. Callers leave
- *  by themselves before. */
-constexpr Millis kStreamGrace{1000};
 
 } // namespace internal
 
@@ -90,6 +85,49 @@
             m_dependencies.headerAdapter.localAnswer({status, reason, requestId, retryAfter}));
 }
 
+std::optional<RequestDispatcher::Refusal> RequestDispatcher::refusalOfKey(
+        const directory::RoutingTable &routing, const directory::Route &route,
+        const directory::ClientAccount *account, bool hasKey, TimePoint now) const
+{
+    if (!routing.needsKeys() || route.isOpen) {
+        return std::nullopt;
+    }
+    if (m_dependencies.settings.mechanisms.freshKeys
+        && m_dependencies.replica.age(now) > m_dependencies.settings.keyFreshness) {
+        return Refusal{503, proxy::Reason::StaleKeys, internal::kRetryAfter, {}};
+    }
+    const bool isUndecided
+            = account == nullptr ? routing.hasUnknownKeys() && hasKey : !account->isReadable;
+    if (isUndecided) {
+        return Refusal{503, proxy::Reason::Unreadable, std::nullopt, {}};
+    }
+    if (account == nullptr) {
+        return Refusal{401, proxy::Reason::UnknownKey, std::nullopt, {}};
+    }
+    return std::nullopt;
+}
+
+std::optional<RequestDispatcher::Refusal>
+RequestDispatcher::refusalOfLoad(const directory::ClientAccount *account,
+                                 const http::Request &request, TimePoint deadline, TimePoint now)
+{
+    if (m_shutdown && !m_shutdown->mayTake(deadline, now)) {
+        return Refusal{503, proxy::Reason::Draining, m_shutdown->timeLeft(now), {}};
+    }
+    if (account != nullptr && m_dependencies.settings.mechanisms.rateLimits
+        && !m_dependencies.limiter.admit(*account, m_dependencies.coordinator.nodeCount(),
+                                         m_random.unit(), now)) {
+        return Refusal{429, proxy::Reason::OverLimit, internal::kRetryAfter,
+                       m_dependencies.limiter.describe(*account, now)};
+    }
+    if (!m_dependencies.crashes.isEmpty()
+        && m_dependencies.crashes.isQuarantined(
+                proxy::requestDigest(account != nullptr ? account->name : "", request), now)) {
+        return Refusal{503, proxy::Reason::Quarantined, std::nullopt, {}};
+    }
+    return std::nullopt;
+}
+
 void RequestDispatcher::onRequest(http::ResponseWriter response, http::Request request)
 {
     const auto now = bootNow();
@@ -120,45 +158,16 @@
     if (routing.needsKeys() && metadata.key) {
         account = routing.findAccountByKey(*metadata.key);
     }
-    if (routing.needsKeys() && !route->isOpen) {
-        if (m_dependencies.settings.mechanisms.freshKeys
-            && m_dependencies.replica.age(now) > m_dependencies.settings.keyFreshness) {
-            refuseRequest(response, metadata.requestId, 503, proxy::Reason::StaleKeys,
-                          internal::kRetryAfter);
-            return;
-        }
-        const bool isUndecided = account == nullptr ? routing.hasUnknownKeys() && metadata.key
-                                                    : !account->isReadable;
-        if (isUndecided) {
-            refuseRequest(response, metadata.requestId, 503, proxy::Reason::Unreadable,
-                          std::nullopt, account != nullptr ? account->name : "");
-            return;
-        }
-        if (account == nullptr) {
-            refuseRequest(response, metadata.requestId, 401, proxy::Reason::UnknownKey,
-                          std::nullopt);
-            return;
-        }
-    }
     const auto callerDeadline = now + metadata.deadline.value_or(internal::kDefaultDeadline);
     const auto deadline = std::min(callerDeadline, now + route->timeout);
-    if (m_shutdown && !m_shutdown->mayTake(deadline, now)) {
-        refuseRequest(response, metadata.requestId, 503, proxy::Reason::Draining,
-                      m_shutdown->timeLeft(now));
-        return;
-    }
-    if (account != nullptr && m_dependencies.settings.mechanisms.rateLimits
-        && !m_dependencies.limiter.admit(*account, m_dependencies.coordinator.nodeCount(),
-                                         m_random.unit(), now)) {
-        refuseRequest(response, metadata.requestId, 429, proxy::Reason::OverLimit,
-                      internal::kRetryAfter, account->name,
-                      m_dependencies.limiter.describe(*account, now));
-        return;
-    }
-    if (!m_dependencies.crashes.isEmpty()
-        && m_dependencies.crashes.isQuarantined(
-                proxy::requestDigest(account != nullptr ? account->name : "", request), now)) {
-        refuseRequest(response, metadata.requestId, 503, proxy::Reason::Quarantined, std::nullopt);
+    auto refusal = refusalOfKey(routing, *route, account, metadata.key.has_value(), now);
+    if (!refusal) {
+        refusal = refusalOfLoad(account, request, deadline, now);
+    }
+    if (refusal) {
+        refuseRequest(response, metadata.requestId, refusal->status, refusal->reason,
+                      refusal->retryAfter, account != nullptr ? account->name : "",
+                      refusal->detail);
         return;
     }
     const auto id = m_nextId++;
@@ -377,38 +386,6 @@
     }
 }
 
-void RequestDispatcher::sendUpload(Call &call, TimePoint now)
-{
-    if (!call.frame.longBody || call.peer.host.empty()) {
-        return;
-    }
-    // Replies and credits keep half of the room on the links.
-    const BufferLimits limits{m_dependencies.settings.memoryBytes,
-                              m_dependencies.bodies.heldBytes()};
-    while (const auto part = call.upload.next(call.id, call.frame.longBody->bytes)) {
-        if (m_dependencies.peers.heldBytes() > limits.links / 2
-            || !m_dependencies.peers.sendFollowUp(call.peer, proxy::encodeFrame(*part), now)) {
-            return; // the rest follows with the next credit or sweep
-        }
-        call.upload.onSent(part->bytes.size());
-    }
-}
-
-void RequestDispatcher::onUploadCredit(const Address &peer, const proxy::UploadCreditFrame &credit,
-                                       TimePoint now)
-{
-    if (const auto it = m_calls.find(credit.id);
-        it != m_calls.end() && isExpecting(it->second, peer)) {
-        it->second.upload.onCredit(credit.bytes);
-        sendUpload(it->second, now);
-    }
-}
-
-bool RequestDispatcher::mayHold(const http::CallerConnectionPtr &connection, std::size_t bytes)
-{
-    return m_connections.mayHold(connection, bytes, bootNow());
-}
-
 void RequestDispatcher::onReply(const Address &peer, const proxy::ReplyFrame &reply, TimePoint now)
 {
     const auto it = m_calls.find(reply.id);
@@ -440,84 +417,6 @@
     executeStep(call, step, &reply, now);
 }
 
-void RequestDispatcher::beginStream(Call &call, const proxy::ReplyFrame &reply, TimePoint now)
-{
-    call.isStreaming = true;
-    call.streamStatus = reply.answer.status;
-    // An answer that has begun is delivered, also when it takes longer than the route's timeout.
-    armTimer(call, call.callerDeadline + internal::kStreamGrace, now);
-    call.streamBeganAt = now;
-    call.response.begin(reply.answer, reply.length);
-}
-
-void RequestDispatcher::onBody(const Address &peer, proxy::BodyFrame part, TimePoint now)
-{
-    const auto it = m_calls.find(part.id);
-    if (it == m_calls.end() || !it->second.isStreaming || !(it->second.peer == peer)) {
-        return;
-    }
-    auto &call = it->second;
-    if (part.end == proxy::BodyEnd::Broken && !m_dependencies.settings.mechanisms.wholeBodies) {
-        part.end = proxy::BodyEnd::Complete;
-    }
-    if (part.end == proxy::BodyEnd::Broken || part.offset != call.bodyReceived) {
-        cancelAtGate(call, now);
-        abortStream(call, proxy::Reason::Lost, now);
-        return;
-    }
-    call.bodyReceived += part.bytes.size();
-    const bool isLast = part.end == proxy::BodyEnd::Complete;
-    const auto response = call.response;
-    if (isLast) {
-        m_serverPicker.onDelivered(call.frame.serverId, call.bodyReceived,
-                                   millisBetween(call.streamBeganAt, now), now);
-        // The rest is held here until the caller has read it, and no longer on the way.
-        sendCredit(call, call.bodyReceived - call.bodyCredited, now);
-        recordEnd(call, call.streamStatus, proxy::Reason::None, now);
-        removeCall(call);
-    }
-    response.append(std::move(part.bytes), isLast);
-}
-
-void RequestDispatcher::onBodyWritten(const http::CallerConnection &connection, std::uint64_t id,
-                                      std::size_t bytes)
-{
-    const auto entry = m_callIdsByResponse.find({&connection, id});
-    const auto it
-            = entry == m_callIdsByResponse.end() ? m_calls.end() : m_calls.find(entry->second);
-    if (it == m_calls.end() || !it->second.isStreaming) {
-        return;
-    }
-    auto &call = it->second;
-    call.bodyUnacknowledged += bytes;
-    if (call.bodyUnacknowledged >= internal::kCreditStep) {
-        sendCredit(call, std::exchange(call.bodyUnacknowledged, 0), bootNow());
-    }
-}
-
-void RequestDispatcher::sendCredit(Call &call, std::uint64_t bytes, TimePoint now)
-{
-    call.bodyCredited += bytes;
-    const proxy::CreditFrame credit{call.id, bytes};
-    if (call.peer.host.empty()) {
-        m_dependencies.gate.addCredit(std::string{BackendGate::kLocalOrigin}, credit);
-    } else if (!m_dependencies.peers.sendFollowUp(call.peer, proxy::encodeFrame(credit), now)) {
-        logEvent(LogLevel::Warn, "desk", "credit-not-sent",
-                 {{"request", call.frame.requestId}, {"peer", call.peer.text()}});
-    }
-}
-
-void RequestDispatcher::abortStream(Call &call, proxy::Reason reason, TimePoint now)
-{
-    constexpr int kBadGateway = 502;
-    const auto response = call.response;
-    const auto replacement = m_dependencies.headerAdapter.localAnswer(
-            {kBadGateway, reason, call.frame.requestId, std::nullopt});
-    recordEnd(call, kBadGateway, reason, now);
-    removeCall(call);
-    response.abort(replacement);
-}
-
 void RequestDispatcher::removeCall(const Call &call)
 {
     if (!call.parentId.empty()) {
@@ -646,126 +545,6 @@
     }
 }
 
-bool RequestDispatcher::isExpecting(const Call &call, const Address &peer)
-{
-    return (call.isStreaming || !call.dispatcher.pendingServer().empty()) && call.peer == peer;
-}
-
-std::vector<std::uint64_t> RequestDispatcher::callsExpecting(const Address &peer) const
-{
-    std::vector<std::uint64_t> ids;
-    for (const auto &[id, call] : m_calls) {
-        if (isExpecting(call, peer)) {
-            ids.push_back(id);
-        }
-    }
-    return ids;
-}
-
-void RequestDispatcher::onLinkOpen(const Address &peer)
-{
-    m_leavingPeers.forgetNode(peer.host);
-}
-
-void RequestDispatcher::onLinkLost(const Address &peer, links::LinkLoss loss, TimePoint now)
-{
-    m_leavingPeers.forgetNode(peer.host);
-    for (const auto id : callsExpecting(peer)) {
-        const auto it = m_calls.find(id);
-        if (it == m_calls.end()
-            || (it->second.isOnSilentLink && loss != links::LinkLoss::PeerGone)) {
-            continue;
-        }
-        if (it->second.isStreaming) {
-            abortStream(it->second, proxy::Reason::Lost, now);
-            continue;
-        }
-        onGateReply(id,
-                    loss == links::LinkLoss::NotOpened
-                            ? proxy::notRunReply(id, proxy::Reason::Unreachable)
-                            : proxy::failedReply(id, proxy::Reason::Lost),
-                    now);
-    }
-}
-
-void RequestDispatcher::onLinkReplaced(const Address &peer)
-{
-    for (const auto id : callsExpecting(peer)) {
-        m_calls.at(id).isOnSilentLink = true;
-    }
-}
-
-void RequestDispatcher::onLinkSilent(const Address &peer, TimePoint now)
-{
-    for (const auto id : callsExpecting(peer)) {
-        const auto it = m_calls.find(id);
-        if (it == m_calls.end()) {
-            continue;
-        }
-        if (it->second.isStreaming || !it->second.frame.isIdempotent) {
-            it->second.isOnSilentLink = true;
-            continue;
-        }
-        cancelAtGate(it->second, now);
-        onGateReply(id, proxy::failedReply(id, proxy::Reason::Lost), now);
-    }
-}
-
-void RequestDispatcher::onHung(const Address &peer, std::uint64_t id, TimePoint now)
-{
-    const auto it = m_calls.find(id);
-    if (it == m_calls.end() || !isExpecting(it->second, peer) || it->second.isStreaming
-        || m_shutdown) {
-        return;
-    }
-    auto &call = it->second;
-    if (!call.dispatcher.canLeaveServer(dispatchContext(), now)) {
-        return;
-    }
-    logEvent(LogLevel::Info, "desk", "server-hangs",
-             {{"request", call.frame.requestId},
-              {"server", call.dispatcher.pendingServer()},
-              {"spent_ms", std::to_string(millisBetween(call.arrivedAt, now).count())}});
-    cancelOffer(call, now);
-    onGateReply(id, proxy::failedReply(id, proxy::Reason::Hung), now);
-}
-
-void RequestDispatcher::onPeerLeaving(const Address &peer, TimePoint now)
-{
-    m_leavingPeers.onNodeLeaving(peer.host, now);
-}
-
-void RequestDispatcher::onPeerClosed(const Address &peer, TimePoint now)
-{
-    m_leavingPeers.onNodeClosed(peer.host);
-    for (const auto id : callsExpecting(peer)) {
-        const auto it = m_calls.find(id);
-        if (it == m_calls.end() || it->second.isStreaming || it->second.isOnSilentLink) {
-            continue;
-        }
-        onGateReply(id, proxy::notRunReply(id, proxy::Reason::Draining), now);
-    }
-}
-
-bool RequestDispatcher::isAwaiting(const Address &peer) const
-{
-    return std::any_of(m_calls.begin(), m_calls.end(),
-                       [&peer](const auto &entry) { return isExpecting(entry.second, peer); });
-}
-
-void RequestDispatcher::pollZones(TimePoint now)
-{
-    if (m_isPollingZones) {
-        return; // calls that are tried elsewhere are sent, too
-    }
-    m_isPollingZones = true;
-    m_zones.onDirectory(m_dependencies.replica.view());
-    for (const auto &peer : m_zones.poll(now)) {
-        onLinkSilent(peer, now);
-    }
-    m_isPollingZones = false;
-}
-
 void RequestDispatcher::sweep(TimePoint now)
 {
     pollZones(now);
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -151,6 +151,24 @@
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
 
+    /*! @brief Why a request is not offered to any gate. */
+    struct Refusal
+    {
+        int status = 503;
+        proxy::Reason reason = proxy::Reason::None;
+        std::optional<Millis> retryAfter;
+        std::string detail; /*!< For the log. */
+    };
+
+    /*! @param account Of the key that came with the request; null if there is none. */
+    [[nodiscard]] std::optional<Refusal> refusalOfKey(const directory::RoutingTable &routing,
+                                                      const directory::Route &route,
+                                                      const directory::ClientAccount *account,
+                                                      bool hasKey, TimePoint now) const;
+    /*! @return Refusal because of the shutdown, the rate of the account or an earlier crash. */
+    [[nodiscard]] std::optional<Refusal> refusalOfLoad(const directory::ClientAccount *account,
+                                                       const http::Request &request,
+                                                       TimePoint deadline, TimePoint now);
     /*! @brief Answers a request that was offered to no gate. */
     void refuseRequest(const http::ResponseWriter &response, const std::string &requestId,
                        int status, proxy::Reason reason, std::optional<Millis> retryAfter,
