--- a/src/celeryramp/ctl/config_review.cpp
+++ b/src/celeryramp/ctl/config_review.cpp
@@ -56,12 +56,13 @@
 
     void checkClasses()
     {
+        std::set<std::string> used;
+        for (const auto &route : m_model.routes) {
+            used.insert(route.workClass);
+        }
         for (const auto &[name, workClass] : m_model.classes) {
             const auto place = "/classes/" + name;
-            const bool isUsed
-                    = std::any_of(m_model.routes.begin(), m_model.routes.end(),
-                                  [&](const Route &route) { return route.workClass == name; });
-            if (!isUsed) {
+            if (used.count(name) == 0) {
                 note(ReviewKind::NeverMatches, "services", place, "no route uses it");
             }
             if (workClass.success >= 1.0) {
@@ -73,11 +74,12 @@
 
     void checkServices()
     {
+        std::set<std::string> routed;
+        for (const auto &route : m_model.routes) {
+            routed.insert(route.service);
+        }
         for (const auto &[name, service] : m_model.services) {
-            const bool isRouted
-                    = std::any_of(m_model.routes.begin(), m_model.routes.end(),
-                                  [&](const Route &route) { return route.service == name; });
-            if (!isRouted) {
+            if (routed.count(name) == 0) {
                 note(ReviewKind::NeverMatches, "services", "/services/" + name,
                      "no route leads to it");
             }
@@ -225,7 +227,8 @@
     std::string text;
     for (const auto &[name, value] : to) {
         if (const auto &before = from.at(name); before != value) {
-            text += (text.empty() ? "" : ", ") + name + ": " + before + " -> " + value;
+            text.append(text.empty() ? "" : ", ").append(name);
+            text.append(": ").append(before).append(" -> ").append(value);
         }
     }
     return text;
--- a/test/directory/reader_selection.cpp
+++ b/test/directory/reader_selection.cpp
@@ -72,8 +72,8 @@
     CHECK(readBackoff(9, 0) == Millis{800});
     for (const std::size_t nodes : {4U, 18U, 230U}) {
         // A node waits for half of its backoff on average.
-        const double perSecond
-                = 2000.0 * static_cast<double>(nodes) / readBackoff(9, nodes - 1).count();
+        const auto pause = static_cast<double>(readBackoff(9, nodes - 1).count()) / 2000.0;
+        const double perSecond = static_cast<double>(nodes) / pause;
         CHECK(perSecond <= 10.1);
         CHECK(perSecond >= 9.9);
     }
