--- a/standin/soak/fault_plan.cpp
+++ b/standin/soak/fault_plan.cpp
@@ -19,7 +19,7 @@
     int maxMillis;
 };
 
-constexpr std::array<KindInfo, 23> kKinds{{{"link-delay", true, 500, 3000},
+constexpr std::array<KindInfo, 25> kKinds{{{"link-delay", true, 500, 3000},
                                            {"link-reset", true, 0, 0},
                                            {"link-silence", true, 300, 4000},
                                            {"link-one-way", true, 300, 3000},
@@ -41,7 +41,9 @@
                                            {"server-leaves", false, 12'000, 14'000},
                                            {"zone-evacuated", false, 12'000, 14'000},
                                            {"key-withdrawn", true, 6500, 7500},
-                                           {"config-changed", false, 0, 0}}};
+                                           {"config-changed", false, 0, 0},
+                                           {"zone-silence", true, 1000, 5000},
+                                           {"late-frames", true, 3000, 7000}}};
 
 const KindInfo &infoOf(FaultKind kind)
 {
@@ -70,7 +72,9 @@
     const auto add = [&](FaultKind kind, Millis at) {
         const auto &info = infoOf(kind);
         const Millis duration{info.minMillis + below(info.maxMillis - info.minMillis + 1)};
-        const int target = kind == FaultKind::ZoneEvacuated ? below(zones) : below(nodes);
+        const int target = kind == FaultKind::ZoneEvacuated || kind == FaultKind::ZoneSilence
+                ? below(zones)
+                : below(nodes);
         faults.push_back({kind, at, duration, target});
     };
     // Some runs have planned work only in their first part, so that its promises are checked
@@ -94,6 +98,11 @@
             add(kind, at + Millis{below(1500)});
         }
     }
+    if (seed >= kLaterSeeds) {
+        for (const auto kind : {FaultKind::ZoneSilence, FaultKind::LateFrames}) {
+            add(kind, calm + Millis{below(static_cast<int>((length - calm).count()))});
+        }
+    }
     std::stable_sort(faults.begin(), faults.end(),
                      [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return faults;
--- a/standin/soak/fault_plan.h
+++ b/standin/soak/fault_plan.h
@@ -32,9 +32,15 @@
     ServerLeaves, /*!< Planned: drains and is replaced later. */
     ZoneEvacuated, /*!< Planned. */
     KeyWithdrawn, /*!< Planned; a node is paused meanwhile for longer than the bound. */
-    ConfigChanged /*!< Planned. */
+    ConfigChanged, /*!< Planned. */
+    ZoneSilence, /*!< All links to the nodes of a zone are held; from `kLaterSeeds` on. */
+    LateFrames /*!< A node is stopped and started while what it has sent is held; likewise. */
 };
 
+/*! First seed that also draws the kinds which were added later; the schedules of earlier seeds stay
+ * as they were. */
+inline constexpr std::uint64_t kLaterSeeds = 10'000;
+
 /*! @brief One fault of a schedule. */
 struct Fault
 {
--- a/standin/soak/soak.cpp
+++ b/standin/soak/soak.cpp
@@ -256,6 +256,15 @@
     case FaultKind::ConfigChanged:
         publishConfiguration();
         break;
+    case FaultKind::ZoneSilence:
+        silenceZone(zoneName(fault.target), fault.duration);
+        break;
+    case FaultKind::LateFrames:
+        // New links pass, so the next process is heard before what this one has sent.
+        node.proxy->setPresentState(LinkState::held());
+        stopNode(node);
+        schedule(fault.duration, [&node] { node.proxy->setState({}); });
+        break;
     default:
         beginLinkFault(fault, node);
         beginStoreFault(fault);
@@ -263,6 +272,18 @@
     }
 }
 
+void Soak::silenceZone(const std::string &zone, Millis duration)
+{
+    const auto now = bootNow();
+    for (const auto &node : m_nodes) {
+        if (node->zone == zone) {
+            m_observations.disturbances.push_back({node->name, now, now + duration});
+            node->proxy->setState(LinkState::held());
+            schedule(duration, [&node = *node] { node.proxy->setState({}); });
+        }
+    }
+}
+
 void Soak::beginLinkFault(const Fault &fault, Node &node)
 {
     LinkState state;
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -66,6 +66,7 @@
     void publishServer(const Node &node, const char *state);
     void schedule(celeryramp::Millis at, std::function<void()> action);
     void begin(const Fault &fault);
+    void silenceZone(const std::string &zone, celeryramp::Millis duration);
     void beginLinkFault(const Fault &fault, Node &node);
     void beginStoreFault(const Fault &fault);
     void beginAnswerFault(const Fault &fault, Node &node);
--- a/test/checker/promise_check.cpp
+++ b/test/checker/promise_check.cpp
@@ -149,4 +149,7 @@
     REQUIRE(describe(5) == describe(5));
     REQUIRE(describe(5) != describe(6));
     REQUIRE(drawFaults(5, 9, 3, Millis{18'000}).size() >= 10);
+    REQUIRE(describe(kLaterSeeds - 1).find("zone-silence") == std::string::npos);
+    REQUIRE(describe(kLaterSeeds).find("zone-silence") != std::string::npos);
+    REQUIRE(describe(kLaterSeeds).find("late-frames") != std::string::npos);
 }
