Responses that are not used are logged and counted with their reason

Cause: a response that was received and refused showed as 'malformed' or, from the store, as 'no response'; which part of it was refused was not told. On-call engineers have logs and metrics only.

Change: the reader tells why it gives up (syntax, status, field, framing, too long), a connection keeps it, and gate, health probe and source record it in one place: log event answer-rejected, counter answers_rejected_total{from,reason}. The stand-in server of the tests can answer uploads early and byte by byte.

--- a/src/celeryramp/directory/item_sink.h
+++ b/src/celeryramp/directory/item_sink.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/time.h"
@@ -38,6 +39,9 @@
     /*! @brief Reports that the platform sent no usable response to a read that was requested then.
      */
     virtual void onSourceFailed(const std::string &reason, TimePoint requestedAt) = 0;
+    /*! @brief Reports a response that was no valid HTTP, before `onSourceFailed`.
+     *  @param reason Short and one of few, for logs and metrics. */
+    virtual void onResponseRejected(std::string_view reason) = 0;
     /*! @return Revision after which to read changes; 0 if a complete list is needed. */
     [[nodiscard]] virtual std::int64_t heldRevision() const = 0;
     /*!
--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -405,6 +405,9 @@
     case http::ExchangeEnd::Malformed:
         reply.kind = proxy::ReplyKind::Failed;
         reply.reason = proxy::Reason::Malformed;
+        recordRejectedAnswer(m_metrics,
+                             {"server", it->second.frame.requestId, m_server.id,
+                              http::answerErrorName(it->second.connection->answerError())});
         break;
     case http::ExchangeEnd::Lost:
         if (const auto &connection = it->second.connection;
--- a/src/celeryramp/engine/backend_gate.h
+++ b/src/celeryramp/engine/backend_gate.h
@@ -161,7 +161,9 @@
     /*! @brief Passes the requests that may have crashed the server to the crash handler. */
     void reportCrash(TimePoint now);
     void probeIfNeeded(TimePoint now);
-    void onProbeEnd(http::ExchangeEnd end, const http::Answer &answer, TimePoint now);
+    /*! @param error Why the answer was not used, if it ended as `ExchangeEnd::Malformed`. */
+    void onProbeEnd(http::ExchangeEnd end, const http::Answer &answer, http::AnswerError error,
+                    TimePoint now);
     [[nodiscard]] proxy::Reason reasonToClose() const;
     void updateClosed(TimePoint now);
 
--- a/src/celeryramp/engine/backend_gate_server.cpp
+++ b/src/celeryramp/engine/backend_gate_server.cpp
@@ -6,6 +6,7 @@
 
 #include "core/boot_clock.h"
 #include "engine/backend_gate.h"
+#include "engine/call_log.h"
 #include "observe/log.h"
 
 namespace celeryramp::engine {
@@ -115,9 +116,10 @@
     exchange.wire = http::serialize(m_headerAdapter.healthProbe(m_service));
     exchange.done = [this](http::ExchangeEnd end, const http::Answer &answer) {
         m_isProbing = false;
-        m_probeConnection.reset();
+        const auto connection = std::exchange(m_probeConnection, nullptr);
         m_probeTimer.cancel();
-        onProbeEnd(end, answer, bootNow());
+        onProbeEnd(end, answer, connection ? connection->answerError() : http::AnswerError::None,
+                   bootNow());
     };
     m_probeTimer.expires_after(internal::kProbeTimeout);
     m_probeTimer.async_wait([this](const boost::system::error_code &ec) {
@@ -128,11 +130,15 @@
     m_probeConnection = m_pool.send(std::move(exchange), Millis::max(), now);
 }
 
-void BackendGate::onProbeEnd(http::ExchangeEnd end, const http::Answer &answer, TimePoint now)
+void BackendGate::onProbeEnd(http::ExchangeEnd end, const http::Answer &answer,
+                             http::AnswerError error, TimePoint now)
 {
     const auto metadata = m_headerAdapter.readAnswer(answer);
     const auto outcome = internal::probeOutcome(end, answer, metadata.serverId == m_server.id);
     m_metrics.counter("health_probes_total{outcome=\"" + std::string{outcome} + "\"}").add();
+    if (end == http::ExchangeEnd::Malformed) {
+        recordRejectedAnswer(m_metrics, {"health", {}, m_server.id, http::answerErrorName(error)});
+    }
     if (outcome != internal::kHealthy) {
         logEvent(LogLevel::Info, "gate", "probe-failed",
                  {{"server", m_server.id},
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -3,6 +3,7 @@
 #include "core/boot_clock.h"
 #include "core/hash.h"
 #include "engine/buffer_limits.h"
+#include "engine/call_log.h"
 #include "observe/log.h"
 #include "proxy/frame_codec.h"
 
@@ -412,6 +413,11 @@
     }
 }
 
+void Engine::onResponseRejected(std::string_view reason)
+{
+    recordRejectedAnswer(m_metrics, {"source", {}, {}, reason});
+}
+
 std::int64_t Engine::heldRevision() const
 {
     return m_replica.isComplete() ? m_replica.revision() : 0;
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -85,6 +85,7 @@
     void onChanges(const std::vector<directory::ItemChange> &changes, std::int64_t revision,
                    TimePoint askedAt) override;
     void onSourceFailed(const std::string &reason, TimePoint requestedAt) override;
+    void onResponseRejected(std::string_view reason) override;
     [[nodiscard]] std::int64_t heldRevision() const override;
     [[nodiscard]] std::optional<Millis> readPause() const override;
     [[nodiscard]] std::size_t failingPeers() const override;
--- a/src/celeryramp/http/answer_reader.cpp
+++ b/src/celeryramp/http/answer_reader.cpp
@@ -60,6 +60,27 @@
     };
 };
 
+/*! @return Class of an error of the parser. */
+[[nodiscard]] AnswerError classOf(const boost::system::error_code &ec)
+{
+    if (ec == beast::error::bad_status) {
+        return AnswerError::Status;
+    }
+    if (ec == beast::error::bad_field || ec == beast::error::bad_value
+        || ec == beast::error::bad_obs_fold) {
+        return AnswerError::Field;
+    }
+    if (ec == beast::error::header_limit || ec == beast::error::body_limit) {
+        return AnswerError::TooLong;
+    }
+    if (ec == beast::error::bad_content_length || ec == beast::error::bad_transfer_encoding
+        || ec == beast::error::bad_chunk || ec == beast::error::bad_chunk_extension
+        || ec == beast::error::partial_message) {
+        return AnswerError::Framing;
+    }
+    return AnswerError::Syntax;
+}
+
 } // namespace internal
 
 struct AnswerReader::Parser
@@ -74,6 +95,7 @@
 {
     m_parser.reset();
     m_state = State::Idle;
+    m_error = AnswerError::None;
     m_isHead = isHead;
     m_interimResponses = 0;
 }
@@ -97,30 +119,38 @@
         const auto n = inner.put(boost::asio::buffer(m_buffer), ec);
         m_buffer.erase(0, n);
         const bool isIncomplete = ec == beast::error::need_more;
-        const bool isBodyTooLong
-                = inner.is_header_done() && inner.get().body().size() > m_bodyLimit;
-        if ((ec && !isIncomplete) || isBodyTooLong) {
-            m_state = State::Bad;
-            return m_state;
+        if (ec && !isIncomplete) {
+            return fail(internal::classOf(ec));
+        }
+        if (inner.is_header_done() && inner.get().body().size() > m_bodyLimit) {
+            return fail(AnswerError::TooLong);
         }
         if (!isIncomplete && inner.is_done()) {
             if (inner.get().result_int() / 100 == 1) {
                 m_parser.reset();
-                m_state = ++m_interimResponses > internal::kMaxInterimResponses ? State::Bad
-                                                                                : State::Idle;
+                m_state = State::Idle;
+                if (++m_interimResponses > internal::kMaxInterimResponses) {
+                    return fail(AnswerError::TooLong);
+                }
                 continue;
             }
             m_state = State::Done;
         } else if (isIncomplete || n == 0) {
             const auto maxUnparsed = inner.is_header_done() ? internal::kMaxFramingBytes
                                                             : internal::kAnswerHeaderBytes;
-            m_state = m_buffer.size() > maxUnparsed ? State::Bad : m_state;
-            return m_state;
+            return m_buffer.size() > maxUnparsed ? fail(AnswerError::TooLong) : m_state;
         }
     }
     return m_state;
 }
 
+AnswerReader::State AnswerReader::fail(AnswerError error)
+{
+    m_error = error;
+    m_state = State::Bad;
+    return m_state;
+}
+
 AnswerReader::State AnswerReader::finish()
 {
     if (m_state != State::Partial) {
@@ -129,11 +159,12 @@
     boost::system::error_code ec;
     if (m_parser->inner.is_header_done()) {
         m_parser->inner.put_eof(ec);
-        m_state = !ec && m_parser->inner.is_done() ? State::Done : State::Bad;
-    } else {
-        m_state = State::Bad;
+        if (!ec && m_parser->inner.is_done()) {
+            m_state = State::Done;
+            return m_state;
+        }
     }
-    return m_state;
+    return fail(AnswerError::Framing);
 }
 
 bool AnswerReader::hasHead() const noexcept
--- a/src/celeryramp/http/answer_reader.h
+++ b/src/celeryramp/http/answer_reader.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "http/answer_error.h"
 #include "http/message.h"
 
 namespace celeryramp::http {
@@ -65,6 +66,8 @@
     [[nodiscard]] Answer take();
 
     [[nodiscard]] State state() const noexcept { return m_state; }
+    /*! @return Why the bytes are no response; `None` unless the state is `Bad`. */
+    [[nodiscard]] AnswerError error() const noexcept { return m_error; }
 
     /*! @return Number of bytes received but not parsed yet. */
     [[nodiscard]] std::size_t buffered() const noexcept { return m_buffer.size(); }
@@ -72,10 +75,14 @@
 private:
     struct Parser;
 
+    /*! @brief Gives up the current response. */
+    State fail(AnswerError error);
+
     std::size_t m_bodyLimit;
     std::unique_ptr<Parser> m_parser;
     std::string m_buffer;
     State m_state = State::Idle;
+    AnswerError m_error = AnswerError::None;
     bool m_isHead = false;
     int m_interimResponses = 0; /*!< Skipped since `expect`. */
 };
--- a/src/celeryramp/http/client_connection.cpp
+++ b/src/celeryramp/http/client_connection.cpp
@@ -47,6 +47,7 @@
     ++m_requests;
     m_foreignAnswers = 0;
     m_match.reset();
+    m_answerError = AnswerError::None;
     m_isStreaming = false;
     m_isReadingPaused = false;
     m_reader.expect(m_exchange->isHead);
@@ -145,7 +146,7 @@
 {
     while (true) {
         if (m_reader.state() == AnswerReader::State::Bad) {
-            finish(ExchangeEnd::Malformed, {});
+            reject(m_reader.error());
             return false;
         }
         if (!m_reader.hasHead()) {
@@ -164,7 +165,7 @@
             return true;
         }
         if (!isForeign || ++m_foreignAnswers > internal::kMaxForeignAnswers) {
-            finish(ExchangeEnd::Malformed, {});
+            reject(AnswerError::Unattributed);
             return false;
         }
         m_match.reset();
@@ -212,6 +213,12 @@
     finish(ExchangeEnd::Lost, {});
 }
 
+void ClientConnection::reject(AnswerError error)
+{
+    m_answerError = error;
+    finish(ExchangeEnd::Malformed, {});
+}
+
 void ClientConnection::finish(ExchangeEnd end, Answer answer)
 {
     auto exchange = std::move(m_exchange);
--- a/src/celeryramp/http/client_connection.h
+++ b/src/celeryramp/http/client_connection.h
@@ -52,6 +52,9 @@
     /*! @return True if any byte was received since the last request was sent. */
     [[nodiscard]] bool hasReceived() const noexcept { return m_hasReceived; }
 
+    /*! @return Why the last exchange ended as `ExchangeEnd::Malformed`; `None` if it did not. */
+    [[nodiscard]] AnswerError answerError() const noexcept { return m_answerError; }
+
     /*! @return Time at which bytes were last received; `TimePoint{}` before the first ones. */
     [[nodiscard]] TimePoint lastReceivedAt() const noexcept { return m_lastReceivedAt; }
     /*! @return Bytes that are still to come of the response that is being received, by the length
@@ -70,6 +73,8 @@
      * ended, true to read on. */
     bool processAnswer();
     void onReadError(const boost::system::error_code &ec);
+    /*! @brief Ends the exchange as `ExchangeEnd::Malformed`. */
+    void reject(AnswerError error);
     void finish(ExchangeEnd end, Answer answer);
     void close();
 
@@ -86,6 +91,7 @@
     int m_requests = 0; /*!< Sent on this connection, with the current one. */
     int m_foreignAnswers = 0; /*!< Skipped before the answer to the current request. */
     std::optional<AnswerMatch> m_match; /*!< Of the answer that is being read. */
+    AnswerError m_answerError = AnswerError::None;
     bool m_isStreaming = false; /*!< The head of the answer was passed to `Exchange::onHead`. */
     bool m_isReadingPaused = false;
     bool m_closesAfterAnswer = false; /*!< The server has closed its side. */
--- a/test/http/answer_reader.cpp
+++ b/test/http/answer_reader.cpp
@@ -72,3 +72,46 @@
     REQUIRE(reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n") == State::Done);
     REQUIRE(reader.take().body.empty());
 }
+
+namespace {
+
+struct Broken
+{
+    const char *bytes;
+    AnswerError error;
+};
+
+/*! @brief Requires that the bytes are no response, in one piece and byte by byte. */
+void requireBad(const Broken &broken)
+{
+    CAPTURE(broken.bytes);
+    const std::string_view bytes{broken.bytes};
+    AnswerReader whole{1000};
+    whole.expect(false);
+    REQUIRE(whole.feed(bytes) == State::Bad);
+    REQUIRE(whole.error() == broken.error);
+    REQUIRE(!whole.hasHead());
+    AnswerReader single{1000};
+    single.expect(false);
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        single.feed(bytes.substr(i, 1));
+        REQUIRE(single.state() != State::Done);
+    }
+    REQUIRE(single.state() == State::Bad);
+    REQUIRE(single.error() == broken.error);
+}
+
+} // namespace
+
+TEST_CASE("Bytes that are no response have a reason")
+{
+    requireBad(GENERATE(
+            values<Broken>({{"\x01\x02garbage\r\n\r\n", AnswerError::Syntax},
+                            {"HTTP/2.0 200 OK\r\n\r\n", AnswerError::Syntax},
+                            {"HTTP/1.1 2x0 OK\r\n\r\n", AnswerError::Status},
+                            {"HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n", AnswerError::Field},
+                            {"HTTP/1.1 200 OK\r\nX: a\x01\r\n\r\n", AnswerError::Field},
+                            {"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", AnswerError::Framing},
+                            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
+                             AnswerError::Framing}})));
+}
--- a/test/platform/store_source.cpp
+++ b/test/platform/store_source.cpp
@@ -44,6 +44,7 @@
     {
         ++failures;
     }
+    void onResponseRejected(std::string_view reason) override { rejected.emplace_back(reason); }
     [[nodiscard]] std::int64_t heldRevision() const override { return held; }
     [[nodiscard]] std::optional<Millis> readPause() const override { return Millis{0}; }
     [[nodiscard]] std::size_t failingPeers() const override { return 0; }
@@ -52,6 +53,7 @@
     std::size_t itemCount = 0;
     int lists = 0;
     int failures = 0;
+    std::vector<std::string> rejected;
 };
 
 struct Fixture
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -1,5 +1,7 @@
 #include "support/mesh.h"
 
+#include <sstream>
+
 #include "core/boot_clock.h"
 #include "support/event_loop.h"
 
@@ -72,6 +74,7 @@
         settings.links = {node->host, kLinkPort};
         settings.readiness = {node->host, kReadinessPort};
         settings.backend = {node->backendHost, kServerPort};
+        settings.metrics = Address{node->host, kMetricsPort};
         m_settings.push_back(settings);
         node->engine = std::make_unique<engine::Engine>(
                 context, settings,
@@ -118,6 +121,13 @@
     publish();
 }
 
+void Mesh::limitBodies(std::size_t bytes)
+{
+    m_decoder.base.limits.bodyBytes = bytes;
+    m_version = ++m_revision;
+    publish();
+}
+
 void Mesh::failSource()
 {
     for (const auto &node : nodes) {
@@ -157,14 +167,20 @@
                        {"T-Deadline", "1500"}};
     request.headers.insert(request.headers.end(), headers.begin(), headers.end());
     request.body = body;
+    return send(node, kCallerPort, request, outcome);
+}
+
+http::ClientConnectionPtr Mesh::send(int node, std::uint16_t port, const http::Request &request,
+                                     const std::shared_ptr<Outcome> &outcome)
+{
     http::Exchange exchange;
     exchange.wire = http::serialize(request);
     exchange.done = [outcome](http::ExchangeEnd end, http::Answer answer) {
         *outcome = {true, end, std::move(answer)};
     };
     auto connection = std::make_shared<http::ClientConnection>(
-            context, Address{nodes[static_cast<std::size_t>(node)]->host, kCallerPort},
-            Millis{1000}, 1U << 20U, [](const http::ClientConnectionPtr &) {});
+            context, Address{nodes[static_cast<std::size_t>(node)]->host, port}, Millis{1000},
+            1U << 20U, [](const http::ClientConnectionPtr &) {});
     connection->send(std::move(exchange));
     return connection;
 }
@@ -178,6 +194,25 @@
     return *outcome;
 }
 
+double Mesh::metric(int node, const std::string &prefix)
+{
+    http::Request request;
+    request.method = "GET";
+    request.target = "/metrics";
+    request.headers = {{"Host", "metrics"}};
+    const auto outcome = std::make_shared<Outcome>();
+    const auto connection = send(node, kMetricsPort, request, outcome);
+    static_cast<void>(runUntil([&outcome] { return outcome->isDone; }, Millis{1000}));
+    std::istringstream lines{outcome->answer.body};
+    double sum = 0.0;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.rfind(prefix, 0) == 0) {
+            sum += std::stod(line.substr(line.rfind(' ') + 1));
+        }
+    }
+    return sum;
+}
+
 void Mesh::restartServer(int index, const std::string &id)
 {
     auto &node = *nodes[static_cast<std::size_t>(index)];
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -73,6 +73,9 @@
     /*! @brief Publishes a configuration without accounts, so that no request needs a key. */
     void removeAccounts();
 
+    /*! @brief Publishes a configuration with another limit for the bodies of requests. */
+    void limitBodies(std::size_t bytes);
+
     /*! @brief Lets a read of all nodes fail that was sent just now. */
     void failSource();
 
@@ -97,6 +100,9 @@
     Outcome callAndWait(int node, const std::string &method, const std::string &target,
                         const http::Headers &headers = {}, const std::string &body = {});
 
+    /*! @return Sum of the counters of a node whose names begin with `prefix`, labels included. */
+    [[nodiscard]] double metric(int node, const std::string &prefix);
+
     /*! @brief Runs the event loop for a time. */
     void run(Millis time);
     /*! @brief Runs the event loop until a condition holds. @return False on timeout. */
@@ -122,11 +128,15 @@
     static constexpr std::uint16_t kLinkPort = 17802;
     static constexpr std::uint16_t kReadinessPort = 17803;
     static constexpr std::uint16_t kServerPort = 17804;
+    static constexpr std::uint16_t kMetricsPort = 17807;
 
     std::vector<std::unique_ptr<standin::soak::LinkProxy>> proxies;
     standin::soak::LinkProxy *proxy = nullptr; /*!< The last of `proxies`. */
 
 private:
+    /*! @brief Sends a request to a port of a node, on a connection of its own. */
+    http::ClientConnectionPtr send(int node, std::uint16_t port, const http::Request &request,
+                                   const std::shared_ptr<Outcome> &outcome);
     /*! @param proxied Number of nodes behind proxies, the last ones; the last octet of `proxyHost`
      * grows from the first to the last. */
     Mesh(int count, int south, const std::string &proxyHost, int proxied);
--- a/test/support/scripted_server.cpp
+++ b/test/support/scripted_server.cpp
@@ -13,6 +13,8 @@
     http::RequestReader reader;
     std::array<char, 4096> input{};
     Script script; /*!< Being sent. */
+    std::string received; /*!< Of the current request, while it may be answered early. */
+    bool isAnsweredEarly = false;
 };
 
 ScriptedServer::ScriptedServer(boost::asio::io_context &context, const Address &address,
@@ -40,6 +42,15 @@
     return head(request) + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+ScriptedServer::Script ScriptedServer::byteByByte(std::string bytes)
+{
+    Script script{bytes.substr(0, 1)};
+    script.more = [bytes = std::move(bytes), i = std::size_t{1}]() mutable {
+        return i < bytes.size() ? bytes.substr(i++, 1) : std::string{};
+    };
+    return script;
+}
+
 std::string ScriptedServer::head(const http::Request &request)
 {
     return "HTTP/1.1 200 OK\r\nT-Signed: 1\r\nT-Request: "
@@ -63,6 +74,12 @@
                     connection->socket.close(ignored);
                     return;
                 }
+                if (m_early && answerEarly(connection, {connection->input.data(), n})) {
+                    if (m_early->readsOn) {
+                        read(connection);
+                    }
+                    return;
+                }
                 const auto state = connection->reader.feed({connection->input.data(), n}, {});
                 if (state == http::RequestReader::State::Done) {
                     connection->script = respond(connection->reader.take());
@@ -72,6 +89,46 @@
             });
 }
 
+bool ScriptedServer::answerEarly(const std::shared_ptr<Connection> &connection,
+                                 std::string_view bytes)
+{
+    if (connection->isAnsweredEarly) {
+        return true;
+    }
+    connection->received.append(bytes);
+    const auto headEnd = connection->received.find("\r\n\r\n");
+    const std::string_view head{connection->received.data(),
+                                std::min(headEnd, connection->received.size())};
+    if (headEnd == std::string::npos || head.find("Content-Length: ") == std::string_view::npos
+        || connection->received.size() - headEnd - 4 < m_early->bodyBytes) {
+        return false;
+    }
+    constexpr std::string_view kId = "T-Request: ";
+    const auto id = head.substr(std::min(head.find(kId), head.size() - kId.size()) + kId.size());
+    http::Request request;
+    request.headers = {{"T-Request", std::string{id.substr(0, id.find('\r'))}}};
+    connection->isAnsweredEarly = true;
+    ++earlyAnswers;
+    connection->script = m_early->respond(request);
+    write(connection);
+    return true;
+}
+
+void ScriptedServer::end(const std::shared_ptr<Connection> &connection)
+{
+    boost::system::error_code ignored;
+    const auto &script = connection->script;
+    if (script.shutsDown) {
+        connection->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+    if (script.closes) {
+        if (script.resets) {
+            connection->socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
+        }
+        connection->socket.close(ignored);
+    }
+}
+
 void ScriptedServer::writeAfter(const std::shared_ptr<Connection> &connection, Millis delay)
 {
     if (delay.count() == 0) {
@@ -99,13 +156,14 @@
                 script.bytes = script.more ? script.more() : std::string{};
                 if (!script.bytes.empty()) {
                     write(connection);
-                } else if (script.closes) {
-                    boost::system::error_code ignored;
-                    if (script.resets) {
-                        connection->socket.set_option(boost::asio::socket_base::linger{true, 0},
-                                                      ignored);
-                    }
-                    connection->socket.close(ignored);
+                } else if (script.pause.count() > 0) {
+                    const auto timer
+                            = std::make_shared<boost::asio::steady_timer>(m_context, script.pause);
+                    timer->async_wait([this, connection, timer](const boost::system::error_code &) {
+                        end(connection);
+                    });
+                } else {
+                    end(connection);
                 }
             });
 }
