A status that no server can give is no answer

Cause: the parser takes any three digits, and the checks behind it compare with upper bounds only (below 300: a success that must be signed; below 500: good), so 000 to 099 counted as good answers and 600 to 999 as failures of the server; 101 was skipped as an interim response although what follows it is another protocol. With the field that says 'not run', a broken answer was believed as a refusal.

Change: the reader of answers refuses all statuses outside 100 to 599 and 101, as soon as the head is complete. Everything that reads answers uses it: of servers, in whole and in parts, of health checks, of the store. The exchange ends as malformed, so the request counts as one that may have run: 502, or another server if it may be repeated; the connection is closed.

--- a/src/celeryramp/http/answer_reader.cpp
+++ b/src/celeryramp/http/answer_reader.cpp
@@ -122,6 +122,9 @@
         if (ec && !isIncomplete) {
             return fail(internal::classOf(ec));
         }
+        if (inner.is_header_done() && !isServerStatus(static_cast<int>(inner.get().result_int()))) {
+            return fail(AnswerError::Status);
+        }
         if (inner.is_header_done() && inner.get().body().size() > m_bodyLimit) {
             return fail(AnswerError::TooLong);
         }
--- a/src/celeryramp/http/message.h
+++ b/src/celeryramp/http/message.h
@@ -92,6 +92,16 @@
 /*! @return The line that precedes a chunk of this many bytes. */
 [[nodiscard]] std::string chunkHeader(std::size_t bytes);
 
+/*! @return True if a server can give this status to a request that asks for no other protocol:
+ * 100 to 599 (RFC 9110, section 15), except 101. */
+[[nodiscard]] constexpr bool isServerStatus(int status) noexcept
+{
+    constexpr int kFirst = 100;
+    constexpr int kSwitchingProtocols = 101;
+    constexpr int kLast = 599;
+    return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
+}
+
 /*! @return The standard reason phrase of a status. */
 [[nodiscard]] std::string_view reasonPhrase(int status) noexcept;
 
--- a/test/http/answer_reader.cpp
+++ b/test/http/answer_reader.cpp
@@ -105,13 +105,19 @@
 
 TEST_CASE("Bytes that are no response have a reason")
 {
-    requireBad(GENERATE(
-            values<Broken>({{"\x01\x02garbage\r\n\r\n", AnswerError::Syntax},
-                            {"HTTP/2.0 200 OK\r\n\r\n", AnswerError::Syntax},
-                            {"HTTP/1.1 2x0 OK\r\n\r\n", AnswerError::Status},
-                            {"HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n", AnswerError::Field},
-                            {"HTTP/1.1 200 OK\r\nX: a\x01\r\n\r\n", AnswerError::Field},
-                            {"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", AnswerError::Framing},
-                            {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
-                             AnswerError::Framing}})));
+    requireBad(GENERATE(values<Broken>(
+            {{"\x01\x02garbage\r\n\r\n", AnswerError::Syntax},
+             {"HTTP/2.0 200 OK\r\n\r\n", AnswerError::Syntax},
+             {"HTTP/1.1 2x0 OK\r\n\r\n", AnswerError::Status},
+             {"HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n", AnswerError::Status},
+             {"HTTP/1.1 099 Odd\r\n\r\n", AnswerError::Status},
+             {"HTTP/1.1 101 Switching\r\n\r\n", AnswerError::Status},
+             {"HTTP/1.1 600 Odd\r\n\r\n", AnswerError::Status},
+             {"HTTP/1.0 999 Odd\r\n\r\n", AnswerError::Status},
+             {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Odd\r\n\r\n", AnswerError::Status},
+             {"HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n", AnswerError::Field},
+             {"HTTP/1.1 200 OK\r\nX: a\x01\r\n\r\n", AnswerError::Field},
+             {"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", AnswerError::Framing},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
+              AnswerError::Framing}})));
 }
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -206,7 +206,7 @@
     std::istringstream lines{outcome->answer.body};
     double sum = 0.0;
     for (std::string line; std::getline(lines, line);) {
-        if (line.rfind(prefix, 0) == 0) {
+        if (line.rfind("celeryramp_" + prefix, 0) == 0) {
             sum += std::stod(line.substr(line.rfind(' ') + 1));
         }
     }
