An answer without length that is reset during the upload is not complete

Callers saw: a part of a server's answer as the whole one.

Cause: such an answer is complete at the orderly end of the stream, and the end counted as orderly if the read said so. The system reports a reset once for a socket. With a write under way the write gets the report, its error was dropped, and the read behind it gets an end of stream. Answers with a length or chunks were found short all the same.

Change: a connection remembers that a write failed. Unless it failed since the server had ended its side in order before (broken pipe), an end of the stream is a reset; and the connection is not used again in any case.

--- a/src/celeryramp/http/client_connection.cpp
+++ b/src/celeryramp/http/client_connection.cpp
@@ -100,9 +100,14 @@
                                                                 : boost::asio::const_buffer{}};
     boost::asio::async_write(
             m_socket, buffers,
-            [self = shared_from_this(), body](const boost::system::error_code &, std::size_t) {
+            [self = shared_from_this(), body](const boost::system::error_code &ec, std::size_t) {
                 // A write error also ends the read, after any response that was already received.
                 self->m_writing = false;
+                self->m_hasWriteFailed = static_cast<bool>(ec);
+                // The system reports a reset once. If the write gets the report, the read only
+                // sees an end of the stream. `broken_pipe` means that the server had ended its
+                // side in order before.
+                self->m_isReset = ec && ec != boost::asio::error::broken_pipe;
             });
 }
 
@@ -203,7 +208,7 @@
         return;
     }
     // An answer without a length is complete at the orderly end of the connection only.
-    const bool isOrderly = ec == boost::asio::error::eof;
+    const bool isOrderly = ec == boost::asio::error::eof && !m_isReset;
     if (isOrderly && m_reader.finish() == AnswerReader::State::Done) {
         m_closesAfterAnswer = true;
         if (!processAnswer()) {
@@ -225,7 +230,8 @@
     m_exchange.reset();
     m_freeSince = bootNow();
     const bool isReusable = end == ExchangeEnd::Answered && answer.keepsAlive
-            && m_reader.buffered() == 0 && !m_writing && !m_closed && !m_closesAfterAnswer;
+            && m_reader.buffered() == 0 && !m_writing && !m_hasWriteFailed && !m_closed
+            && !m_closesAfterAnswer;
     if (isReusable) {
         m_announcedIdle = internal::announcedTimeout(answer);
         m_isReadingPaused = false;
--- a/src/celeryramp/http/client_connection.h
+++ b/src/celeryramp/http/client_connection.h
@@ -103,6 +103,8 @@
     bool m_sent = false; /*!< Bytes of the current request may have been sent. */
     bool m_reading = false;
     bool m_writing = false; /*!< May still be set when an early response arrives. */
+    bool m_hasWriteFailed = false;
+    bool m_isReset = false; /*!< The server has reset the connection. */
     bool m_closed = false;
 };
 
