A line that begins with a blank is not a part of the field before it

Where the line followed the id of the request, the answer counted as one to another request and the caller waited for the timeout (504).

Cause: the parser joins a line that begins with a blank to the line before, an old form for long values that servers must not send any more.

Change: the reader looks for such lines in each head before it is parsed, and refuses it. Bytes of bodies that look like it, and unusual values, still pass, tested.

--- a/src/celeryramp/http/answer_reader.cpp
+++ b/src/celeryramp/http/answer_reader.cpp
@@ -1,5 +1,6 @@
 #include "http/answer_reader.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -18,6 +19,7 @@
 /*! Largest unparsed rest after the head, in bytes: the size line of a chunk with its extensions, or
  *  the trailer. The parser itself waits for the end of these without a limit. */
 constexpr std::size_t kMaxFramingBytes = 16 * 1024;
+constexpr std::string_view kLineEnd = "\r\n";
 /*! Interim responses that are skipped before a response. */
 constexpr int kMaxInterimResponses = 8;
 
@@ -116,8 +118,12 @@
         }
         boost::system::error_code ec;
         auto &inner = m_parser->inner;
+        if (!inner.is_header_done() && hasFoldedLine()) {
+            return fail(AnswerError::Field);
+        }
         const auto n = inner.put(boost::asio::buffer(m_buffer), ec);
         m_buffer.erase(0, n);
+        m_checkedBytes -= std::min(m_checkedBytes, n);
         const bool isIncomplete = ec == beast::error::need_more;
         if (ec && !isIncomplete) {
             return fail(internal::classOf(ec));
@@ -147,6 +153,27 @@
     return m_state;
 }
 
+bool AnswerReader::hasFoldedLine()
+{
+    const std::string_view bytes{m_buffer};
+    // Up to here there is no end of a line whose next byte has not arrived.
+    auto lineEnd = bytes.find(internal::kLineEnd, m_checkedBytes);
+    while (lineEnd != std::string_view::npos) {
+        const auto rest = bytes.substr(lineEnd + internal::kLineEnd.size());
+        if (rest.empty() || rest.substr(0, internal::kLineEnd.size()) == internal::kLineEnd) {
+            break; // the end of the head, or unknown yet
+        }
+        if (rest.front() == ' ' || rest.front() == '\t') {
+            return true;
+        }
+        lineEnd = bytes.find(internal::kLineEnd, lineEnd + internal::kLineEnd.size());
+    }
+    m_checkedBytes = lineEnd != std::string_view::npos ? lineEnd
+            : bytes.empty()                            ? 0
+                                                       : bytes.size() - 1;
+    return false;
+}
+
 AnswerReader::State AnswerReader::fail(AnswerError error)
 {
     m_error = error;
--- a/src/celeryramp/http/answer_reader.h
+++ b/src/celeryramp/http/answer_reader.h
@@ -75,12 +75,19 @@
 private:
     struct Parser;
 
+    /*!
+     * @return True if a line of the head that is being received begins with a blank. The parser
+     * would take it for a part of the line before, a form of long values that servers must not send
+     * any more (RFC 9112, section 5.2); here it is a field whose name begins with a blank.
+     */
+    [[nodiscard]] bool hasFoldedLine();
     /*! @brief Gives up the current response. */
     State fail(AnswerError error);
 
     std::size_t m_bodyLimit;
     std::unique_ptr<Parser> m_parser;
     std::string m_buffer;
+    std::size_t m_checkedBytes = 0; /*!< Unparsed bytes of a head without a folded line. */
     State m_state = State::Idle;
     AnswerError m_error = AnswerError::None;
     bool m_isHead = false;
--- a/test/engine/broken_answer.cpp
+++ b/test/engine/broken_answer.cpp
@@ -166,3 +166,106 @@
                        "HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 199 Odd\r\n\r\n");
     requirePassed(interim + kOk, {}, 200);
 }
+
+TEST_CASE("Broken answer: a head with a blank or control byte in the name of a field")
+{
+    const std::string line
+            = GENERATE(as<std::string>{}, "X Y: 1", "X Y:", "X : 1", "X\t: 1", "Content-Length : 2",
+                       " Content-Length: 2", " X: 1", "\tX: 1", "\tX:", "X\tY: 1", "X\x01Y: 1",
+                       "\x01X: 1", "X\x1f: 1", "X\x7f: 1", "X\x0bY: 1", "X\rY: 1", "X\nY: 1",
+                       std::string{"X\0: 1", 6}, "\xc2\xa0X: 1", "X", ": 1", " : 1", " ");
+    requireBroken("field", kOk, line + "\r\n");
+}
+
+TEST_CASE("Broken answer: a line that begins with a blank is no part of the line before")
+{
+    const auto *before = GENERATE("X: 1", "X:", "Content-Type: text/plain", "Retry-After: 1");
+    const auto *line = GENERATE(" Y: 2", "\tContent-Length: 2", "  folded", " ", "\t\t");
+    requireBroken("field", kOk, before + std::string{"\r\n"} + line + "\r\nZ: 1\r\n");
+}
+
+TEST_CASE("Broken answer: a broken head is not passed on whatever its status")
+{
+    const auto *status = GENERATE("201 Created", "302 Found", "404 Not Found", "500 Error",
+                                  "503 Unavailable", "599 Odd");
+    const auto *line = GENERATE("Y: 1\r\n X: 1", "X\x01: 1");
+    requireBroken("field", "HTTP/1.1 " + std::string{status}, line + std::string{"\r\n"});
+}
+
+TEST_CASE("Broken answer: a broken head is no refusal")
+{
+    requireBroken("field", "HTTP/1.1 503 Busy", "T-Not-Run: 1\r\nY: 1\r\n\tX: 1\r\n");
+}
+
+TEST_CASE("Broken answer: a broken head of an interim response breaks the answer behind it")
+{
+    requireBroken("field", "HTTP/1.1 103 Hints\r\nLink: </a>\r\n X: 1\r\n\r\n" + kOk, {});
+}
+
+TEST_CASE("Broken answer: a request that may be repeated is repeated after a broken head")
+{
+    const auto *line
+            = GENERATE("Y: 1\r\n Content-Length: 2", "Y: 1\r\n\tX: 1", "X Y: 1", "X\x01: 1");
+    requireRepeated(kOk, line + std::string{"\r\n"});
+}
+
+TEST_CASE("Broken answer: unusual fields are passed on")
+{
+    const std::string line = GENERATE(as<std::string>{}, "X:", "X:1", "X: \t 1 \t", "X: a\tb",
+                                      "x!#$%&'*+-.^_`|~9: 1", "X: \xe9", "X: : :", "X: \"a b\"");
+    requirePassed(kOk, line + "\r\n", 200);
+    requirePassed("HTTP/1.1 404 ", line + "\r\n", 404);
+}
+
+TEST_CASE("Broken answer: bodies may look like broken heads")
+{
+    Mesh mesh{2};
+    const int index = useOneServer(mesh);
+    const std::string body = "\r\n X: 1\r\n\tY: 2\r\n\r\n Z\x01: 3\r\n\r\n";
+    for (const bool isByteByByte : {false, true}) {
+        mesh.nodes[static_cast<std::size_t>(index)]->server->setRespond(
+                [&](const http::Request &request) {
+                    const auto bytes = ScriptedServer::good(request, body);
+                    return isByteByByte ? ScriptedServer::byteByByte(bytes) : Script{bytes};
+                });
+        REQUIRE(mesh.callAndWait(0, "POST", "/once/", {}, "x").answer.body == body);
+    }
+}
+
+TEST_CASE("Broken answer: a long body with a broken head is not begun")
+{
+    Mesh mesh{2};
+    const int index = useOneServer(mesh);
+    const auto *line = GENERATE("", "Y: 1\r\n X: 1\r\n");
+    const auto *status = GENERATE("200 OK", "000 Odd");
+    const bool isBroken = *line != '\0' || *status == '0';
+    mesh.nodes[static_cast<std::size_t>(index)]->server->setRespond(
+            [&](const http::Request &request) {
+                return Script{answerWith(request, "HTTP/1.1 " + std::string{status}, line,
+                                         "Content-Length: 400000\r\n\r\n")
+                              + std::string(400'000, 'b')};
+            });
+    const auto outcome = mesh.callAndWait(0, "POST", "/once/", {}, "x");
+    REQUIRE(outcome.answer.status == (isBroken ? 502 : 200));
+    REQUIRE(outcome.answer.body.size() == (isBroken ? 0U : 400'000U));
+}
+
+TEST_CASE("Broken answer: a health answer that is broken does not count as good")
+{
+    Mesh mesh{1};
+    const auto *start = GENERATE(
+            "HTTP/1.1 000 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 1\r\n",
+            "HTTP/1.1 200 OK\r\nX Y: 1\r\n", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n");
+    mesh.nodes[0]->server->setRespondHealth([start](const http::Request &) {
+        return Script{std::string{start} + "T-Server: s9\r\nContent-Length: 0\r\n\r\n"};
+    });
+    mesh.restartServer(0, "s9");
+    const auto healthy = mesh.metric(0, "health_probes_total{outcome=\"healthy\"}");
+    mesh.run(Millis{400}); // between two probes
+    mesh.publish();
+    REQUIRE(mesh.runUntil(
+            [&] { return mesh.metric(0, "answers_rejected_total{from=\"health\"") > 0; },
+            Millis{1500}));
+    REQUIRE(mesh.metric(0, "health_probes_total{outcome=\"healthy\"}") == healthy);
+    REQUIRE(mesh.metric(0, "health_probes_total{outcome=\"malformed\"}") > 0);
+}
