A body in a transfer coding that is not undone is not passed on

Cause: the parser undoes 'chunked' and ignores what else is in the list, and the field is removed, as it applies to one connection.

Change: a head with other codings than a single 'chunked' (or 'identity') is refused, unless the response has no body. 'CHUNKED', empty items of the list, chunk extensions and leading zeros still pass, tested.

--- a/src/celeryramp/http/answer_reader.cpp
+++ b/src/celeryramp/http/answer_reader.cpp
@@ -62,6 +62,25 @@
     };
 };
 
+/*! @return True if the parser undoes all transfer codings of the body. Otherwise the body would be
+ * passed on as coded, without the field that says so. */
+template <typename Fields>
+[[nodiscard]] bool areCodingsUndone(const Fields &fields)
+{
+    int codings = 0;
+    bool areKnown = true;
+    const auto [first, last] = fields.equal_range(beast::field::transfer_encoding);
+    for (auto it = first; it != last; ++it) {
+        forEachListItem({it->value().data(), it->value().size()}, [&](std::string_view coding) {
+            ++codings;
+            areKnown = areKnown
+                    && (equalsIgnoreCase(coding, "chunked")
+                        || equalsIgnoreCase(coding, "identity"));
+        });
+    }
+    return areKnown && codings <= 1;
+}
+
 /*! @return Class of an error of the parser. */
 [[nodiscard]] AnswerError classOf(const boost::system::error_code &ec)
 {
@@ -88,6 +107,19 @@
 struct AnswerReader::Parser
 {
     beast::response_parser<internal::GrowingBody> inner;
+
+    /*! @return Why the head, which is complete, is not that of a response; `None` if it is. */
+    [[nodiscard]] AnswerError headError(bool isHead) const
+    {
+        const auto &head = inner.get();
+        const auto status = static_cast<int>(head.result_int());
+        if (!isServerStatus(status)) {
+            return AnswerError::Status;
+        }
+        const bool hasBody = !isHead && mayHaveBody(status);
+        return hasBody && !internal::areCodingsUndone(head) ? AnswerError::Framing
+                                                            : AnswerError::None;
+    }
 };
 
 AnswerReader::AnswerReader(std::size_t bodyLimit) : m_bodyLimit{bodyLimit} { }
@@ -128,8 +160,10 @@
         if (ec && !isIncomplete) {
             return fail(internal::classOf(ec));
         }
-        if (inner.is_header_done() && !isServerStatus(static_cast<int>(inner.get().result_int()))) {
-            return fail(AnswerError::Status);
+        if (inner.is_header_done()) {
+            if (const auto error = m_parser->headError(m_isHead); error != AnswerError::None) {
+                return fail(error);
+            }
         }
         if (inner.is_header_done() && inner.get().body().size() > m_bodyLimit) {
             return fail(AnswerError::TooLong);
--- a/src/celeryramp/http/message.cpp
+++ b/src/celeryramp/http/message.cpp
@@ -90,21 +90,9 @@
         if (!equalsIgnoreCase(header.name, "Connection")) {
             continue;
         }
-        std::string_view rest = header.value;
-        while (!rest.empty()) {
-            const auto comma = std::min(rest.find(','), rest.size());
-            auto token = rest.substr(0, comma);
-            rest.remove_prefix(std::min(comma + 1, rest.size()));
-            while (!token.empty() && (token.front() == ' ' || token.front() == '\t')) {
-                token.remove_prefix(1);
-            }
-            while (!token.empty() && (token.back() == ' ' || token.back() == '\t')) {
-                token.remove_suffix(1);
-            }
-            if (!token.empty()) {
-                connectionOptions.emplace_back(token);
-            }
-        }
+        forEachListItem(header.value, [&connectionOptions](std::string_view option) {
+            connectionOptions.emplace_back(option);
+        });
     }
     for (const auto name : internal::kHopByHop) {
         eraseHeaders(headers, name);
@@ -137,7 +125,7 @@
 
 std::string serialize(const Answer &answer, bool closes, bool isBodyOmitted)
 {
-    const bool isBodiless = answer.status == 204 || answer.status == 304;
+    const bool isBodiless = !mayHaveBody(answer.status);
     const auto length
             = isBodiless ? std::nullopt : std::optional<std::uint64_t>{answer.body.size()};
     auto out = serializeHead(answer, closes, {length, false});
--- a/src/celeryramp/http/message.h
+++ b/src/celeryramp/http/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -48,6 +49,22 @@
 /*! @return Host that a request names, in lower case and without port. */
 [[nodiscard]] std::string normalizedHost(const Headers &headers);
 
+/*! @brief Calls `visit` with each item of a list of the form `a, b`, without blanks around it. */
+template <typename Visit>
+void forEachListItem(std::string_view list, Visit visit)
+{
+    constexpr std::string_view kBlanks = " \t";
+    while (!list.empty()) {
+        auto item = list.substr(0, list.find(','));
+        list.remove_prefix(std::min(item.size() + 1, list.size()));
+        item.remove_prefix(std::min(item.find_first_not_of(kBlanks), item.size()));
+        item = item.substr(0, item.find_last_not_of(kBlanks) + 1);
+        if (!item.empty()) {
+            visit(item);
+        }
+    }
+}
+
 /*! @return Number of headers with this name. */
 [[nodiscard]] int countHeaders(const Headers &headers, std::string_view name) noexcept;
 
@@ -102,6 +119,15 @@
     return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
 }
 
+/*! @return True if a response with this status can have a body. */
+[[nodiscard]] constexpr bool mayHaveBody(int status) noexcept
+{
+    constexpr int kFirstFinal = 200;
+    constexpr int kNoContent = 204;
+    constexpr int kNotModified = 304;
+    return status >= kFirstFinal && status != kNoContent && status != kNotModified;
+}
+
 /*! @return The standard reason phrase of a status. */
 [[nodiscard]] std::string_view reasonPhrase(int status) noexcept;
 
--- a/test/engine/broken_answer.cpp
+++ b/test/engine/broken_answer.cpp
@@ -184,6 +184,63 @@
     requireBroken("field", kOk, before + std::string{"\r\n"} + line + "\r\nZ: 1\r\n");
 }
 
+TEST_CASE("Broken answer: a body in a transfer coding that is not undone")
+{
+    const auto *codings = GENERATE("gzip, chunked", "chunked, gzip", "gzip", "xchunked",
+                                   "chunked x", "chunked;q=1", "chunked, chunked",
+                                   "identity, chunked", "gzip\r\nTransfer-Encoding: chunked");
+    Mesh mesh{2};
+    const int index = useOneServer(mesh);
+    int id = 1;
+    for (const auto *body : {"3\r\nabc\r\n0\r\n\r\n", "abc"}) {
+        for (const bool isByteByByte : {false, true}) {
+            CAPTURE(codings, body, isByteByByte);
+            http::Request request;
+            request.headers = {{"T-Request", "r" + std::to_string(id++)}};
+            const auto bytes
+                    = answerWith(request, kOk, "Transfer-Encoding: " + std::string{codings},
+                                 "\r\n\r\n" + std::string{body});
+            requireRejected(mesh, index, "framing", inPieces(bytes, true)[isByteByByte ? 1 : 0]);
+        }
+    }
+}
+
+TEST_CASE("Broken answer: chunked bodies may be announced in unusual ways")
+{
+    const auto *codings = GENERATE("chunked", "CHUNKED", ", chunked", "chunked ,", " \tchunked\t ");
+    Mesh mesh{2};
+    const int index = useOneServer(mesh);
+    for (const bool isByteByByte : {false, true}) {
+        CAPTURE(codings, isByteByByte);
+        mesh.nodes[static_cast<std::size_t>(index)]->server->setRespond(
+                [&](const http::Request &request) {
+                    const auto bytes
+                            = answerWith(request, kOk, "Transfer-Encoding: " + std::string{codings},
+                                         "\r\n\r\n0003;a=b;c=\"d\"\r\nabc\r\n000;z\r\n\r\n");
+                    return isByteByByte ? ScriptedServer::byteByByte(bytes) : Script{bytes};
+                });
+        const auto outcome = mesh.callAndWait(0, "POST", "/once/", {}, "x");
+        REQUIRE(outcome.answer.status == 200);
+        REQUIRE(outcome.answer.body == "abc");
+    }
+}
+
+TEST_CASE("Broken answer: a body without coding may say so")
+{
+    const auto *codings = GENERATE("identity", "Identity", "", ",");
+    Mesh mesh{2};
+    const int index = useOneServer(mesh);
+    mesh.nodes[static_cast<std::size_t>(index)]->server->setRespond(
+            [&](const http::Request &request) {
+                return Script{answerWith(request, kOk, "Transfer-Encoding: " + std::string{codings},
+                                         "\r\n\r\nabc"),
+                              true};
+            });
+    const auto outcome = mesh.callAndWait(0, "POST", "/once/", {}, "x");
+    REQUIRE(outcome.answer.status == 200);
+    REQUIRE(outcome.answer.body == "abc");
+}
+
 TEST_CASE("Broken answer: a broken head is not passed on whatever its status")
 {
     const auto *status = GENERATE("201 Created", "302 Found", "404 Not Found", "500 Error",
--- a/test/http/answer_reader.cpp
+++ b/test/http/answer_reader.cpp
@@ -73,6 +73,16 @@
     REQUIRE(reader.take().body.empty());
 }
 
+TEST_CASE("Transfer codings do not matter to responses without a body")
+{
+    AnswerReader reader{1000};
+    reader.expect(true);
+    REQUIRE(reader.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n")
+            == State::Done);
+    reader.expect(false);
+    REQUIRE(reader.feed("HTTP/1.1 304 Same\r\nTransfer-Encoding: gzip\r\n\r\n") == State::Done);
+}
+
 namespace {
 
 struct Broken
@@ -123,6 +133,9 @@
              {"HTTP/1.1 100 Continue\r\nX: 1\r\n Y: 2\r\n\r\n", AnswerError::Field},
              {"HTTP/1.1 200 OK\r\nX: a\x01\r\n\r\n", AnswerError::Field},
              {"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", AnswerError::Framing},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", AnswerError::Framing},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, gzip\r\n\r\n", AnswerError::Framing},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", AnswerError::Framing},
              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
               AnswerError::Framing}})));
 }
