The search for folded lines stops at the end of the head wherever its bytes are cut

Cause: if the empty line behind a head arrived in two pieces, between its two bytes, its start was no longer known, and a body that begins with a blank looked like a folded line. The answer would have been refused.

Evidence: test/http/answer_reader.cpp, each cut of such an answer: failed before at the cut between these bytes.

--- a/src/celeryramp/http/answer_reader.cpp
+++ b/src/celeryramp/http/answer_reader.cpp
@@ -194,8 +194,8 @@
     auto lineEnd = bytes.find(internal::kLineEnd, m_checkedBytes);
     while (lineEnd != std::string_view::npos) {
         const auto rest = bytes.substr(lineEnd + internal::kLineEnd.size());
-        if (rest.empty() || rest.substr(0, internal::kLineEnd.size()) == internal::kLineEnd) {
-            break; // the end of the head, or unknown yet
+        if (rest.empty() || rest.front() == '\r') {
+            break; // unknown yet, or the end of the head
         }
         if (rest.front() == ' ' || rest.front() == '\t') {
             return true;
--- a/test/http/answer_reader.cpp
+++ b/test/http/answer_reader.cpp
@@ -73,6 +73,21 @@
     REQUIRE(reader.take().body.empty());
 }
 
+TEST_CASE("A body that begins with a blank is no part of the head")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX: 1\r\nContent-Length: 8\r\n\r\n";
+    const std::string body = " a\r\n b\r\n";
+    const auto bytes = head + body;
+    for (std::size_t cut = 1; cut < bytes.size(); ++cut) {
+        CAPTURE(cut);
+        AnswerReader reader{1000};
+        reader.expect(false);
+        reader.feed(bytes.substr(0, cut));
+        REQUIRE(reader.feed(bytes.substr(cut)) == State::Done);
+        REQUIRE(reader.take().body == body);
+    }
+}
+
 TEST_CASE("Transfer codings do not matter to responses without a body")
 {
     AnswerReader reader{1000};
