Folded lines are looked for at the starts of lines

The parser takes finished lines of a head that arrives in pieces, so the bytes that are left may begin with the empty line behind the head; the search looked for the end of a line first and so went on into the body.

Change: the search keeps the start of the first line that it has not judged, which the parser's progress moves; an empty line ends it.

--- a/src/celeryramp/http/answer_reader.cpp
+++ b/src/celeryramp/http/answer_reader.cpp
@@ -140,6 +140,7 @@
     while (!m_buffer.empty() && m_state != State::Done && m_state != State::Bad) {
         if (!m_parser) {
             m_parser = std::make_unique<Parser>();
+            m_lineStart = 0;
             m_parser->inner.eager(true);
             m_parser->inner.skip(m_isHead);
             m_parser->inner.header_limit(internal::kAnswerHeaderBytes);
@@ -155,7 +156,7 @@
         }
         const auto n = inner.put(boost::asio::buffer(m_buffer), ec);
         m_buffer.erase(0, n);
-        m_checkedBytes -= std::min(m_checkedBytes, n);
+        m_lineStart -= std::min(m_lineStart, n); // the parser takes whole lines of a head
         const bool isIncomplete = ec == beast::error::need_more;
         if (ec && !isIncomplete) {
             return fail(internal::classOf(ec));
@@ -190,21 +191,17 @@
 bool AnswerReader::hasFoldedLine()
 {
     const std::string_view bytes{m_buffer};
-    // Up to here there is no end of a line whose next byte has not arrived.
-    auto lineEnd = bytes.find(internal::kLineEnd, m_checkedBytes);
-    while (lineEnd != std::string_view::npos) {
-        const auto rest = bytes.substr(lineEnd + internal::kLineEnd.size());
-        if (rest.empty() || rest.front() == '\r') {
-            break; // unknown yet, or the end of the head
-        }
-        if (rest.front() == ' ' || rest.front() == '\t') {
+    while (m_lineStart < bytes.size()) {
+        const char first = bytes[m_lineStart];
+        if (first == ' ' || first == '\t') {
             return true;
         }
-        lineEnd = bytes.find(internal::kLineEnd, lineEnd + internal::kLineEnd.size());
+        const auto lineEnd = bytes.find(internal::kLineEnd, m_lineStart);
+        if (first == '\r' || lineEnd == std::string_view::npos) {
+            break; // the end of the head, or more of the line is to come
+        }
+        m_lineStart = lineEnd + internal::kLineEnd.size();
     }
-    m_checkedBytes = lineEnd != std::string_view::npos ? lineEnd
-            : bytes.empty()                            ? 0
-                                                       : bytes.size() - 1;
     return false;
 }
 
--- a/src/celeryramp/http/answer_reader.h
+++ b/src/celeryramp/http/answer_reader.h
@@ -87,7 +87,7 @@
     std::size_t m_bodyLimit;
     std::unique_ptr<Parser> m_parser;
     std::string m_buffer;
-    std::size_t m_checkedBytes = 0; /*!< Unparsed bytes of a head without a folded line. */
+    std::size_t m_lineStart = 0; /*!< First line of the unparsed head that was not checked. */
     State m_state = State::Idle;
     AnswerError m_error = AnswerError::None;
     bool m_isHead = false;
