Fields of a trailer are no fields of the head

Callers saw: 503 for a request that had run, since a field in the trailer of its chunked answer said 'not run' (REFUSED for what must not be repeated; it was sent on to another server where it may be); and fields of the trailer passed on as fields of the answer.

Cause: the parser adds the trailer to the fields of the head, and the answer was judged once by its head and once more when it was complete.

Change: the head is parsed by itself and kept; what follows cannot change it. Trailers are not passed on, as other fields of one connection. Heads are no longer copied to be judged.

--- a/src/celeryramp/http/answer_reader.cpp
+++ b/src/celeryramp/http/answer_reader.cpp
@@ -64,19 +64,19 @@
 
 /*! @return True if the parser undoes all transfer codings of the body. Otherwise the body would be
  * passed on as coded, without the field that says so. */
-template <typename Fields>
-[[nodiscard]] bool areCodingsUndone(const Fields &fields)
+[[nodiscard]] bool areCodingsUndone(const Headers &headers)
 {
     int codings = 0;
     bool areKnown = true;
-    const auto [first, last] = fields.equal_range(beast::field::transfer_encoding);
-    for (auto it = first; it != last; ++it) {
-        forEachListItem({it->value().data(), it->value().size()}, [&](std::string_view coding) {
-            ++codings;
-            areKnown = areKnown
-                    && (equalsIgnoreCase(coding, "chunked")
-                        || equalsIgnoreCase(coding, "identity"));
-        });
+    for (const auto &[name, value] : headers) {
+        if (equalsIgnoreCase(name, "Transfer-Encoding")) {
+            forEachListItem(value, [&](std::string_view coding) {
+                ++codings;
+                areKnown = areKnown
+                        && (equalsIgnoreCase(coding, "chunked")
+                            || equalsIgnoreCase(coding, "identity"));
+            });
+        }
     }
     return areKnown && codings <= 1;
 }
@@ -107,18 +107,30 @@
 struct AnswerReader::Parser
 {
     beast::response_parser<internal::GrowingBody> inner;
+    Answer head; /*!< Once it is complete. */
+    std::size_t parsedBytes = 0;
+
+    /*! @brief Keeps the head, which is complete. The parser adds the fields of a trailer to it. */
+    void takeHead()
+    {
+        const auto &message = inner.get();
+        head.status = static_cast<int>(message.result_int());
+        head.reason.assign(message.reason().data(), message.reason().size());
+        head.keepsAlive = inner.keep_alive();
+        for (const auto &field : message) {
+            head.headers.push_back({std::string{field.name_string()}, std::string{field.value()}});
+        }
+    }
 
     /*! @return Why the head, which is complete, is not that of a response; `None` if it is. */
     [[nodiscard]] AnswerError headError(bool isHead) const
     {
-        const auto &head = inner.get();
-        const auto status = static_cast<int>(head.result_int());
-        if (!isServerStatus(status)) {
+        if (!isServerStatus(head.status)) {
             return AnswerError::Status;
         }
-        const bool hasBody = !isHead && mayHaveBody(status);
-        return hasBody && !internal::areCodingsUndone(head) ? AnswerError::Framing
-                                                            : AnswerError::None;
+        const bool hasBody = !isHead && mayHaveBody(head.status);
+        return hasBody && !internal::areCodingsUndone(head.headers) ? AnswerError::Framing
+                                                                    : AnswerError::None;
     }
 };
 
@@ -151,17 +163,23 @@
         }
         boost::system::error_code ec;
         auto &inner = m_parser->inner;
-        if (!inner.is_header_done() && hasFoldedLine()) {
+        const bool isInHead = !inner.is_header_done();
+        if (isInHead && hasFoldedLine()) {
             return fail(AnswerError::Field);
         }
-        const auto n = inner.put(boost::asio::buffer(m_buffer), ec);
+        // The head is parsed by itself, to be kept before a trailer follows.
+        const auto n = inner.put(
+                boost::asio::buffer(m_buffer, isInHead ? headBytes() : m_buffer.size()), ec);
         m_buffer.erase(0, n);
+        m_parser->parsedBytes += n;
         m_lineStart -= std::min(m_lineStart, n); // the parser takes whole lines of a head
         const bool isIncomplete = ec == beast::error::need_more;
         if (ec && !isIncomplete) {
             return fail(internal::classOf(ec));
         }
-        if (inner.is_header_done()) {
+        const bool isHeadComplete = isInHead && inner.is_header_done();
+        if (isHeadComplete) {
+            m_parser->takeHead();
             if (const auto error = m_parser->headError(m_isHead); error != AnswerError::None) {
                 return fail(error);
             }
@@ -170,7 +188,7 @@
             return fail(AnswerError::TooLong);
         }
         if (!isIncomplete && inner.is_done()) {
-            if (inner.get().result_int() / 100 == 1) {
+            if (m_parser->head.status / 100 == 1) {
                 m_parser.reset();
                 m_state = State::Idle;
                 if (++m_interimResponses > internal::kMaxInterimResponses) {
@@ -179,7 +197,7 @@
                 continue;
             }
             m_state = State::Done;
-        } else if (isIncomplete || n == 0) {
+        } else if (!isHeadComplete && (isIncomplete || n == 0)) {
             const auto maxUnparsed = inner.is_header_done() ? internal::kMaxFramingBytes
                                                             : internal::kAnswerHeaderBytes;
             return m_buffer.size() > maxUnparsed ? fail(AnswerError::TooLong) : m_state;
@@ -205,6 +223,13 @@
     return false;
 }
 
+std::size_t AnswerReader::headBytes() const
+{
+    const bool isAtEnd = m_parser->parsedBytes + m_lineStart > 0
+            && m_buffer.compare(m_lineStart, internal::kLineEnd.size(), internal::kLineEnd) == 0;
+    return isAtEnd ? m_lineStart + internal::kLineEnd.size() : m_buffer.size();
+}
+
 AnswerReader::State AnswerReader::fail(AnswerError error)
 {
     m_error = error;
@@ -231,20 +256,12 @@
 bool AnswerReader::hasHead() const noexcept
 {
     return m_parser != nullptr && m_state != State::Bad && m_parser->inner.is_header_done()
-            && m_parser->inner.get().result_int() / 100 != 1;
+            && m_parser->head.status / 100 != 1;
 }
 
-Answer AnswerReader::head() const
+const Answer &AnswerReader::head() const
 {
-    const auto &message = m_parser->inner.get();
-    Answer answer;
-    answer.status = static_cast<int>(message.result_int());
-    answer.reason.assign(message.reason().data(), message.reason().size());
-    answer.keepsAlive = m_parser->inner.keep_alive();
-    for (const auto &field : message) {
-        answer.headers.push_back({std::string{field.name_string()}, std::string{field.value()}});
-    }
-    return answer;
+    return m_parser->head;
 }
 
 std::optional<std::uint64_t> AnswerReader::announcedLength() const
@@ -265,7 +282,7 @@
 
 Answer AnswerReader::take()
 {
-    auto answer = head();
+    auto answer = std::move(m_parser->head);
     answer.body = takeBody();
     return answer;
 }
--- a/src/celeryramp/http/answer_reader.h
+++ b/src/celeryramp/http/answer_reader.h
@@ -14,6 +14,8 @@
 /*!
  * @brief Parses HTTP/1.1 responses incrementally from a byte stream.
  *
+ * Fields of a trailer are not kept: they come after what the head decides.
+ *
  * Its memory is bounded for any input: by the limits of the head and of the framing of chunks, and
  * by the body limit unless the body is taken in pieces.
  */
@@ -51,7 +53,7 @@
     /*! @return True if the head of the current response is complete. */
     [[nodiscard]] bool hasHead() const noexcept;
     /*! @return The current response without its body; requires `hasHead`. */
-    [[nodiscard]] Answer head() const;
+    [[nodiscard]] const Answer &head() const;
     /*! @return The announced length of the body, in bytes; requires `hasHead`. */
     [[nodiscard]] std::optional<std::uint64_t> announcedLength() const;
     /*! @return Size of the body parsed so far and not taken, in bytes; requires `hasHead`. */
@@ -81,6 +83,9 @@
      * any more (RFC 9112, section 5.2); here it is a field whose name begins with a blank.
      */
     [[nodiscard]] bool hasFoldedLine();
+    /*! @return Unparsed bytes up to the end of the head, or all if it is not known; requires that
+     * `hasFoldedLine` found none. */
+    [[nodiscard]] std::size_t headBytes() const;
     /*! @brief Gives up the current response. */
     State fail(AnswerError error);
 
--- a/test/engine/broken_answer.cpp
+++ b/test/engine/broken_answer.cpp
@@ -241,6 +241,29 @@
     REQUIRE(outcome.answer.body == "abc");
 }
 
+TEST_CASE("Broken answer: fields of a trailer do not change the head")
+{
+    const auto *trailer = GENERATE("T-Not-Run: 1", "T-Request: other", "Content-Type: text/plain",
+                                   "Connection: close", "X: 1");
+    Mesh mesh{2};
+    const int index = useOneServer(mesh);
+    for (const bool isByteByByte : {false, true}) {
+        CAPTURE(trailer, isByteByByte);
+        mesh.nodes[static_cast<std::size_t>(index)]->server->setRespond(
+                [&](const http::Request &request) {
+                    const auto bytes = answerWith(request, kOk, "Transfer-Encoding: chunked",
+                                                  "\r\n\r\n3\r\nabc\r\n0\r\n")
+                            + trailer + "\r\n\r\n";
+                    return isByteByByte ? ScriptedServer::byteByByte(bytes) : Script{bytes};
+                });
+        const auto outcome = mesh.callAndWait(0, "POST", "/once/", {}, "x");
+        REQUIRE(outcome.answer.status == 200);
+        REQUIRE(outcome.answer.body == "abc");
+        REQUIRE(http::findHeader(outcome.answer.headers, "Content-Type").empty());
+        REQUIRE(http::findHeader(outcome.answer.headers, "X").empty());
+    }
+}
+
 TEST_CASE("Broken answer: a broken head is not passed on whatever its status")
 {
     const auto *status = GENERATE("201 Created", "302 Found", "404 Not Found", "500 Error",
