Answers that come from other nodes are checked before they are passed on

Callers saw: an answer with status 0, or with a field that ended its line early, if the node beside the server had taken it, as nodes of earlier releases do (MIXED). The bytes that the caller got were no HTTP.

Cause: a node took what another sent in a reply for checked. The same fault as at servers lives on while nodes of two releases serve together, and in any gate that judges less.

Change: status, reason phrase, names and values of fields, framing and the server's own marks of an answer are checked when a reply arrives. A broken one counts as a request that may have run, is logged and counted; the rest of its body is cancelled. Unusual statuses and values pass, tested.

--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -179,6 +179,9 @@
     /*! @brief Looks for zones that are silent, and tries repeatable calls elsewhere that wait
      * there. */
     void pollZones(TimePoint now);
+    /*! @return Why the answer of another node is not used; `None` if it is. */
+    [[nodiscard]] http::AnswerError checkReply(const Call &call,
+                                               const proxy::ReplyFrame &reply) const;
     void onGateReply(std::uint64_t id, const proxy::ReplyFrame &reply, TimePoint now);
     [[nodiscard]] std::vector<proxy::Candidate> candidates(const std::string &service,
                                                            const std::set<std::string> &excluded,
--- a/src/celeryramp/proxy/answer_check.h
+++ b/src/celeryramp/proxy/answer_check.h
@@ -2,7 +2,9 @@
 
 #include <string_view>
 
+#include "http/answer_error.h"
 #include "http/exchange.h"
+#include "proxy/frames.h"
 #include "proxy/header_adapter.h"
 
 namespace celeryramp::proxy {
@@ -21,4 +23,11 @@
 [[nodiscard]] http::AnswerMatch checkAnswer(int status, const AnswerMetadata &metadata,
                                             std::string_view requestId, bool isReused) noexcept;
 
+/*!
+ * @brief Checks an answer that another node sends, which may be of another release.
+ * @param isHead The request uses the HEAD method.
+ * @return Why the answer cannot be passed on; `None` if it can, and for replies without an answer.
+ */
+[[nodiscard]] http::AnswerError checkReply(const ReplyFrame &reply, bool isHead) noexcept;
+
 } // namespace celeryramp::proxy
--- /dev/null
+++ b/test/engine/broken_reply.cpp
@@ -0,0 +1,213 @@
+#include <functional>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "core/boot_clock.h"
+#include "links/peer_links.h"
+#include "proxy/frame_codec.h"
+#include "support/mesh.h"
+
+using namespace celeryramp;
+using test::Mesh;
+using test::Outcome;
+using test::ScriptedServer;
+using Script = test::ScriptedServer::Script;
+
+namespace {
+
+/*! @brief Takes the place of the node beside the last server and replies to calls with frames that
+ * a test makes up, as a node of another release may. */
+class ScriptedGate final : public links::LinkEvents
+{
+public:
+    using Respond = std::function<std::vector<proxy::Frame>(const proxy::CallFrame &)>;
+
+    /*! Replaces the node with the highest index. */
+    explicit ScriptedGate(Mesh &mesh)
+        : m_links{mesh.context, {mesh.nodes.back()->host, Mesh::kLinkPort}, *this}
+    {
+        mesh.nodes.back()->engine->stop(bootNow());
+        mesh.run(Millis{50});
+        REQUIRE(m_links.listen({mesh.nodes.back()->host, Mesh::kLinkPort}));
+    }
+    ~ScriptedGate() { m_links.close(); }
+
+    void onFrame(const Address &peer, std::string_view bytes) override
+    {
+        const auto frame = proxy::decodeFrame(bytes);
+        REQUIRE(frame);
+        if (const auto *call = std::get_if<proxy::CallFrame>(&frame.value())) {
+            ++calls;
+            for (const auto &it : respond(*call)) {
+                REQUIRE(m_links.send(peer, proxy::encodeFrame(it), bootNow()));
+            }
+        }
+        cancels += std::holds_alternative<proxy::CancelFrame>(frame.value()) ? 1 : 0;
+    }
+    void onPeerHeard(const Address & /*peer*/) override { }
+    void onLinkOpen(const Address & /*peer*/) override { }
+    void onLinkLost(const Address & /*peer*/, links::LinkLoss /*loss*/) override { }
+    void onLinkSilent(const Address & /*peer*/) override { }
+    void onLinkReplaced(const Address & /*peer*/) override { }
+    [[nodiscard]] bool isAwaiting(const Address & /*peer*/) const override { return false; }
+
+    Respond respond;
+    int calls = 0;
+    int cancels = 0;
+
+private:
+    links::PeerLinks m_links;
+};
+
+/*! @return A reply that can be passed on. */
+proxy::ReplyFrame goodReply(const proxy::CallFrame &call)
+{
+    proxy::ReplyFrame reply;
+    reply.id = call.id;
+    reply.kind = proxy::ReplyKind::Answer;
+    reply.answer.status = 200;
+    reply.answer.headers = {{"T-Signed", "1"}, {"T-Request", call.requestId}, {"X", "a\tb \xe9"}};
+    reply.answer.body = "whole";
+    return reply;
+}
+
+/*! @brief One node, and a gate of the only other server. */
+struct Site
+{
+    Site() { mesh.publish({}, {0}); }
+
+    /*! @brief Calls until the link to the gate is open and the call was offered to it. */
+    Outcome call(const std::string &method, const std::string &target)
+    {
+        const int before = gate.calls;
+        Outcome outcome;
+        for (int i = 0; i < 10 && gate.calls == before; ++i) {
+            outcome = mesh.callAndWait(0, method, target, {}, method == "POST" ? "x" : "");
+            mesh.run(Millis{gate.calls == before ? 300 : 0});
+        }
+        REQUIRE(gate.calls > before);
+        return outcome;
+    }
+
+    Mesh mesh{2};
+    ScriptedGate gate{mesh};
+};
+
+struct Change
+{
+    const char *reason;
+    std::function<void(proxy::ReplyFrame &)> apply;
+};
+
+const std::vector<Change> kChanges{
+        {"status", [](proxy::ReplyFrame &it) { it.answer.status = 0; }},
+        {"status", [](proxy::ReplyFrame &it) { it.answer.status = 99; }},
+        {"status", [](proxy::ReplyFrame &it) { it.answer.status = 100; }},
+        {"status", [](proxy::ReplyFrame &it) { it.answer.status = 600; }},
+        {"status", [](proxy::ReplyFrame &it) { it.answer.status = -200; }},
+        {"status", [](proxy::ReplyFrame &it) { it.answer.status = 2000; }},
+        {"syntax", [](proxy::ReplyFrame &it) { it.answer.reason = "O\r\nX: 1"; }},
+        {"field",
+         [](proxy::ReplyFrame &it) {
+             it.answer.headers.push_back({"X Y", "1"});
+         }},
+        {"field",
+         [](proxy::ReplyFrame &it) {
+             it.answer.headers.push_back({" X", "1"});
+         }},
+        {"field",
+         [](proxy::ReplyFrame &it) {
+             it.answer.headers.push_back({"X\x01", "1"});
+         }},
+        {"field",
+         [](proxy::ReplyFrame &it) {
+             it.answer.headers.push_back({"", "1"});
+         }},
+        {"field",
+         [](proxy::ReplyFrame &it) {
+             it.answer.headers.push_back({"X", "1\r\nY: 2"});
+         }},
+        {"field",
+         [](proxy::ReplyFrame &it) {
+             it.answer.headers.push_back({"X", "\x7f"});
+         }},
+        {"framing",
+         [](proxy::ReplyFrame &it) {
+             it.answer.headers.push_back({"content-length", "1"});
+         }},
+        {"framing",
+         [](proxy::ReplyFrame &it) {
+             it.answer.headers.push_back({"Transfer-Encoding", "chunked"});
+         }},
+        {"framing",
+         [](proxy::ReplyFrame &it) {
+             it.answer.status = 204;
+             it.hasMore = true;
+         }},
+        {"unattributed", [](proxy::ReplyFrame &it) { it.answer.headers[0].name = "T-Other"; }},
+        {"unattributed", [](proxy::ReplyFrame &it) { it.answer.headers[1].value = "other"; }}};
+
+} // namespace
+
+TEST_CASE("Broken reply: an answer that no server can give is not passed on from another node")
+{
+    Site site;
+    for (std::size_t i = 0; i < kChanges.size(); ++i) {
+        const auto &change = kChanges[i];
+        CAPTURE(i, change.reason);
+        site.gate.respond = [&change](const proxy::CallFrame &call) {
+            auto reply = goodReply(call);
+            change.apply(reply);
+            return std::vector<proxy::Frame>{reply};
+        };
+        const auto counter = std::string{"answers_rejected_total{from=\"peer\",reason=\""}
+                + change.reason + "\"}";
+        const auto rejected = site.mesh.metric(0, counter);
+        const auto calls = site.gate.calls;
+        const auto outcome = site.call("POST", "/once/");
+        REQUIRE(outcome.end == http::ExchangeEnd::Answered);
+        REQUIRE(outcome.answer.status == 502);
+        REQUIRE(outcome.answer.body.empty());
+        REQUIRE(site.gate.calls == calls + 1);
+        REQUIRE(site.mesh.metric(0, counter) == rejected + 1);
+    }
+}
+
+TEST_CASE("Broken reply: a request that may be repeated is answered by another server")
+{
+    Site site;
+    site.mesh.publish();
+    int broken = 0;
+    site.gate.respond = [&broken](const proxy::CallFrame &call) {
+        auto reply = goodReply(call);
+        reply.answer.status = 0;
+        ++broken;
+        return std::vector<proxy::Frame>{reply};
+    };
+    for (int i = 0; i < 20 && broken == 0; ++i) {
+        const auto outcome = site.mesh.callAndWait(0, "GET", "/safe/");
+        REQUIRE(outcome.answer.status == 200);
+        REQUIRE(outcome.answer.body == "ok");
+        site.mesh.run(Millis{100});
+    }
+    REQUIRE(broken > 0);
+}
+
+TEST_CASE("Broken reply: unusual answers are passed on from another node")
+{
+    Site site;
+    for (const int status : {200, 204, 299, 304, 404, 418, 500, 599}) {
+        CAPTURE(status);
+        site.gate.respond = [status](const proxy::CallFrame &call) {
+            auto reply = goodReply(call);
+            reply.answer.status = status;
+            reply.answer.reason = "Odd\t\xe9";
+            return std::vector<proxy::Frame>{reply};
+        };
+        const auto outcome = site.call("POST", "/once/");
+        REQUIRE(outcome.answer.status == status);
+        REQUIRE(outcome.answer.body == (status == 204 || status == 304 ? "" : "whole"));
+        REQUIRE(http::findHeader(outcome.answer.headers, "X") == "a\tb \xe9");
+    }
+}
