A body from another node that differs from its announced length is broken

Callers saw: with a length announced and too little sent, a connection that was kept, on which the next answer would have been read as the rest of the body; with too much, bytes that no request waits for (MIXED). Needs a node that miscounts; found by looking for readers that take an end for complete, as with the reset during an upload; not reported.

Cause: parts were checked for their order only, and the end for its kind.

Evidence: test/engine/broken_reply.cpp on the code before: all 5 kinds of wrong lengths failed.

Change: a part that exceeds the announced length, or ends the body before it, breaks the answer off: the caller's connection is reset, or it gets 502 if nothing was sent; logged and counted.

--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -143,6 +143,7 @@
         bool isOnSilentLink = false; /*!< Sent on a link that has become silent since. */
         bool isStreaming = false; /*!< The body of the answer arrives in parts. */
         int streamStatus = 0; /*!< Status of the answer that has begun. */
+        std::optional<std::uint64_t> streamLength; /*!< Announced length of its body. */
         std::uint64_t bodyReceived = 0; /*!< Bytes of the body received so far. */
         TimePoint streamBeganAt;
         std::uint64_t bodyCredited = 0; /*!< Bytes that the gate was told it may replace. */
--- a/src/celeryramp/engine/request_dispatcher_bodies.cpp
+++ b/src/celeryramp/engine/request_dispatcher_bodies.cpp
@@ -4,8 +4,10 @@
 
 #include "core/boot_clock.h"
 #include "engine/buffer_limits.h"
+#include "engine/call_log.h"
 #include "engine/request_dispatcher.h"
 #include "observe/log.h"
+#include "proxy/answer_check.h"
 #include "proxy/frame_codec.h"
 
 namespace celeryramp::engine {
@@ -56,6 +58,7 @@
 {
     call.isStreaming = true;
     call.streamStatus = reply.answer.status;
+    call.streamLength = reply.length;
     // An answer that has begun is delivered, also when it takes longer than the route's timeout.
     armTimer(call, call.callerDeadline + internal::kStreamGrace, now);
     call.streamBeganAt = now;
@@ -77,6 +80,15 @@
         abortStream(call, proxy::Reason::Lost, now);
         return;
     }
+    if (m_dependencies.settings.mechanisms.wholeBodies
+        && !proxy::fitsLength(part, call.streamLength)) {
+        recordRejectedAnswer(m_dependencies.metrics,
+                             {"peer", call.frame.requestId, peer.text(),
+                              http::answerErrorName(http::AnswerError::Framing)});
+        cancelAtGate(call, now);
+        abortStream(call, proxy::Reason::Malformed, now);
+        return;
+    }
     call.bodyReceived += part.bytes.size();
     const bool isLast = part.end == proxy::BodyEnd::Complete;
     const auto response = call.response;
--- a/src/celeryramp/proxy/answer_check.cpp
+++ b/src/celeryramp/proxy/answer_check.cpp
@@ -54,6 +54,12 @@
                                                 : http::AnswerMatch::Ours;
 }
 
+bool fitsLength(const BodyFrame &part, std::optional<std::uint64_t> length) noexcept
+{
+    const auto received = part.offset + part.bytes.size();
+    return !length || (part.end == BodyEnd::Complete ? received == *length : received <= *length);
+}
+
 http::AnswerError checkReply(const ReplyFrame &reply, bool isHead) noexcept
 {
     if (reply.kind != ReplyKind::Answer) {
--- a/src/celeryramp/proxy/answer_check.h
+++ b/src/celeryramp/proxy/answer_check.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "http/answer_error.h"
@@ -30,4 +32,7 @@
  */
 [[nodiscard]] http::AnswerError checkReply(const ReplyFrame &reply, bool isHead) noexcept;
 
+/*! @return False if a part of a body exceeds the announced length, or ends the body before it. */
+[[nodiscard]] bool fitsLength(const BodyFrame &part, std::optional<std::uint64_t> length) noexcept;
+
 } // namespace celeryramp::proxy
--- a/test/engine/broken_reply.cpp
+++ b/test/engine/broken_reply.cpp
@@ -211,3 +211,59 @@
         REQUIRE(http::findHeader(outcome.answer.headers, "X") == "a\tb \xe9");
     }
 }
+
+TEST_CASE("Broken reply: a body that differs from its announced length ends as broken")
+{
+    struct Part
+    {
+        std::size_t bytes;
+        proxy::BodyEnd end;
+    };
+    const auto parts = GENERATE(values<std::vector<Part>>(
+            {{{0, proxy::BodyEnd::Complete}},
+             {{400, proxy::BodyEnd::More}, {599, proxy::BodyEnd::Complete}},
+             {{1000, proxy::BodyEnd::More}, {1, proxy::BodyEnd::Complete}},
+             {{1001, proxy::BodyEnd::More}},
+             {{1001, proxy::BodyEnd::Complete}}}));
+    Site site;
+    site.gate.respond = [&parts](const proxy::CallFrame &call) {
+        auto reply = goodReply(call);
+        reply.answer.body.clear();
+        reply.hasMore = true;
+        reply.length = 1000;
+        std::vector<proxy::Frame> frames{reply};
+        std::uint64_t offset = 0;
+        for (const auto &part : parts) {
+            frames.emplace_back(
+                    proxy::BodyFrame{call.id, offset, part.end, std::string(part.bytes, 'b')});
+            offset += part.bytes;
+        }
+        return frames;
+    };
+    const auto outcome = site.call("POST", "/once/");
+    REQUIRE(outcome.isDone);
+    // What is in excess must not reach the caller as the start of another answer.
+    REQUIRE((outcome.end == http::ExchangeEnd::Lost || outcome.answer.status == 502));
+    REQUIRE(site.mesh.metric(0, "answers_rejected_total{from=\"peer\",reason=\"framing\"}") == 1);
+}
+
+TEST_CASE("Broken reply: bodies with and without announced length arrive whole")
+{
+    const bool hasLength = GENERATE(false, true);
+    const std::size_t bytes = GENERATE(0, 1, 1000);
+    Site site;
+    site.gate.respond = [=](const proxy::CallFrame &call) {
+        auto reply = goodReply(call);
+        reply.answer.body.clear();
+        reply.hasMore = true;
+        if (hasLength) {
+            reply.length = bytes;
+        }
+        return std::vector<proxy::Frame>{
+                reply, proxy::BodyFrame{call.id, 0, proxy::BodyEnd::More, std::string(bytes, 'b')},
+                proxy::BodyFrame{call.id, bytes, proxy::BodyEnd::Complete, {}}};
+    };
+    const auto outcome = site.call("POST", "/once/");
+    REQUIRE(outcome.answer.status == 200);
+    REQUIRE(outcome.answer.body == std::string(bytes, 'b'));
+}
