celeryrampd reads answers with the strict reader

Callers of celeryrampd saw: answers with statuses 000 to 999 as given by a server in trouble; heads with blanks and control bytes in names, with lines passed on, dropped or read as another length; and values of fields decoded, so that %0d%0a in a value became a line end in the head that the caller got. Interim responses were taken as the answer.

Cause: servers and the platform were read with a library for clients, which skips the lines that it cannot read, keeps the first of two lengths and decodes values; so what was broken could not be seen behind it. From other nodes, and from answers kept for repeated requests, what was sent was taken for checked.

Change: a blocking client over http::ClientConnection, one reader for all answers, in place of the library, for servers, their health, cancels and the platform. Answers from nodes and from the ledger are checked as in celeryramp-node. Rejected ones are unknown (502, bad-answer) or repeated if that is safe; logged and counted. An answer in time is now required in all, not for each read.

--- a/src/celeryramp/node/call_handler.cpp
+++ b/src/celeryramp/node/call_handler.cpp
@@ -5,7 +5,9 @@
 
 #include "core/hash.h"
 #include "gate/ledger_homes.h"
+#include "node/answer_check.h"
 #include "node/tokens.h"
+#include "observe/log.h"
 #include "transport/headers.h"
 
 namespace celeryramp {
@@ -327,6 +329,9 @@
     replay.headers = holder.headers;
     replay.headers.emplace_back(kReplayedHeader, holder.attempt);
     replay.body = holder.body;
+    if (isRejected(call.message.request, "ledger", replay)) {
+        return CallFailure{Outcome::Unknown, Reason::BadAnswer};
+    }
     return std::optional{std::move(replay)};
 }
 
@@ -427,10 +432,28 @@
         m_router.onNoAnswer(server, now);
         return internal::failedAnswer(message, Outcome::Unknown, Reason::BadAnswer);
     }
+    if (answer->outcome == Outcome::Answered && isRejected(message.request, server, *answer)) {
+        m_router.onNoAnswer(server, now);
+        return internal::failedAnswer(message, Outcome::Unknown, Reason::BadAnswer);
+    }
     m_router.onAnswer(server, *answer, now);
     return std::move(*answer);
 }
 
+bool CallHandler::isRejected(const std::string &request, const std::string &sender,
+                             const AnswerMessage &answer)
+{
+    const auto error = checkAnswer(answer.status, answer.headers);
+    if (error == http::AnswerError::None) {
+        return false;
+    }
+    const std::string reason{http::answerErrorName(error)};
+    m_metrics.counter("answers_rejected_total{from=\"peer\",reason=\"" + reason + "\"}").add();
+    logEvent(LogLevel::Warn, "calls", "answer-rejected",
+             {{"from", "peer"}, {"request", request}, {"sender", sender}, {"reason", reason}});
+    return true;
+}
+
 bool CallHandler::shouldRetry(CallState &call, const AnswerMessage &answer)
 {
     if (answer.outcome == Outcome::NotRun) {
--- a/src/celeryramp/node/call_handler.h
+++ b/src/celeryramp/node/call_handler.h
@@ -87,6 +87,9 @@
     [[nodiscard]] ReservationState collectVotes(const CallState &call, Reservation &reservation);
     [[nodiscard]] Result<AnswerMessage, CallFailure> deliver(CallState &call);
     [[nodiscard]] AnswerMessage attempt(CallState &call, const std::string &server);
+    /*! @return True if an answer cannot be passed on; it is then logged and counted. */
+    [[nodiscard]] bool isRejected(const std::string &request, const std::string &sender,
+                                  const AnswerMessage &answer);
     [[nodiscard]] bool shouldRetry(CallState &call, const AnswerMessage &answer);
     void settle(const CallState &call, const Result<AnswerMessage, CallFailure> &result);
     [[nodiscard]] HttpResponse makeResponse(const CallState &call,
--- a/src/celeryramp/node/gate_worker_pool.cpp
+++ b/src/celeryramp/node/gate_worker_pool.cpp
@@ -47,7 +47,7 @@
                                const SharedValue<FleetView> &fleet, ContextTable &contexts,
                                MessageSender &sender, MetricsRegistry &metrics, OnCrash onCrash)
     : m_settings{settings}, m_snapshot{snapshot}, m_fleet{fleet},
-      m_contexts{contexts}, m_sender{sender}, m_onCrash{std::move(onCrash)},
+      m_contexts{contexts}, m_sender{sender}, m_metrics{metrics}, m_onCrash{std::move(onCrash)},
       m_answered{metrics.counter("gate_answered_total")}, m_refused{metrics.counter(
                                                                   "gate_refused_total")},
       m_crashes{metrics.counter("gate_server_crashes_total")}, m_latency{metrics.latency(
@@ -191,6 +191,16 @@
     if (reply.end == BackendEnd::TimedOut) {
         client.cancel(call.call.request);
     }
+    if (reply.error != http::AnswerError::None) {
+        const std::string reason{http::answerErrorName(reply.error)};
+        m_metrics.counter("answers_rejected_total{from=\"server\",reason=\"" + reason + "\"}")
+                .add();
+        logEvent(LogLevel::Warn, "gate", "answer-rejected",
+                 {{"from", "server"},
+                  {"request", call.call.request},
+                  {"sender", m_settings.server},
+                  {"reason", reason}});
+    }
     if (reply.end == BackendEnd::Crashed) {
         reportCrash(call.call.digest);
     }
--- a/src/celeryramp/node/gate_worker_pool.h
+++ b/src/celeryramp/node/gate_worker_pool.h
@@ -71,6 +71,7 @@
     const SharedValue<FleetView> &m_fleet;
     ContextTable &m_contexts;
     MessageSender &m_sender;
+    MetricsRegistry &m_metrics;
     OnCrash m_onCrash;
     Counter &m_answered;
     Counter &m_refused;
--- a/src/celeryramp/transport/backend_client.cpp
+++ b/src/celeryramp/transport/backend_client.cpp
@@ -2,8 +2,8 @@
 
 #include <thread>
 
-#include <httplib.h>
-
+#include "core/boot_clock.h"
+#include "transport/blocking_client.h"
 #include "transport/headers.h"
 
 namespace celeryramp {
@@ -16,67 +16,71 @@
 constexpr Millis kProbePause{20};
 constexpr Millis kKeptConnectionLife{3000}; /*!< Below the server's own limit for idle ones. */
 
-[[nodiscard]] httplib::Headers toLibrary(const CallMessage &call, const BackendCallInfo &info)
+[[nodiscard]] http::Request toRequest(const CallMessage &call, const BackendCallInfo &info)
 {
-    httplib::Headers headers;
+    http::Request request;
+    request.method = call.method;
+    request.target = call.target;
+    request.body = call.body.data;
     for (const auto &[name, value] : call.headers) {
-        headers.emplace(name, value);
+        request.headers.push_back({name, value});
     }
-    headers.emplace(kRequestHeader, call.request);
-    headers.emplace(kContextHeader, info.contextToken);
-    headers.emplace(kDeadlineHeader, std::to_string(info.remaining.count()));
+    request.headers.push_back({kRequestHeader, call.request});
+    request.headers.push_back({kContextHeader, info.contextToken});
+    request.headers.push_back({kDeadlineHeader, std::to_string(info.remaining.count())});
     if (!call.account.empty()) {
-        headers.emplace(kAccountHeader, call.account);
+        request.headers.push_back({kAccountHeader, call.account});
     }
-    return headers;
+    return request;
 }
 
-[[nodiscard]] BackendReply toReply(httplib::Response &response)
+[[nodiscard]] BackendReply toReply(http::Answer &answer)
 {
-    BackendReply reply{BackendEnd::Answered, response.status, {}, std::move(response.body)};
-    for (const auto &[name, value] : response.headers) {
+    BackendReply reply{BackendEnd::Answered, answer.status, {}, std::move(answer.body)};
+    for (auto &[name, value] : answer.headers) {
         if (!isHopHeader(name)) {
-            reply.headers.emplace_back(name, value);
+            reply.headers.emplace_back(std::move(name), std::move(value));
         }
     }
     return reply;
 }
 
+[[nodiscard]] http::Request controlRequest(const std::string &method, const std::string &target)
+{
+    http::Request request;
+    request.method = method;
+    request.target = target;
+    return request;
+}
+
 } // namespace internal
 
 class BackendClient::Impl
 {
 public:
-    explicit Impl(const Address &address) : m_address{address} { reconnect(); }
+    explicit Impl(const Address &address)
+        : m_address{address}, m_client{address,
+                                       {internal::kServerConnectTimeout,
+                                        internal::kKeptConnectionLife}}
+    { }
 
     [[nodiscard]] BackendReply call(const CallMessage &call, const BackendCallInfo &info)
     {
-        const auto start = Clock::now();
-        if (start - m_lastUsed >= internal::kKeptConnectionLife) {
-            reconnect();
-        }
-        m_lastUsed = start;
-        m_client->set_read_timeout(info.remaining);
-        m_client->set_write_timeout(info.remaining);
-        httplib::Request request;
-        request.method = call.method;
-        request.path = call.target;
-        request.headers = internal::toLibrary(call, info);
-        request.body = call.body.data;
-        auto result = m_client->send(request);
-        if (result) {
-            if (!isWhole(*result)) {
-                reconnect();
-                return {BackendEnd::Broken, 0, {}, {}};
-            }
-            return internal::toReply(*result);
-        }
-        const auto error = result.error();
-        reconnect();
-        if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout) {
+        const auto start = bootNow();
+        auto result = m_client.send(internal::toRequest(call, info), {info.remaining, {}});
+        switch (result.end) {
+        case http::ExchangeEnd::Answered:
+            return internal::toReply(result.answer);
+        case http::ExchangeEnd::NotSent:
             return {BackendEnd::NotConnected, 0, {}, {}};
+        case http::ExchangeEnd::Malformed:
+            return {BackendEnd::Broken, 0, {}, {}, result.error};
+        case http::ExchangeEnd::Cancelled:
+            return {BackendEnd::TimedOut, 0, {}, {}};
+        case http::ExchangeEnd::Lost:
+            break;
         }
-        if (Clock::now() - start >= info.remaining) {
+        if (bootNow() - start >= info.remaining) {
             return {BackendEnd::TimedOut, 0, {}, {}};
         }
         return {isAlive() ? BackendEnd::Broken : BackendEnd::Crashed, 0, {}, {}};
@@ -84,46 +88,29 @@
 
     void cancel(const std::string &request)
     {
-        httplib::Client client{m_address.host, m_address.port};
-        client.set_connection_timeout(internal::kServerConnectTimeout);
-        client.set_read_timeout(internal::kServerConnectTimeout);
-        client.Post("/_control/cancel?request=" + request);
+        BlockingClient client{m_address, {internal::kServerConnectTimeout, Millis{0}}};
+        static_cast<void>(
+                client.send(internal::controlRequest("POST", "/_control/cancel?request=" + request),
+                            {{}, internal::kServerConnectTimeout}));
     }
 
 private:
-    void reconnect()
-    {
-        m_client = std::make_unique<httplib::Client>(m_address.host, m_address.port);
-        m_client->set_keep_alive(true);
-        m_client->set_tcp_nodelay(true);
-        m_client->set_connection_timeout(internal::kServerConnectTimeout);
-        m_client->set_decompress(false);
-        m_client->set_follow_location(false);
-    }
-
-    [[nodiscard]] static bool isWhole(const httplib::Response &response)
-    {
-        if (!response.has_header("Content-Length")) {
-            return true;
-        }
-        return response.get_header_value("Content-Length") == std::to_string(response.body.size());
-    }
-
     /*! @return False if the server has ended. A process that dies may close its connections before
      * its listening socket, so a connection that is closed without an answer is no sign of life
      * and is tried again until there is one. */
     [[nodiscard]] bool isAlive() const
     {
         for (int probe = 0; probe < internal::kMaxProbes; ++probe) {
-            httplib::Client client{m_address.host, m_address.port};
-            client.set_connection_timeout(internal::kServerConnectTimeout);
-            client.set_read_timeout(internal::kServerConnectTimeout);
-            const auto start = Clock::now();
-            const auto result = client.Get("/_control/health");
-            if (result || Clock::now() - start >= internal::kServerConnectTimeout) {
+            BlockingClient client{m_address, {internal::kServerConnectTimeout, Millis{0}}};
+            const auto start = bootNow();
+            const auto end = client.send(internal::controlRequest("GET", "/_control/health"),
+                                         {{}, internal::kServerConnectTimeout})
+                                     .end;
+            if (end == http::ExchangeEnd::Answered || end == http::ExchangeEnd::Malformed
+                || bootNow() - start >= internal::kServerConnectTimeout) {
                 return true; // it answers, or is alive and slow
             }
-            if (result.error() == httplib::Error::Connection) {
+            if (end == http::ExchangeEnd::NotSent) {
                 return false;
             }
             std::this_thread::sleep_for(internal::kProbePause);
@@ -132,8 +119,7 @@
     }
 
     Address m_address;
-    std::unique_ptr<httplib::Client> m_client;
-    TimePoint m_lastUsed;
+    BlockingClient m_client;
 };
 
 BackendClient::BackendClient(const Address &address) : m_impl{std::make_unique<Impl>(address)} { }
--- a/src/celeryramp/transport/backend_client.h
+++ b/src/celeryramp/transport/backend_client.h
@@ -5,6 +5,7 @@
 
 #include "core/address.h"
 #include "core/time.h"
+#include "http/answer_error.h"
 #include "wire/call_message.h"
 
 namespace celeryramp {
@@ -25,6 +26,7 @@
     int status = 0;
     HeaderList headers;
     std::string body;
+    http::AnswerError error = http::AnswerError::None; /*!< Why a received answer is not used. */
 };
 
 /*! @brief What travels with a call to the backend server besides the caller's own request. */
--- a/src/celeryramp/transport/platform_client.cpp
+++ b/src/celeryramp/transport/platform_client.cpp
@@ -1,10 +1,11 @@
 #include "transport/platform_client.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include "config/limits.h"
 #include "config/parse.h"
+#include "observe/log.h"
+#include "transport/blocking_client.h"
 
 namespace celeryramp {
 
@@ -14,6 +15,7 @@
 constexpr int kHttpNotModified = 304;
 constexpr Millis kConnectTimeout{1000};
 constexpr Millis kAnswerTimeout{3000};
+constexpr Millis kIdleLimit{5000}; /*!< Longest rest of a connection that is used again. */
 constexpr std::size_t kMaxInstanceListBytes = 4 * 1024 * 1024;
 
 /*! @return Query of a read that waits for something other than what is known. */
@@ -35,46 +37,61 @@
 {
 public:
     Impl(const Address &address, const LinkPolicy &policy, MetricsRegistry &metrics)
-        : m_client{address.host, address.port}, m_policy{policy}, m_reads{metrics.counter(
-                                                                          "platform_reads_total")},
+        : m_client{address, {internal::kConnectTimeout, internal::kIdleLimit}}, m_policy{policy},
+          m_metrics{metrics}, m_reads{metrics.counter("platform_reads_total")},
           m_failures{metrics.counter("platform_failures_total")}
-    {
-        m_client.set_keep_alive(true);
-        m_client.set_tcp_nodelay(true);
-        m_client.set_connection_timeout(internal::kConnectTimeout);
-    }
+    { }
 
-    [[nodiscard]] Result<httplib::Response, PlatformError> get(const std::string &path, Millis wait)
+    [[nodiscard]] Result<http::Answer, PlatformError> get(const std::string &path, Millis wait)
     {
         if (m_policy.isPlatformCut()) {
             m_failures.add();
             return internal::cutError();
         }
         m_reads.add();
-        m_client.set_read_timeout(internal::kAnswerTimeout + wait);
-        auto result = m_client.Get(path);
+        http::Request request;
+        request.method = "GET";
+        request.target = path;
+        auto result = m_client.send(std::move(request), {{}, internal::kAnswerTimeout + wait});
         if (m_policy.isPlatformCut()) {
             m_failures.add();
             return internal::cutError();
         }
-        if (!result) {
+        if (result.end == http::ExchangeEnd::Malformed) {
+            return rejected(result.error);
+        }
+        if (result.end != http::ExchangeEnd::Answered) {
             m_failures.add();
             return PlatformError{PlatformErrorCode::Unreachable,
-                                 httplib::to_string(result.error())};
+                                 result.end == http::ExchangeEnd::NotSent ? "connection failed"
+                                                                          : "no response"};
         }
-        if (result->status != internal::kHttpOk && result->status != internal::kHttpNotModified) {
+        const int status = result.answer.status;
+        if (status != internal::kHttpOk && status != internal::kHttpNotModified) {
             m_failures.add();
-            return PlatformError{PlatformErrorCode::Refused,
-                                 "status " + std::to_string(result->status)};
+            return PlatformError{PlatformErrorCode::Refused, "status " + std::to_string(status)};
         }
-        return *result;
+        return std::move(result.answer);
     }
 
-    void abort() { m_client.stop(); }
+    void abort() { m_client.abort(); }
 
 private:
-    httplib::Client m_client;
+    /*! @brief Logs and counts a response that is not used. */
+    [[nodiscard]] PlatformError rejected(http::AnswerError error)
+    {
+        const std::string reason{http::answerErrorName(error)};
+        m_failures.add();
+        m_metrics.counter("answers_rejected_total{from=\"source\",reason=\"" + reason + "\"}")
+                .add();
+        logEvent(LogLevel::Warn, "platform", "answer-rejected",
+                 {{"from", "source"}, {"reason", reason}});
+        return {PlatformErrorCode::Malformed, "invalid response: " + reason};
+    }
+
+    BlockingClient m_client;
     const LinkPolicy &m_policy;
+    MetricsRegistry &m_metrics;
     Counter &m_reads;
     Counter &m_failures;
 };
--- a/standin/backend/backend.h
+++ b/standin/backend/backend.h
@@ -26,7 +26,7 @@
 /*!
  * @brief Stand-in of a backend server. Journals what it runs. Understands in the query:
  * `depth=N` calls on through its own node, `fail=1` answers 500, `leaf_fail=1` fails at the end of
- * a chain, `poison=1` ends the process, `garbage=1` answers short.
+ * a chain, `poison=1` ends the process, `garbage=1` answers with two lengths.
  */
 class Backend
 {
