--- a/test/platform/store_source.cpp
+++ b/test/platform/store_source.cpp
@@ -200,3 +200,63 @@
     REQUIRE(pages < 200);
     REQUIRE(peakMemory() < before + kMaxGrowth);
 }
+
+namespace {
+
+/*! @brief Reads a list from a store whose first response is given and whose later ones are good. */
+struct BrokenStore
+{
+    BrokenStore(std::string bytes, bool isByteByByte, bool resets)
+    {
+        server.setRespond([=, n = 0](const http::Request &request) mutable {
+            if (n++ > 0) {
+                return test::ScriptedServer::Script{test::ScriptedServer::good(request, kList)};
+            }
+            auto script = isByteByByte ? test::ScriptedServer::byteByByte(bytes)
+                                       : test::ScriptedServer::Script{bytes};
+            script.closes = resets;
+            script.resets = resets;
+            return script;
+        });
+        source.start(sink);
+    }
+    ~BrokenStore() { source.stop(); }
+
+    static constexpr const char *kList = "{\"items\":[],\"CurrentRev\":5,\"Truncated\":false}";
+
+    boost::asio::io_context context;
+    test::ScriptedServer server{context, kStore, "store"};
+    RecordingSink sink;
+    StoreSource source{context, kStore, 7};
+};
+
+} // namespace
+
+TEST_CASE("Store source: a broken response is not read whatever its body says")
+{
+    const std::string head
+            = GENERATE(as<std::string>{}, "HTTP/1.1 000 Odd\r\n", "HTTP/1.1 600 Odd\r\n",
+                       "HTTP/1.1 101 Odd\r\n", "HTTP/1.1 200 OK\r\nX Y: 1\r\n",
+                       "HTTP/1.1 200 OK\r\nX: 1\r\n Y: 1\r\n", "HTTP/1.1 200 OK\r\nX\x01: 1\r\n",
+                       "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n", "HTTP/1.0 200 OK\r\n\tX: 1\r\n");
+    const bool isByteByByte = GENERATE(false, true);
+    CAPTURE(head, isByteByByte);
+    const std::string list = "{\"items\":[],\"CurrentRev\":9,\"Truncated\":false}";
+    BrokenStore store{head + "Content-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list,
+                      isByteByByte, false};
+    REQUIRE(test::runUntil(
+            store.context, [&] { return store.sink.held > 0; }, Millis{3000}));
+    REQUIRE(store.sink.held == 5);
+    REQUIRE(store.sink.failures == 1);
+    REQUIRE(store.sink.rejected.size() == 1);
+}
+
+TEST_CASE("Store source: a response without length that is reset is not read")
+{
+    const bool isByteByByte = GENERATE(false, true);
+    BrokenStore store{"HTTP/1.1 200 OK\r\n\r\n{\"items\":[],\"CurrentRev\":9}", isByteByByte, true};
+    REQUIRE(test::runUntil(
+            store.context, [&] { return store.sink.held > 0; }, Millis{3000}));
+    REQUIRE(store.sink.held == 5);
+    REQUIRE(store.sink.failures == 1);
+}
