--- a/src/celeryramp/node/call_handler.cpp
+++ b/src/celeryramp/node/call_handler.cpp
@@ -5,7 +5,7 @@
 
 #include "core/hash.h"
 #include "gate/ledger_homes.h"
-#include "node/answer_check.h"
+#include "http/head_check.h"
 #include "node/tokens.h"
 #include "observe/log.h"
 #include "transport/headers.h"
@@ -443,7 +443,7 @@
 bool CallHandler::isRejected(const std::string &request, const std::string &sender,
                              const AnswerMessage &answer)
 {
-    const auto error = checkAnswer(answer.status, answer.headers);
+    const auto error = http::checkHead(answer.status, answer.headers);
     if (error == http::AnswerError::None) {
         return false;
     }
--- a/src/celeryramp/proxy/answer_check.cpp
+++ b/src/celeryramp/proxy/answer_check.cpp
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <array>
 
-#include "http/field_syntax.h"
-#include "http/message.h"
+#include "http/head_check.h"
 
 namespace celeryramp::proxy {
 
@@ -14,22 +13,6 @@
 /*! Statuses that promise callers that the request has not run and will not. */
 constexpr std::array<int, 3> kNotRunStatuses{408, 429, 503};
 
-constexpr int kFirstFinal = 200;
-
-[[nodiscard]] http::AnswerError checkFields(const http::Headers &headers) noexcept
-{
-    for (const auto &[name, value] : headers) {
-        if (!http::isFieldName(name) || !http::isFieldValue(value)) {
-            return http::AnswerError::Field;
-        }
-        if (http::equalsIgnoreCase(name, "Content-Length")
-            || http::equalsIgnoreCase(name, "Transfer-Encoding")) {
-            return http::AnswerError::Framing; // the node that sends the answer on adds its own
-        }
-    }
-    return http::AnswerError::None;
-}
-
 } // namespace internal
 
 http::AnswerMatch checkAnswer(int status, const AnswerMetadata &metadata,
@@ -66,16 +49,15 @@
         return http::AnswerError::None;
     }
     const auto &answer = reply.answer;
-    if (answer.status < internal::kFirstFinal || !http::isServerStatus(answer.status)) {
-        return http::AnswerError::Status;
+    if (const auto error = http::checkHead(answer.status, answer.headers);
+        error != http::AnswerError::None) {
+        return error;
     }
     if (!http::isFieldValue(answer.reason)) {
         return http::AnswerError::Syntax;
     }
-    if (reply.hasMore && (isHead || !http::mayHaveBody(answer.status))) {
-        return http::AnswerError::Framing;
-    }
-    return internal::checkFields(answer.headers);
+    const bool hasBody = !isHead && http::mayHaveBody(answer.status);
+    return reply.hasMore && !hasBody ? http::AnswerError::Framing : http::AnswerError::None;
 }
 
 } // namespace celeryramp::proxy
--- a/test/engine/broken_answer.cpp
+++ b/test/engine/broken_answer.cpp
@@ -59,15 +59,25 @@
     REQUIRE(mesh.metric(index, counter) == rejected + 1);
 }
 
-/*! @return Scripts of the bytes in one piece and byte by byte. The id of the next request of the
- * mesh is `id`. */
-std::vector<Script> inPieces(const std::string &bytes, bool closes)
+/*!
+ * @brief Calls `visit` with scripts of an answer to each of the next requests of a new mesh: framed
+ * in all ways, in one piece and byte by byte.
+ */
+template <typename Visit>
+void forEachForm(const std::string &startLine, const std::string &fields, Visit visit)
 {
-    std::vector<Script> scripts{Script{bytes}, ScriptedServer::byteByByte(bytes)};
-    for (auto &script : scripts) {
-        script.closes = closes;
+    int id = 1;
+    for (const auto &framing : kFramings) {
+        for (const bool isByteByByte : {false, true}) {
+            CAPTURE(startLine, fields, framing.text, isByteByByte);
+            http::Request request;
+            request.headers = {{"T-Request", "r" + std::to_string(id++)}};
+            const auto bytes = answerWith(request, startLine, fields, framing.text);
+            auto script = isByteByByte ? ScriptedServer::byteByByte(bytes) : Script{bytes};
+            script.closes = framing.closes;
+            visit(script);
+        }
     }
-    return scripts;
 }
 
 /*! @brief Requires that a start line or further fields make an answer that is not passed on,
@@ -77,17 +87,10 @@
 {
     Mesh mesh{2};
     const int index = useOneServer(mesh);
-    int id = 1;
-    for (const auto &framing : kFramings) {
-        for (const bool isByteByByte : {false, true}) {
-            CAPTURE(index, startLine, fields, framing.text, isByteByByte);
-            http::Request request;
-            request.headers = {{"T-Request", "r" + std::to_string(id++)}};
-            const auto bytes = answerWith(request, startLine, fields, framing.text);
-            requireRejected(mesh, index, reason,
-                            inPieces(bytes, framing.closes)[isByteByByte ? 1 : 0]);
-        }
-    }
+    forEachForm(startLine, fields, [&](const Script &script) {
+        CAPTURE(index);
+        requireRejected(mesh, index, reason, script);
+    });
 }
 
 /*! @brief Requires that an unusual answer is passed on. */
@@ -95,22 +98,15 @@
 {
     Mesh mesh{2};
     const int index = useOneServer(mesh);
-    int id = 1;
-    for (const auto &framing : kFramings) {
-        for (const bool isByteByByte : {false, true}) {
-            CAPTURE(index, startLine, fields, framing.text, isByteByByte);
-            http::Request request;
-            request.headers = {{"T-Request", "r" + std::to_string(id++)}};
-            const auto bytes = answerWith(request, startLine, fields, framing.text);
-            const auto script = inPieces(bytes, framing.closes)[isByteByByte ? 1 : 0];
-            mesh.nodes[static_cast<std::size_t>(index)]->server->setRespond(
-                    [&script](const http::Request &) { return script; });
-            const auto outcome = mesh.callAndWait(0, "POST", "/once/", {}, "x");
-            REQUIRE(outcome.end == http::ExchangeEnd::Answered);
-            REQUIRE(outcome.answer.status == status);
-            REQUIRE(outcome.answer.body == "abc");
-        }
-    }
+    forEachForm(startLine, fields, [&](const Script &script) {
+        CAPTURE(index);
+        mesh.nodes[static_cast<std::size_t>(index)]->server->setRespond(
+                [&script](const http::Request &) { return script; });
+        const auto outcome = mesh.callAndWait(0, "POST", "/once/", {}, "x");
+        REQUIRE(outcome.end == http::ExchangeEnd::Answered);
+        REQUIRE(outcome.answer.status == status);
+        REQUIRE(outcome.answer.body == "abc");
+    });
 }
 
 /*! @brief Requires that a request that may be repeated gets the answer of another server. */
@@ -200,7 +196,9 @@
             const auto bytes
                     = answerWith(request, kOk, "Transfer-Encoding: " + std::string{codings},
                                  "\r\n\r\n" + std::string{body});
-            requireRejected(mesh, index, "framing", inPieces(bytes, true)[isByteByByte ? 1 : 0]);
+            auto script = isByteByByte ? ScriptedServer::byteByByte(bytes) : Script{bytes};
+            script.closes = true;
+            requireRejected(mesh, index, "framing", script);
         }
     }
 }
