--- a/src/celeryramp/engine/backend_gate.cpp
+++ b/src/celeryramp/engine/backend_gate.cpp
@@ -9,6 +9,7 @@
 #include "engine/buffer_limits.h"
 #include "engine/call_log.h"
 #include "observe/log.h"
+#include "observe/rejected_answer.h"
 #include "proxy/answer_check.h"
 
 namespace celeryramp::engine {
--- a/src/celeryramp/engine/backend_gate_server.cpp
+++ b/src/celeryramp/engine/backend_gate_server.cpp
@@ -6,8 +6,8 @@
 
 #include "core/boot_clock.h"
 #include "engine/backend_gate.h"
-#include "engine/call_log.h"
 #include "observe/log.h"
+#include "observe/rejected_answer.h"
 
 namespace celeryramp::engine {
 
--- a/src/celeryramp/engine/call_log.cpp
+++ b/src/celeryramp/engine/call_log.cpp
@@ -36,16 +36,4 @@
               {"bad_percent", std::to_string(reply.load.failurePercent)}});
 }
 
-void recordRejectedAnswer(MetricsRegistry &metrics, const RejectedAnswer &rejected)
-{
-    metrics.counter("answers_rejected_total{from=\"" + std::string{rejected.kind} + "\",reason=\""
-                    + std::string{rejected.reason} + "\"}")
-            .add();
-    logEvent(LogLevel::Warn, "engine", "answer-rejected",
-             {{"from", std::string{rejected.kind}},
-              {"request", rejected.requestId},
-              {"sender", rejected.sender},
-              {"reason", std::string{rejected.reason}}});
-}
-
 } // namespace celeryramp::engine
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -3,8 +3,8 @@
 #include "core/boot_clock.h"
 #include "core/hash.h"
 #include "engine/buffer_limits.h"
-#include "engine/call_log.h"
 #include "observe/log.h"
+#include "observe/rejected_answer.h"
 #include "proxy/frame_codec.h"
 
 namespace celeryramp::engine {
--- a/src/celeryramp/engine/request_dispatcher_bodies.cpp
+++ b/src/celeryramp/engine/request_dispatcher_bodies.cpp
@@ -4,9 +4,9 @@
 
 #include "core/boot_clock.h"
 #include "engine/buffer_limits.h"
-#include "engine/call_log.h"
 #include "engine/request_dispatcher.h"
 #include "observe/log.h"
+#include "observe/rejected_answer.h"
 #include "proxy/answer_check.h"
 #include "proxy/frame_codec.h"
 
--- /dev/null
+++ b/src/celeryramp/engine/request_dispatcher_replies.cpp
@@ -0,0 +1,72 @@
+/*! @file
+ *  Replies of gates, of the own node and of others.
+ */
+
+#include "engine/request_dispatcher.h"
+#include "observe/rejected_answer.h"
+#include "proxy/answer_check.h"
+
+namespace celeryramp::engine {
+
+void RequestDispatcher::onReply(const Address &peer, const proxy::ReplyFrame &reply, TimePoint now)
+{
+    const auto it = m_calls.find(reply.id);
+    if (it == m_calls.end() || !(it->second.peer == peer)
+        || it->second.dispatcher.pendingServer().empty()) {
+        return;
+    }
+    const auto &call = it->second;
+    const auto error = checkReply(call, reply);
+    if (error == http::AnswerError::None) {
+        onGateReply(reply.id, reply, now);
+        return;
+    }
+    recordRejectedAnswer(m_dependencies.metrics,
+                         {"peer", call.frame.requestId, peer.text(), http::answerErrorName(error)});
+    if (reply.hasMore) {
+        cancelOffer(call, now); // the rest of the body is of no use
+    }
+    auto failed = proxy::failedReply(reply.id, proxy::Reason::Malformed);
+    failed.load = reply.load;
+    onGateReply(reply.id, failed, now);
+}
+
+http::AnswerError RequestDispatcher::checkReply(const Call &call,
+                                                const proxy::ReplyFrame &reply) const
+{
+    const auto error = proxy::checkReply(reply, call.frame.request.method == "HEAD");
+    if (error != http::AnswerError::None || reply.kind != proxy::ReplyKind::Answer
+        || !m_dependencies.settings.mechanisms.attribution) {
+        return error;
+    }
+    const auto metadata = m_dependencies.headerAdapter.readAnswer(reply.answer);
+    return proxy::checkAnswer(reply.answer.status, metadata, call.frame.requestId, false)
+                    == http::AnswerMatch::Ours
+            ? http::AnswerError::None
+            : http::AnswerError::Unattributed;
+}
+
+void RequestDispatcher::onGateReply(std::uint64_t id, const proxy::ReplyFrame &reply, TimePoint now)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end() || it->second.dispatcher.pendingServer().empty()) {
+        return;
+    }
+    auto &call = it->second;
+    if (reply.load.isLeaving) {
+        m_leavingPeers.onServerLeaving(call.frame.serverId, call.serverStartedMillis, now);
+    }
+    const auto step = call.dispatcher.onReply(reply, dispatchContext(), now);
+    if (std::holds_alternative<proxy::OfferStep>(step)) {
+        m_dependencies.metrics
+                .counter("further_offers_total{service=\"" + call.frame.service + "\",after=\""
+                         + std::string{proxy::reasonName(reply.reason)} + "\"}")
+                .add();
+    }
+    if (reply.hasMore && !std::holds_alternative<proxy::AnswerStep>(step)) {
+        cancelOffer(call, now); // the rest of the body is of no use
+    }
+    executeStep(call, step, &reply, now);
+}
+
+} // namespace celeryramp::engine
--- a/src/celeryramp/node/call_handler.cpp
+++ b/src/celeryramp/node/call_handler.cpp
@@ -7,7 +7,7 @@
 #include "gate/ledger_homes.h"
 #include "http/head_check.h"
 #include "node/tokens.h"
-#include "observe/log.h"
+#include "observe/rejected_answer.h"
 #include "transport/headers.h"
 
 namespace celeryramp {
@@ -447,10 +447,7 @@
     if (error == http::AnswerError::None) {
         return false;
     }
-    const std::string reason{http::answerErrorName(error)};
-    m_metrics.counter("answers_rejected_total{from=\"peer\",reason=\"" + reason + "\"}").add();
-    logEvent(LogLevel::Warn, "calls", "answer-rejected",
-             {{"from", "peer"}, {"request", request}, {"sender", sender}, {"reason", reason}});
+    recordRejectedAnswer(m_metrics, {"peer", request, sender, http::answerErrorName(error)});
     return true;
 }
 
--- a/src/celeryramp/node/gate_worker_pool.cpp
+++ b/src/celeryramp/node/gate_worker_pool.cpp
@@ -5,6 +5,7 @@
 
 #include "core/hash.h"
 #include "observe/log.h"
+#include "observe/rejected_answer.h"
 #include "transport/headers.h"
 
 namespace celeryramp {
@@ -192,14 +193,9 @@
         client.cancel(call.call.request);
     }
     if (reply.error != http::AnswerError::None) {
-        const std::string reason{http::answerErrorName(reply.error)};
-        m_metrics.counter("answers_rejected_total{from=\"server\",reason=\"" + reason + "\"}")
-                .add();
-        logEvent(LogLevel::Warn, "gate", "answer-rejected",
-                 {{"from", "server"},
-                  {"request", call.call.request},
-                  {"sender", m_settings.server},
-                  {"reason", reason}});
+        recordRejectedAnswer(m_metrics,
+                             {"server", call.call.request, m_settings.server,
+                              http::answerErrorName(reply.error)});
     }
     if (reply.end == BackendEnd::Crashed) {
         reportCrash(call.call.digest);
--- a/src/celeryramp/transport/platform_client.cpp
+++ b/src/celeryramp/transport/platform_client.cpp
@@ -4,7 +4,7 @@
 
 #include "config/limits.h"
 #include "config/parse.h"
-#include "observe/log.h"
+#include "observe/rejected_answer.h"
 #include "transport/blocking_client.h"
 
 namespace celeryramp {
@@ -80,13 +80,10 @@
     /*! @brief Logs and counts a response that is not used. */
     [[nodiscard]] PlatformError rejected(http::AnswerError error)
     {
-        const std::string reason{http::answerErrorName(error)};
+        const auto reason = http::answerErrorName(error);
         m_failures.add();
-        m_metrics.counter("answers_rejected_total{from=\"source\",reason=\"" + reason + "\"}")
-                .add();
-        logEvent(LogLevel::Warn, "platform", "answer-rejected",
-                 {{"from", "source"}, {"reason", reason}});
-        return {PlatformErrorCode::Malformed, "invalid response: " + reason};
+        recordRejectedAnswer(m_metrics, {"source", {}, {}, reason});
+        return {PlatformErrorCode::Malformed, "invalid response: " + std::string{reason}};
     }
 
     BlockingClient m_client;
