A reply that cannot be decoded ends its call at once

Callers saw: 504 at the end of their time, where the reply of another node had a field of another type or an unknown kind; what may be repeated was not.

Cause: the frame was logged and dropped, so the call stayed open although its answer had come.

Change: the error of the decoder tells the call that a reply or a part of a body answers. The call counts as one that may have run; its offer is cancelled; logged and counted as other broken answers.

--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -201,6 +201,9 @@
         m_metrics.counter("frames_unreadable_total").add();
         logEvent(LogLevel::Warn, "engine", "frame-unreadable",
                  {{"peer", peer.text()}, {"reason", decoded.error().reason}});
+        if (const auto &id = decoded.error().answeredCall) {
+            m_dispatcher.onUnreadableAnswer(peer, *id, bootNow());
+        }
         return;
     }
     const auto now = bootNow();
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -73,6 +73,9 @@
     /*! @brief Handles the reply of a peer's gate. A reply that the call does not expect from this
      * peer is ignored. */
     void onReply(const Address &peer, const proxy::ReplyFrame &reply, TimePoint now);
+    /*! @brief Fails a call whose answer, or a part of it, came in a frame that cannot be decoded.
+     */
+    void onUnreadableAnswer(const Address &peer, std::uint64_t id, TimePoint now);
     /*! @brief Passes a part of a long body on to the caller. */
     void onBody(const Address &peer, proxy::BodyFrame part, TimePoint now);
     /*! @brief Sends more of a long request body to the gate of a peer. */
@@ -180,6 +183,8 @@
     /*! @brief Looks for zones that are silent, and tries repeatable calls elsewhere that wait
      * there. */
     void pollZones(TimePoint now);
+    /*! @brief Logs and counts an answer that the gate of a call has sent and that is not used. */
+    void recordPeerError(const Call &call, http::AnswerError error);
     /*! @return Why the answer of another node is not used; `None` if it is. */
     [[nodiscard]] http::AnswerError checkReply(const Call &call,
                                                const proxy::ReplyFrame &reply) const;
--- a/src/celeryramp/engine/request_dispatcher_bodies.cpp
+++ b/src/celeryramp/engine/request_dispatcher_bodies.cpp
@@ -6,7 +6,6 @@
 #include "engine/buffer_limits.h"
 #include "engine/request_dispatcher.h"
 #include "observe/log.h"
-#include "observe/rejected_answer.h"
 #include "proxy/answer_check.h"
 #include "proxy/frame_codec.h"
 
@@ -82,9 +81,7 @@
     }
     if (m_dependencies.settings.mechanisms.wholeBodies
         && !proxy::fitsLength(part, call.streamLength)) {
-        recordRejectedAnswer(m_dependencies.metrics,
-                             {"peer", call.frame.requestId, peer.text(),
-                              http::answerErrorName(http::AnswerError::Framing)});
+        recordPeerError(call, http::AnswerError::Framing);
         cancelAtGate(call, now);
         abortStream(call, proxy::Reason::Malformed, now);
         return;
--- a/src/celeryramp/engine/request_dispatcher_replies.cpp
+++ b/src/celeryramp/engine/request_dispatcher_replies.cpp
@@ -21,16 +21,38 @@
         onGateReply(reply.id, reply, now);
         return;
     }
-    recordRejectedAnswer(m_dependencies.metrics,
-                         {"peer", call.frame.requestId, peer.text(), http::answerErrorName(error)});
     if (reply.hasMore) {
         cancelOffer(call, now); // the rest of the body is of no use
     }
     auto failed = proxy::failedReply(reply.id, proxy::Reason::Malformed);
     failed.load = reply.load;
+    recordPeerError(call, error);
     onGateReply(reply.id, failed, now);
 }
 
+void RequestDispatcher::onUnreadableAnswer(const Address &peer, std::uint64_t id, TimePoint now)
+{
+    const auto it = m_calls.find(id);
+    if (it == m_calls.end() || !isExpecting(it->second, peer)) {
+        return;
+    }
+    auto &call = it->second;
+    recordPeerError(call, http::AnswerError::Syntax);
+    cancelOffer(call, now);
+    if (call.isStreaming) {
+        abortStream(call, proxy::Reason::Malformed, now);
+    } else {
+        onGateReply(id, proxy::failedReply(id, proxy::Reason::Malformed), now);
+    }
+}
+
+void RequestDispatcher::recordPeerError(const Call &call, http::AnswerError error)
+{
+    recordRejectedAnswer(
+            m_dependencies.metrics,
+            {"peer", call.frame.requestId, call.peer.text(), http::answerErrorName(error)});
+}
+
 http::AnswerError RequestDispatcher::checkReply(const Call &call,
                                                 const proxy::ReplyFrame &reply) const
 {
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -444,6 +444,20 @@
         readSyncRequest, readSyncReply, readSuspect, readNews,    readReader,      readBody,
         readCredit,      readClosed,    readHung,    readUpload,  readUploadCredit};
 
+/*! @return Call that a frame which cannot be decoded answers; nothing if it is no answer. */
+[[nodiscard]] std::optional<std::uint64_t> answeredCall(const Json &json)
+{
+    const auto isNumber = [&json](std::size_t index) {
+        return json.is_array() && json.size() > index && json[index].is_number_unsigned();
+    };
+    if (!isNumber(0) || !isNumber(1)) {
+        return std::nullopt;
+    }
+    const auto type = json[0].get<std::size_t>();
+    const bool isAnswer = type == Frame{ReplyFrame{}}.index() || type == Frame{BodyFrame{}}.index();
+    return isAnswer ? std::optional{json[1].get<std::uint64_t>()} : std::nullopt;
+}
+
 } // namespace internal
 
 std::string encodeFrame(const Frame &frame)
@@ -457,11 +471,12 @@
 
 Result<Frame, FrameError> decodeFrame(std::string_view bytes)
 {
+    internal::Json json;
     try {
-        const auto json = internal::Json::from_cbor(bytes.begin(), bytes.end());
+        json = internal::Json::from_cbor(bytes.begin(), bytes.end());
         return internal::kReaders.at(json.at(0).get<std::size_t>())(json);
     } catch (const std::exception &error) {
-        return FrameError{error.what()};
+        return FrameError{error.what(), internal::answeredCall(json)};
     }
 }
 
--- a/src/celeryramp/proxy/frame_codec.h
+++ b/src/celeryramp/proxy/frame_codec.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -12,6 +14,8 @@
 struct FrameError
 {
     std::string reason;
+    std::optional<std::uint64_t> answeredCall; /*!< Call that the frame answers, if it is a reply or
+                                                  a part of a body and says so. */
 };
 
 /*! @return The frame as a CBOR array that begins with the index of its type in `Frame`. */
--- a/test/engine/broken_reply.cpp
+++ b/test/engine/broken_reply.cpp
@@ -2,6 +2,7 @@
 #include <vector>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/boot_clock.h"
 #include "links/peer_links.h"
@@ -22,6 +23,8 @@
 {
 public:
     using Respond = std::function<std::vector<proxy::Frame>(const proxy::CallFrame &)>;
+    /*! Changes the bytes of a frame before it is sent. */
+    using Tamper = std::function<std::string(std::string)>;
 
     /*! Replaces the node with the highest index. */
     explicit ScriptedGate(Mesh &mesh)
@@ -40,7 +43,9 @@
         if (const auto *call = std::get_if<proxy::CallFrame>(&frame.value())) {
             ++calls;
             for (const auto &it : respond(*call)) {
-                REQUIRE(m_links.send(peer, proxy::encodeFrame(it), bootNow()));
+                auto encoded = proxy::encodeFrame(it);
+                REQUIRE(m_links.send(peer, tamper ? tamper(std::move(encoded)) : std::move(encoded),
+                                     bootNow()));
             }
         }
         cancels += std::holds_alternative<proxy::CancelFrame>(frame.value()) ? 1 : 0;
@@ -53,6 +58,7 @@
     [[nodiscard]] bool isAwaiting(const Address & /*peer*/) const override { return false; }
 
     Respond respond;
+    Tamper tamper;
     int calls = 0;
     int cancels = 0;
 
@@ -267,3 +273,54 @@
     REQUIRE(outcome.answer.status == 200);
     REQUIRE(outcome.answer.body == std::string(bytes, 'b'));
 }
+
+TEST_CASE("Broken reply: a reply that cannot be decoded ends its call at once")
+{
+    using Json = nlohmann::json;
+    // The third field is the kind, the seventh the status, the ninth the header fields.
+    const std::size_t field = GENERATE(2, 3, 5, 6, 8, 9);
+    const Json value = GENERATE(as<Json>{}, "text", Json(), Json::array({1}), -7);
+    CAPTURE(field, value.dump());
+    Site site;
+    site.gate.respond = [](const proxy::CallFrame &call) {
+        return std::vector<proxy::Frame>{goodReply(call)};
+    };
+    site.gate.tamper = [&](const std::string &bytes) {
+        auto json = Json::from_cbor(bytes);
+        json[field] = value;
+        std::string out;
+        Json::to_cbor(json, out);
+        return out;
+    };
+    const auto outcome = site.call("POST", "/once/");
+    REQUIRE(outcome.end == http::ExchangeEnd::Answered);
+    REQUIRE(outcome.answer.status == 502);
+    REQUIRE(outcome.answer.body.empty());
+    REQUIRE(site.mesh.metric(0, "answers_rejected_total{from=\"peer\"") == 1);
+}
+
+TEST_CASE("Broken reply: a part of a body that cannot be decoded ends its answer at once")
+{
+    Site site;
+    site.gate.respond = [](const proxy::CallFrame &call) {
+        auto reply = goodReply(call);
+        reply.answer.body.clear();
+        reply.hasMore = true;
+        return std::vector<proxy::Frame>{
+                reply, proxy::BodyFrame{call.id, 0, proxy::BodyEnd::Complete, "part"}};
+    };
+    site.gate.tamper = [](std::string bytes) {
+        auto json = nlohmann::json::from_cbor(bytes);
+        if (json.at(0) != proxy::Frame{proxy::BodyFrame{}}.index()) {
+            return bytes;
+        }
+        json[3] = 77; // no known end of a body
+        bytes.clear();
+        nlohmann::json::to_cbor(json, bytes);
+        return bytes;
+    };
+    const auto outcome = site.call("POST", "/once/");
+    REQUIRE(outcome.isDone);
+    REQUIRE((outcome.end == http::ExchangeEnd::Lost || outcome.answer.status == 502));
+    REQUIRE(site.mesh.metric(0, "answers_rejected_total{from=\"peer\",reason=\"syntax\"}") == 1);
+}
