--- a/test/engine/broken_reply.cpp
+++ b/test/engine/broken_reply.cpp
@@ -24,7 +24,7 @@
 public:
     using Respond = std::function<std::vector<proxy::Frame>(const proxy::CallFrame &)>;
     /*! Changes the bytes of a frame before it is sent. */
-    using Tamper = std::function<std::string(std::string)>;
+    using Tamper = std::function<std::string(const std::string &)>;
 
     /*! Replaces the node with the highest index. */
     explicit ScriptedGate(Mesh &mesh)
@@ -43,9 +43,8 @@
         if (const auto *call = std::get_if<proxy::CallFrame>(&frame.value())) {
             ++calls;
             for (const auto &it : respond(*call)) {
-                auto encoded = proxy::encodeFrame(it);
-                REQUIRE(m_links.send(peer, tamper ? tamper(std::move(encoded)) : std::move(encoded),
-                                     bootNow()));
+                const auto encoded = proxy::encodeFrame(it);
+                REQUIRE(m_links.send(peer, tamper ? tamper(encoded) : encoded, bootNow()));
             }
         }
         cancels += std::holds_alternative<proxy::CancelFrame>(frame.value()) ? 1 : 0;
@@ -309,15 +308,15 @@
         return std::vector<proxy::Frame>{
                 reply, proxy::BodyFrame{call.id, 0, proxy::BodyEnd::Complete, "part"}};
     };
-    site.gate.tamper = [](std::string bytes) {
+    site.gate.tamper = [](const std::string &bytes) {
         auto json = nlohmann::json::from_cbor(bytes);
         if (json.at(0) != proxy::Frame{proxy::BodyFrame{}}.index()) {
             return bytes;
         }
         json[3] = 77; // no known end of a body
-        bytes.clear();
-        nlohmann::json::to_cbor(json, bytes);
-        return bytes;
+        std::string out;
+        nlohmann::json::to_cbor(json, out);
+        return out;
     };
     const auto outcome = site.call("POST", "/once/");
     REQUIRE(outcome.isDone);
