Tests of early answers have a deadline of their own and shorter uploads

The deadline that they gave was behind the usual one of 1.5 s in the request and had no effect, so on a busy machine an upload of 12 MB through two nodes could have ended by it. Now 5.5 s on a route of 6 s, and 6 MB, still more than the system takes.

--- a/test/engine/early_answer.cpp
+++ b/test/engine/early_answer.cpp
@@ -14,10 +14,10 @@
 namespace {
 
 /*! More than the operating system takes of a request whose server does not read. */
-constexpr std::size_t kUpload = 12'000'000;
+constexpr std::size_t kUpload = 6'000'000;
 /*! Longer than what a gate sends whole. */
 constexpr std::size_t kLongPart = 200'000;
-constexpr Millis kMostTime{4000};
+constexpr Millis kMostTime{7000};
 
 /*! Places in an upload at which a server answers. */
 constexpr std::size_t kAtOnce = 0;
@@ -44,7 +44,7 @@
 {
     const auto outcome = std::make_shared<Outcome>();
     const auto caller
-            = mesh.call(0, "POST", target, outcome, {{"T-Deadline", "3500"}}, kUploadBody);
+            = mesh.call(0, "POST", target, outcome, {{"T-Deadline", "5500"}}, kUploadBody);
     static_cast<void>(mesh.runUntil([&] { return outcome->isDone; }, kMostTime));
     return *outcome;
 }
@@ -79,7 +79,7 @@
                                 script.pause = pause;
                                 return script;
                             }});
-    const auto outcome = upload(mesh, "/once/");
+    const auto outcome = upload(mesh, "/slow/");
     REQUIRE(outcome.end == http::ExchangeEnd::Answered);
     REQUIRE(outcome.answer.status == 502);
     REQUIRE(outcome.answer.body.empty());
@@ -98,7 +98,7 @@
                                 script.pause = Millis{30};
                                 return script;
                             }});
-    const auto outcome = upload(mesh, "/once/");
+    const auto outcome = upload(mesh, "/slow/");
     REQUIRE(outcome.answer.status == 502);
     REQUIRE(outcome.answer.body.empty());
 }
@@ -116,7 +116,7 @@
                                                           + std::string(kLongPart, 'p'),
                                                   pause);
                             }});
-    const auto outcome = upload(mesh, "/once/");
+    const auto outcome = upload(mesh, "/slow/");
     REQUIRE(server.earlyAnswers == 1);
     REQUIRE(outcome.isDone);
     if (outcome.end == http::ExchangeEnd::Answered) {
@@ -156,7 +156,7 @@
             {kEarly, false, [framing](const http::Request &head) {
                  return resetAfter(ScriptedServer::head(head) + framing, Millis{30});
              }});
-    REQUIRE(upload(mesh, "/once/").answer.status == 502);
+    REQUIRE(upload(mesh, "/slow/").answer.status == 502);
 }
 
 TEST_CASE("Early answer: a whole one is passed on, also if the connection is reset after it")
@@ -173,7 +173,7 @@
                                 script.pause = Millis{30};
                                 return script;
                             }});
-    const auto outcome = upload(mesh, "/once/");
+    const auto outcome = upload(mesh, "/slow/");
     REQUIRE(outcome.answer.status == 200);
     REQUIRE(outcome.answer.body == "whole");
 }
@@ -193,7 +193,7 @@
                  script.shutsDown = true;
                  return script;
              }});
-    const auto outcome = upload(mesh, "/once/");
+    const auto outcome = upload(mesh, "/slow/");
     REQUIRE(outcome.answer.status == 200);
     REQUIRE(outcome.answer.body == "whole");
 }
@@ -205,7 +205,7 @@
     server.setRespondEarly({kEarly, false, [](const http::Request &head) {
                                 return resetAfter(ScriptedServer::good(head, "whole"), Millis{0});
                             }});
-    REQUIRE(upload(mesh, "/once/").answer.status == 200);
+    REQUIRE(upload(mesh, "/slow/").answer.status == 200);
     REQUIRE(mesh.callAndWait(0, "POST", "/once/").answer.status == 200);
     REQUIRE(server.seen.size() == 1);
 }
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -165,6 +165,9 @@
     request.headers = {{"Host", "Shop.Example"},
                        {"T-Request", "r" + std::to_string(m_nextRequest++)},
                        {"T-Deadline", "1500"}};
+    if (!http::findHeader(headers, "T-Deadline").empty()) {
+        request.headers.pop_back();
+    }
     request.headers.insert(request.headers.end(), headers.begin(), headers.end());
     request.body = body;
     return send(node, kCallerPort, request, outcome);
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -92,7 +92,8 @@
     /*! @brief Restarts a node with another memory limit. `publish` informs it. */
     void limitMemory(int index, std::size_t bytes);
 
-    /*! @brief Sends a request to a node as a caller. */
+    /*! @brief Sends a request to a node as a caller, with a deadline of 1.5 s unless `headers` has
+     * another. */
     http::ClientConnectionPtr call(int node, const std::string &method, const std::string &target,
                                    const std::shared_ptr<Outcome> &outcome,
                                    const http::Headers &headers = {}, const std::string &body = {});
