--- a/test/engine/early_answer.cpp
+++ b/test/engine/early_answer.cpp
@@ -159,7 +159,7 @@
     REQUIRE(upload(mesh, "/slow/").answer.status == 502);
 }
 
-TEST_CASE("Early answer: a whole one is passed on, also if the connection is reset after it")
+TEST_CASE("Early answer: a whole one is passed on even if the connection is reset after it")
 {
     const int node = GENERATE(0, 1);
     const bool resets = GENERATE(false, true);
