--- a/src/celeryramp/transport/blocking_client.cpp
+++ b/src/celeryramp/transport/blocking_client.cpp
@@ -1,6 +1,7 @@
 #include "transport/blocking_client.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <boost/asio/post.hpp>
 
--- a/src/celeryramp/transport/blocking_client.h
+++ b/src/celeryramp/transport/blocking_client.h
@@ -1,8 +1,6 @@
 #pragma once
 
 #include <atomic>
-#include <cstddef>
-#include <limits>
 #include <optional>
 
 #include <boost/asio/io_context.hpp>
