--- a/test/engine/early_answer.cpp
+++ b/test/engine/early_answer.cpp
@@ -39,7 +39,7 @@
     return script;
 }
 
-/*! @brief Calls at node 0 with a long upload. @return How often servers answered it early. */
+/*! @brief Calls at node 0 with a long upload. @return What its caller gets. */
 Outcome upload(Mesh &mesh, const std::string &target)
 {
     const auto outcome = std::make_shared<Outcome>();
