--- a/test/transport/broken_answer.cpp
+++ b/test/transport/broken_answer.cpp
@@ -26,8 +26,8 @@
 /*! How a server ends its connection after the bytes. */
 enum class End { Keeps, Closes, Resets };
 
-/*! @brief Server that sends given bytes on its first connection and a good answer on each later one,
- * on its own thread. */
+/*! @brief Server that sends given bytes on its first connection and a good answer on each later
+ * one, on its own thread. */
 class BrokenServer
 {
 public:
