Log and export the era that the source names, and what confirms a replica

Cause looked for: whether a node is behind because the store went back (hypothesis 1), or because an age was confirmed for state that was not read (2). Neither showed: the header Store-Era was read nowhere, and no metric told who confirms a replica.

Change: event source-era (era, previous, revision, age), gauge source_era, counter directory_confirmed_total by list, watch, peer-state and peer-revision. No decision depends on them.

Tests of the platform adapter pass.

--- a/src/celeryramp/directory/item_sink.h
+++ b/src/celeryramp/directory/item_sink.h
@@ -39,6 +39,9 @@
     /*! @brief Reports that the platform sent no usable response to a read that was requested then.
      */
     virtual void onSourceFailed(const std::string &reason, TimePoint requestedAt) = 0;
+    /*! @brief Reports the era that a response of the platform names, before its content. It rises
+     * when the platform comes back from a copy, and its revisions are then given out again. */
+    virtual void onSourceEra(std::int64_t era) = 0;
     /*! @brief Reports a response that was no valid HTTP, before `onSourceFailed`.
      *  @param reason Short and one of few, for logs and metrics. */
     virtual void onResponseRejected(std::string_view reason) = 0;
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -379,6 +379,7 @@
 {
     const auto now = bootNow();
     onSourceAnswered(askedAt, now);
+    m_metrics.counter("directory_confirmed_total{by=\"list\"}").add();
     onDirectoryChanged(
             m_replica.applyList(items, revision, askedAt, m_replica.renewalTimeLeft(now), now),
             "list", now);
@@ -389,6 +390,7 @@
 {
     const auto now = bootNow();
     onSourceAnswered(askedAt, now);
+    m_metrics.counter("directory_confirmed_total{by=\"watch\"}").add();
     const auto renewalTime = m_replica.renewalTimeLeft(now);
     proxy::ChangesFrame changesFrame{m_replica.revision(), revision, {}, {}, renewalTime};
     for (const auto &change : changes) {
@@ -416,6 +418,17 @@
     }
 }
 
+void Engine::onSourceEra(std::int64_t era)
+{
+    if (const auto previous = std::exchange(m_sourceEra, era); previous != era) {
+        logEvent(LogLevel::Warn, "engine", "source-era",
+                 {{"era", std::to_string(era)},
+                  {"previous", std::to_string(previous)},
+                  {"revision", std::to_string(m_replica.revision())},
+                  {"age_ms", std::to_string(m_replica.age(bootNow()).count())}});
+    }
+}
+
 void Engine::onResponseRejected(std::string_view reason)
 {
     recordRejectedAnswer(m_metrics, {"source", {}, {}, reason});
@@ -482,6 +495,7 @@
     // The peer may have confirmed its state longer ago than this node its own, and still hold more:
     // pushed changes do not confirm a replica. The revision decides.
     const auto asOf = TimePoint{TimePoint::duration{reply.askedAt}} - reply.age;
+    m_metrics.counter("directory_confirmed_total{by=\"peer-state\"}").add();
     onDirectoryChanged(
             m_replica.applyList(*items, reply.revision, asOf, reply.renewalTimeLeft, now), "peer",
             now);
--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -85,6 +85,7 @@
     void onChanges(const std::vector<directory::ItemChange> &changes, std::int64_t revision,
                    TimePoint askedAt) override;
     void onSourceFailed(const std::string &reason, TimePoint requestedAt) override;
+    void onSourceEra(std::int64_t era) override;
     void onResponseRejected(std::string_view reason) override;
     [[nodiscard]] std::int64_t heldRevision() const override;
     [[nodiscard]] std::optional<Millis> readPause() const override;
@@ -130,6 +131,7 @@
     boost::asio::steady_timer m_tickTimer;
     directory::DirectoryPtr m_gateView; /*!< View last passed to the gate. */
     bool m_isSourceDown = false;
+    std::int64_t m_sourceEra = 0; /*!< Last one that the source has named; 0 before. */
     std::optional<proxy::ShutdownSchedule> m_shutdown;
     bool m_hasStoppedListening = false;
     bool m_hasEndedCalls = false; /*!< Those that were left at the end of the shutdown. */
--- a/src/celeryramp/engine/engine_status.cpp
+++ b/src/celeryramp/engine/engine_status.cpp
@@ -29,6 +29,7 @@
         };
         gauge("directory_version", view.routing ? view.routing->version() : 0);
         gauge("directory_revision", m_replica.revision());
+        gauge("source_era", m_sourceEra);
         gauge("directory_age_ms", m_replica.age(bootNow()).count());
         gauge("directory_servers", view.servers.size());
         gauge("directory_evacuated_zones", view.evacuatedZones.size());
--- a/src/celeryramp/engine/peer_coordinator.cpp
+++ b/src/celeryramp/engine/peer_coordinator.cpp
@@ -423,6 +423,7 @@
     } else if (frame.revision == m_replica.revision() && frame.age < internal::kMaxConfirmingAge) {
         // The peer's replica was at most `age` old when it answered, which was after the report was
         // sent, so this replica was complete at the time of the report minus `age`.
+        m_metrics.counter("directory_confirmed_total{by=\"peer-revision\"}").add();
         m_replica.confirm(TimePoint{TimePoint::duration{frame.askedAt}} - frame.age);
     }
 }
--- a/test/platform/store_source.cpp
+++ b/test/platform/store_source.cpp
@@ -44,6 +44,7 @@
     {
         ++failures;
     }
+    void onSourceEra(std::int64_t era) override { eras.push_back(era); }
     void onResponseRejected(std::string_view reason) override { rejected.emplace_back(reason); }
     [[nodiscard]] std::int64_t heldRevision() const override { return held; }
     [[nodiscard]] std::optional<Millis> readPause() const override { return Millis{0}; }
@@ -54,6 +55,7 @@
     int lists = 0;
     int failures = 0;
     std::vector<std::string> rejected;
+    std::vector<std::int64_t> eras;
 };
 
 struct Fixture
