--- a/standin/soak/store.h
+++ b/standin/soak/store.h
@@ -1,9 +1,11 @@
 #pragma once
 
-#include <deque>
+#include <functional>
 #include <map>
-#include <set>
+#include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,29 +14,37 @@
 #include "core/time.h"
 #include "http/caller_connection.h"
 #include "http/listener.h"
+#include "soak/store_copy.h"
+#include "soak/store_state.h"
 
 namespace standin::soak {
 
-/*! @brief How the store misbehaves. */
-struct StoreState
-{
-    celeryramp::Millis delay{4};
-    bool isSilent = false; /*!< Requests get no answer. */
-    bool isBusy = false; /*!< Requests get status 503. */
-    bool turnsSomeAway = false; /*!< Half of the connections get status 503. */
-};
-
 /*! @brief Stand-in of the users' metadata store, as far as nodes read it. */
 class Store final : public celeryramp::http::CallerEvents
 {
 public:
     Store(boost::asio::io_context &context, const celeryramp::Address &address);
 
-    void put(const std::string &key, const std::string &value);
+    /*! @brief Listens on one more address, see `StoreState::refusedAt`. */
+    void listen(const celeryramp::Address &address);
+
+    /*! @return Revision of the change. */
+    std::int64_t put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
     /*! @brief Forgets all events, so that watches from before get status 410. */
     void compact();
-    void setState(const StoreState &state) { m_state = state; }
+    /*! @brief Closes the connections of waiting watches without an answer. */
+    void cutWatches();
+    void setState(const StoreState &state);
+    void setLimits(const StoreLimits &limits) { m_limits = limits; }
+
+    [[nodiscard]] StoreCopy copy() const { return m_data; }
+    /*! @brief Continues from a copy in the next era; all connections end without an answer. */
+    void restore(const StoreCopy &copy);
+
+    [[nodiscard]] std::int64_t era() const noexcept { return m_era; }
+    [[nodiscard]] std::int64_t revision() const noexcept { return m_data.revision; }
+    [[nodiscard]] const StoreCalls &calls() const noexcept { return m_calls; }
 
     void onRequest(celeryramp::http::ResponseWriter response,
                    celeryramp::http::Request request) override;
@@ -43,46 +53,50 @@
     [[nodiscard]] celeryramp::http::RequestLimits requestLimits() const override { return {}; }
 
 private:
-    struct Item
-    {
-        std::string value;
-        std::int64_t revision = 0;
-    };
-    struct Event
+    struct Connection
     {
-        std::string key;
-        std::int64_t revision = 0;
-        bool isRemoved = false;
-        std::string value;
+        celeryramp::http::CallerConnectionPtr connection;
+        std::string host; /*!< Of the address on which it was accepted. */
+        bool isOfTurnedAwayHalf = false;
+        bool isSilent = false; /*!< An answer was lost on it. */
     };
     struct Watch
     {
         celeryramp::http::ResponseWriter response;
+        std::string prefix;
         std::int64_t after = 0;
         celeryramp::TimePoint until;
     };
 
+    void accept(boost::asio::ip::tcp::socket socket, const std::string &host);
+    [[nodiscard]] bool isTurnedAway(const Connection &connection) const;
+    [[nodiscard]] bool answers(const Connection &connection) const;
+    void closeIf(const std::function<bool(const Connection &)> &matches);
+    [[nodiscard]] bool isWithinRate(celeryramp::TimePoint now);
+
     void respond(const celeryramp::http::ResponseWriter &response, int status,
                  const std::string &body);
-    [[nodiscard]] std::string rangeBody() const;
-    /*! @return The events after a revision as a body, or nothing if there are none. */
-    [[nodiscard]] std::string eventsBody(std::int64_t after, bool isEmptyAllowed) const;
+    void respondToKey(const celeryramp::http::ResponseWriter &response, std::string_view target);
+    void respondToRange(const celeryramp::http::ResponseWriter &response, std::string_view target);
+    void beginWatch(const celeryramp::http::ResponseWriter &response, std::string_view target);
+    /*! @return The events that a watch is due as a body, or nothing if there are none. */
+    [[nodiscard]] std::string eventsBody(const Watch &watch, bool isEmptyAllowed) const;
     void serveWatches();
     void tick();
 
     boost::asio::io_context &m_context;
     StoreState m_state;
-    std::map<std::string, Item> m_items;
-    std::deque<Event> m_events;
-    std::int64_t m_revision = 10;
-    std::int64_t m_compactedAt = 0;
+    StoreLimits m_limits;
+    StoreCalls m_calls;
+    StoreCopy m_data;
+    std::int64_t m_era = 1;
     std::vector<Watch> m_watches;
-    std::set<celeryramp::http::CallerConnectionPtr> m_connections;
-    std::set<const celeryramp::http::CallerConnection *>
-            m_turnedAway; /*!< Turned away if some are. */
+    std::map<const celeryramp::http::CallerConnection *, Connection> m_connections;
     int m_accepted = 0;
+    celeryramp::TimePoint m_rateSecond; /*!< Start of the second in which reads are counted. */
+    int m_readsInSecond = 0;
     boost::asio::steady_timer m_timer;
-    celeryramp::http::Listener m_listener;
+    std::vector<std::unique_ptr<celeryramp::http::Listener>> m_listeners;
 };
 
 } // namespace standin::soak
