Logs of the tests of a restored store stay

A case took 10 s longer than usual once, and its logs were gone. They stay now in out/restored, by the name of the case, until its next run.

--- a/test/restored/restored_site.cpp
+++ b/test/restored/restored_site.cpp
@@ -5,7 +5,6 @@
 #include <fstream>
 
 #include <nlohmann/json.hpp>
-#include <unistd.h>
 
 #include "core/boot_clock.h"
 #include "names.h"
@@ -68,12 +67,12 @@
 
 } // namespace
 
-RestoredSite::RestoredSite(const SiteVersion &first, const std::vector<std::string> &routes,
-                           const std::string &key)
-    : m_directory{std::filesystem::temp_directory_path()
-                  / ("restored-" + std::to_string(getpid()))},
-      m_store{m_context, storeAddress(0)}, m_servers(kNodes)
+RestoredSite::RestoredSite(const std::string &name, const SiteVersion &first,
+                           const std::vector<std::string> &routes, const std::string &key)
+    : m_directory{CELERYRAMP_RESTORED_OUT "/" + name}, m_store{m_context, storeAddress(0)},
+      m_servers(kNodes)
 {
+    std::filesystem::remove_all(m_directory);
     std::filesystem::create_directories(m_directory);
     publish(first);
     for (int i = 0; i < kNodes; ++i) {
@@ -101,12 +100,7 @@
     }
 }
 
-RestoredSite::~RestoredSite()
-{
-    m_processes.killAll();
-    std::error_code ignored;
-    std::filesystem::remove_all(m_directory, ignored);
-}
+RestoredSite::~RestoredSite() = default;
 
 void RestoredSite::addServer(int index)
 {
--- a/test/restored/restored_site.h
+++ b/test/restored/restored_site.h
@@ -30,11 +30,12 @@
     /*! Time for which the store is away before it comes back. */
     static constexpr Millis kAway{700};
 
-    /*! @param first Version that is written before the nodes start.
+    /*! @param name Name of the directory for settings and logs, which stay after the test.
+     *  @param first Version that is written before the nodes start.
      *  @param routes Prefixes that are asked for without a key. @param key Key that is asked with
      * where one is needed. */
-    RestoredSite(const SiteVersion &first, const std::vector<std::string> &routes,
-                 const std::string &key);
+    RestoredSite(const std::string &name, const SiteVersion &first,
+                 const std::vector<std::string> &routes, const std::string &key);
     ~RestoredSite();
     RestoredSite(const RestoredSite &) = delete;
     RestoredSite &operator=(const RestoredSite &) = delete;
--- a/test/restored/store_comes_back_older.cpp
+++ b/test/restored/store_comes_back_older.cpp
@@ -98,8 +98,10 @@
         return std::max(acknowledgedAt + kConfigApply, returnedAt + kStableWindow);
     }
 
-    RestoredSite site{
-            kFirst, {kAlways, kDropped, kLostRoute, kNewerRoute, kNewestRoute}, kWithdrawnKey};
+    RestoredSite site{Catch::getResultCapture().getCurrentTestName(),
+                      kFirst,
+                      {kAlways, kDropped, kLostRoute, kNewerRoute, kNewestRoute},
+                      kWithdrawnKey};
 };
 
 } // namespace
