A version that only peers have comes to nodes that started on the copy

What callers saw: 404 for a route of a confirmed version at a restarted node, while all others serve it, until the operator writes again.

Cause: a node that starts after the store came back from a copy reads a state of the same position as its peers, in which the newest version of the configuration is missing. Positions are equal, so nobody tells it.

Change: usage reports, of nodes and of zones, levels, requests for the state of a peer and replies tell the latest version that the sender knows. A node whose position is not behind and which knows a lower version asks for it, five times at most for one version, and takes nothing else from a state of a former era (Replica::adoptConfiguration).

Ruled out: asking on any difference of versions; in a series of changes the zones read up to 0.7 s apart, and each would fetch across zones what it is about to read.

--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -21,7 +21,13 @@
 {
     std::vector<ReplicaEvent> events;
     if (m_isComplete && position < m_position) {
-        events.push_back({"list-ignored", position.text(), "older than " + m_position.text()});
+        for (const auto &item : items) {
+            adoptConfiguration(item, events);
+        }
+        if (events.empty()) {
+            events.push_back({"list-ignored", position.text(), "older than " + m_position.text()});
+        }
+        rebuildView();
         return events;
     }
     const bool isNewEra = m_isComplete && position.era > m_position.era;
@@ -151,6 +157,7 @@
 {
     std::vector<SyncItem> items;
     items.reserve(m_items.size());
+    const auto inForce = m_routing ? m_routing->version() : 0;
     for (const auto &[key, held] : m_items) {
         SyncItem it{{key, {}, held.position.revision, false, held.position.era}, {}};
         if (held.position > peer.position) {
@@ -161,6 +168,8 @@
                 it.item.value = held.value;
                 it.base = {};
             }
+        } else if (key == m_configurationKey && peer.version > 0 && peer.version < inForce) {
+            it.item.value = held.value; // the peer has read a source that has lost this version
         }
         items.push_back(std::move(it));
     }
@@ -211,6 +220,7 @@
     const auto held = m_items.find(change.key);
     const bool isHeld = held != m_items.end();
     if (isHeld && held->second.position >= change.position()) {
+        adoptConfiguration(change, events);
         return;
     }
     if (m_lapsedUntil.erase(change.key) > 0 && m_servers.count(change.key) > 0) {
@@ -271,6 +281,22 @@
     }
 }
 
+void Replica::adoptConfiguration(const ItemChange &item, std::vector<ReplicaEvent> &events)
+{
+    const auto held = m_items.find(item.key);
+    if (item.key != m_configurationKey || item.value.empty() || held == m_items.end()
+        || item.era >= held->second.position.era) {
+        return;
+    }
+    auto decoded = m_decoder.decode(item.key, item.value);
+    auto *configuration = decoded ? std::get_if<Configuration>(&decoded.value()) : nullptr;
+    if (configuration == nullptr || configuration->version <= m_routing->version()) {
+        return;
+    }
+    hold(item.key, item.value, item.position());
+    applyConfiguration(item.key, std::move(*configuration), false, events);
+}
+
 void Replica::applyServer(const std::string &key, BackendServer server, TimePoint now,
                           std::vector<ReplicaEvent> &events)
 {
@@ -337,6 +363,7 @@
                                  bool isLaterEra, std::vector<ReplicaEvent> &events)
 {
     const auto version = std::to_string(configuration.version);
+    m_knownVersion = std::max(m_knownVersion, configuration.version);
     const bool isRepeated = m_routing && configuration.version == m_routing->version();
     if ((isRepeated && !isLaterEra)
         || (m_routing && configuration.version < m_routing->version())) {
--- a/src/celeryramp/directory/replica.h
+++ b/src/celeryramp/directory/replica.h
@@ -66,8 +66,8 @@
     /*!
      * @brief Applies a complete list; held items that are not in it are removed.
      * @param items An item that is held at the same position needs no value.
-     * @param position Of the source when it produced the first page. A list before the state of
-     * the replica is ignored.
+     * @param position Of the source when it produced the first page. Of a list before the state of
+     * the replica, only a later version of the configuration is used.
      * @param requestedAt When the first page was requested; determines the age of the replica.
      * @param renewalTime `renewalTimeLeft` of the node that has read the items from the source.
      * @return The effects on the replica.
@@ -115,6 +115,10 @@
     /*! @return State of the source that the replica reflects. */
     [[nodiscard]] const SourcePosition &position() const noexcept { return m_position; }
 
+    /*! @return Latest version of the configuration that was received, also if it is not usable; 0
+     * before the first one. */
+    [[nodiscard]] std::uint64_t knownVersion() const noexcept { return m_knownVersion; }
+
     /*! @return True once a complete list has been applied. */
     [[nodiscard]] bool isComplete() const noexcept { return m_isComplete; }
 
@@ -149,6 +153,7 @@
     struct SyncBase
     {
         SourcePosition position; /*!< At which its replica is complete. */
+        std::uint64_t version = 0; /*!< `knownVersion` of its replica; 0 if it does not tell. */
         bool takesDeltas = false; /*!< False if it reads whole values only. */
     };
     /*! @return All items, with the values that the peer lacks. */
@@ -180,6 +185,9 @@
     void hold(const std::string &key, std::string value, const SourcePosition &position);
     void applyItem(const ItemChange &change, Millis renewalTime, TimePoint now,
                    std::vector<ReplicaEvent> &events);
+    /*! @brief Takes over a version of the configuration from a peer, where the source has lost it.
+     */
+    void adoptConfiguration(const ItemChange &item, std::vector<ReplicaEvent> &events);
     void applyServer(const std::string &key, BackendServer server, TimePoint now,
                      std::vector<ReplicaEvent> &events);
     /*! @return True if an item of an earlier era is kept although the source lacks it. */
@@ -206,6 +214,7 @@
     std::map<std::string, TimePoint> m_lapsedUntil; /*!< When items that are gone are removed. */
     std::shared_ptr<const RoutingTable> m_routing;
     std::string m_configurationKey; /*!< Of the item in force; empty before the first one. */
+    std::uint64_t m_knownVersion = 0;
     DirectoryPtr m_view = std::make_shared<Directory>();
     SourcePosition m_position;
     TimePoint m_freshAsOf;
--- a/src/celeryramp/engine/peer_coordinator.cpp
+++ b/src/celeryramp/engine/peer_coordinator.cpp
@@ -46,6 +46,9 @@
 /*! Time after its last usage report for which a node is pushed changes; idle nodes report every
  *  500 ms. */
 constexpr Millis kSubscriptionTtl{2000};
+/*! Requests for a version that only peers have. One that a node cannot read is not asked for again
+ *  and again. */
+constexpr int kMaxVersionRequests = 5;
 
 } // namespace internal
 
@@ -213,8 +216,8 @@
 {
     m_lastSyncRequestAt = now;
     m_unansweredSyncs[peer.host] = now;
-    auto frame = proxy::encodeFrame(
-            proxy::SyncRequestFrame{position, now.time_since_epoch().count(), takesDeltas});
+    auto frame = proxy::encodeFrame(proxy::SyncRequestFrame{
+            position, now.time_since_epoch().count(), takesDeltas, m_replica.knownVersion()});
     countStateFrame("sync-request", frame.size());
     send(peer, std::move(frame), now);
 }
@@ -228,6 +231,21 @@
     }
 }
 
+void PeerCoordinator::syncVersion(const Address &peer, std::uint64_t version, TimePoint now)
+{
+    if (!m_replica.isComplete() || version <= m_replica.knownVersion()) {
+        return;
+    }
+    if (version > m_requestedVersion) {
+        m_requestedVersion = version;
+        m_versionRequests = 0;
+    }
+    if (m_versionRequests < internal::kMaxVersionRequests) {
+        ++m_versionRequests;
+        requestSync(peer, now);
+    }
+}
+
 bool PeerCoordinator::isReliable(const Address &peer, TimePoint now) const
 {
     return m_peers.isReachable(peer, now) && !m_peers.hasFailed(peer);
@@ -308,6 +326,7 @@
             m_lastReportAt = now;
             report.sentAt = now.time_since_epoch().count();
             report.position = m_replica.position();
+            report.version = m_replica.knownVersion();
             send(aggregator, report, now);
         }
         return;
@@ -334,6 +353,7 @@
     m_lastZoneReportAt = now;
     auto zoneReport = m_usageAggregator.takeZoneReport(isIdle);
     zoneReport.position = m_replica.position();
+    zoneReport.version = m_replica.knownVersion();
     for (const auto &zone : zones()) {
         if (zone == m_settings.zone) {
             continue;
@@ -416,6 +436,7 @@
         auto levels = m_usageAggregator.levels(*m_replica.view()->routing, now);
         levels.askedAt = frame.sentAt;
         levels.position = m_replica.position();
+        levels.version = m_replica.knownVersion();
         levels.age = m_replica.age(now);
         send(peer, levels, now);
     }
@@ -428,6 +449,9 @@
         // Within an era, changes are pushed; a list that shows a new era is not.
         onAnnounced(frame.position, now);
         requestSync(peer, now);
+    } else if (frame.position <= m_replica.position()) {
+        // A peer that is ahead merely has read more.
+        syncVersion(peer, frame.version, now);
     }
 }
 
@@ -439,6 +463,7 @@
         requestSync(peer, now);
         return;
     }
+    syncVersion(peer, frame.version, now);
     if (frame.position == m_replica.position() && frame.age < internal::kMaxConfirmingAge) {
         // The peer's replica was at most `age` old when it answered, which was after the report was
         // sent, so this replica was complete at the time of the report minus `age`.
@@ -450,16 +475,18 @@
 void PeerCoordinator::onSyncRequest(const Address &peer, const proxy::SyncRequestFrame &frame,
                                     TimePoint now)
 {
-    if (!m_replica.isComplete() || m_replica.position() < frame.position) {
+    const bool hasVersion = m_replica.knownVersion() > frame.version;
+    if (!m_replica.isComplete() || (m_replica.position() < frame.position && !hasVersion)) {
         return;
     }
     proxy::SyncReplyFrame reply;
     reply.position = m_replica.position();
     reply.since = frame.position;
+    reply.version = m_replica.knownVersion();
     reply.askedAt = frame.askedAt;
     reply.age = m_replica.age(now);
     reply.renewalTimeLeft = m_replica.renewalTimeLeft(now);
-    const directory::Replica::SyncBase held{frame.position, frame.takesDeltas};
+    const directory::Replica::SyncBase held{frame.position, frame.version, frame.takesDeltas};
     for (auto &[item, base] : m_replica.itemsSince(held)) {
         if (base != directory::SourcePosition{}) {
             reply.bases[reply.items.size()] = base;
@@ -475,7 +502,8 @@
 PeerCoordinator::onSyncReply(const Address &peer, const proxy::SyncReplyFrame &frame, TimePoint now)
 {
     m_unansweredSyncs.erase(peer.host);
-    if (m_replica.isComplete() && frame.position < m_replica.position()) {
+    if (m_replica.isComplete() && frame.position < m_replica.position()
+        && frame.version <= m_replica.knownVersion()) {
         return std::nullopt;
     }
     std::vector<directory::ItemChange> items;
--- a/src/celeryramp/engine/peer_coordinator.h
+++ b/src/celeryramp/engine/peer_coordinator.h
@@ -119,8 +119,11 @@
     void readIfLagging(TimePoint now);
     void sendSyncRequest(const Address &peer, const directory::SourcePosition &position,
                          bool takesDeltas, TimePoint now);
-    /*! @brief Requests the state of a peer that reports a later era than this node's. */
+    /*! @brief Requests the state of a peer that reports a later era or version than this node's. */
     void compareState(const Address &peer, const proxy::UsageFrame &frame, TimePoint now);
+    /*! @brief Requests the state of a peer that knows a later version of the configuration than
+     * this node has found in the source. */
+    void syncVersion(const Address &peer, std::uint64_t version, TimePoint now);
     /*! @return Nodes to which changes are pushed: those of the zone, and those that report usage to
      * this node although no server of theirs is published yet or any more. */
     [[nodiscard]] std::vector<Address> subscribers(TimePoint now) const;
@@ -150,6 +153,8 @@
     std::map<std::string, TimePoint> m_unansweredSyncs; /*!< Time of sync requests, by host. */
     TimePoint m_lastSyncRequestAt;
     directory::SourcePosition m_requiredPosition; /*!< Up to which this node reads by itself. */
+    std::uint64_t m_requestedVersion = 0; /*!< Of the configuration, that peers were asked for. */
+    int m_versionRequests = 0; /*!< For `m_requestedVersion`. */
     std::map<std::string, TimePoint>
             m_readFailedAt; /*!< When nodes reported that they cannot read, by host. */
 };
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -195,7 +195,7 @@
 }
 
 /*! Nodes of the release without eras read fields by their index and stop at the first that cannot
- * start another entry, so eras stand behind all that they read. */
+ * start another entry, so eras and versions stand behind all that they read. */
 constexpr std::size_t kUsageHead = 5;
 constexpr std::size_t kUsageEntry = 3;
 constexpr std::size_t kLevelsHead = 4;
@@ -230,6 +230,7 @@
         out.push_back(static_cast<float>(usage.demanded));
     }
     if (frame.position != directory::SourcePosition{}) {
+        out.push_back(frame.version);
         out.push_back(toJson(frame.position));
     }
 }
@@ -246,8 +247,9 @@
         frame.accounts[json[i].get<std::string>()]
                 = {json[i + 1].get<double>(), json[i + 2].get<double>()};
     }
-    if (i < json.size()) {
-        frame.position = positionFromJson(json[i]);
+    frame.version = fieldOr(json, i, frame.version);
+    if (i + 1 < json.size()) {
+        frame.position = positionFromJson(json[i + 1]);
     }
     return frame;
 }
@@ -264,6 +266,7 @@
         out.push_back(static_cast<float>(level.rate));
     }
     out.push_back(frame.position.era);
+    out.push_back(frame.version);
 }
 
 [[nodiscard]] Frame readLevels(const Json &json)
@@ -278,6 +281,7 @@
                 = {json[i + 1].get<double>(), json[i + 2].get<double>(), json[i + 3].get<double>()};
     }
     frame.position.era = fieldOr(json, i, frame.position.era);
+    frame.version = fieldOr(json, i + 1, frame.version);
     return frame;
 }
 
@@ -287,6 +291,7 @@
     out.push_back(frame.askedAt);
     out.push_back(frame.takesDeltas);
     out.push_back(frame.position.era);
+    out.push_back(frame.version);
 }
 
 [[nodiscard]] Frame readSyncRequest(const Json &json)
@@ -295,6 +300,7 @@
     frame.position = {fieldOr(json, 4, std::int64_t{0}), json.at(1).get<std::int64_t>()};
     frame.askedAt = json.at(2).get<std::int64_t>();
     frame.takesDeltas = fieldOr(json, 3, false);
+    frame.version = fieldOr(json, 5, frame.version);
     return frame;
 }
 
@@ -345,6 +351,7 @@
     auto history = otherEras(frame);
     history.push_back(frame.position.era);
     history.push_back(toJson(frame.since));
+    history.push_back(frame.version);
     bases.push_back(std::move(history));
     out.push_back(std::move(bases));
 }
@@ -353,6 +360,7 @@
 {
     frame.position.era = history.at(2).get<std::int64_t>();
     frame.since = positionFromJson(history.at(3));
+    frame.version = history.at(4).get<std::uint64_t>();
     for (auto &item : frame.items) {
         item.era = frame.position.era;
     }
--- a/src/celeryramp/proxy/frames.h
+++ b/src/celeryramp/proxy/frames.h
@@ -150,6 +150,7 @@
     std::int64_t sentAt = 0; /*!< Nanoseconds on the sender's clock; echoed in the levels. */
     std::map<std::string, AccountUsage> accounts;
     directory::SourcePosition position; /*!< Of the sender's replica. */
+    std::uint64_t version = 0; /*!< `directory::Replica::knownVersion` of the sender. */
 };
 
 /*! @brief Fleet-wide state of an account's rate limit. */
@@ -167,6 +168,7 @@
     directory::SourcePosition position; /*!< Of the sender's replica. */
     Millis age{0}; /*!< Time since that position was last confirmed. */
     std::map<std::string, AccountLevel> accounts;
+    std::uint64_t version = 0; /*!< `directory::Replica::knownVersion` of the sender. */
 };
 
 /*! @brief Requests the directory items that changed after a position. */
@@ -175,6 +177,7 @@
     directory::SourcePosition position;
     std::int64_t askedAt = 0; /*!< Nanoseconds on the sender's clock; echoed in the reply. */
     bool takesDeltas = false; /*!< Nodes of earlier releases read whole values only. */
+    std::uint64_t version = 0; /*!< `directory::Replica::knownVersion` of the sender. */
 };
 
 /*! @brief The directory items known to a peer. */
@@ -189,6 +192,7 @@
     std::map<std::size_t, directory::SourcePosition>
             bases; /*!< Base positions of the values that are deltas, by index of the item. */
     directory::SourcePosition since; /*!< `position` of the request. */
+    std::uint64_t version = 0; /*!< `directory::Replica::knownVersion` of the peer. */
 };
 
 /*! @brief Directory changes that a node has read from the platform, for the nodes of its zone.
--- a/test/directory/replica.cpp
+++ b/test/directory/replica.cpp
@@ -230,7 +230,7 @@
         static_cast<void>(replica.applyChanges({item(number)}, at(number), kStart, kLeft, kStart));
     }
     const auto valueOf = [&](std::int64_t revision, bool takesDeltas) {
-        const auto items = replica.itemsSince({at(revision), takesDeltas});
+        const auto items = replica.itemsSince({at(revision), 0, takesDeltas});
         const auto it = std::find_if(items.begin(), items.end(), [](const auto &entry) {
             return entry.item.key == "configuration";
         });
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -138,9 +138,9 @@
     REQUIRE(back.bases == reply.bases);
     const auto request = decodeFrame(encodeFrame(SyncRequestFrame{{0, 3}, 1, true}));
     REQUIRE(std::get<SyncRequestFrame>(request.value()).takesDeltas);
-    // As sent by earlier releases, which have neither deltas nor eras.
+    // As sent by earlier releases, which have neither deltas nor eras and versions.
     const auto earlier
-            = decodeFrame(withoutLast(encodeFrame(SyncRequestFrame{{0, 3}, 1, true}), 2));
+            = decodeFrame(withoutLast(encodeFrame(SyncRequestFrame{{0, 3}, 1, true}), 3));
     REQUIRE(std::get<SyncRequestFrame>(earlier.value()).position.revision == 3);
     REQUIRE_FALSE(std::get<SyncRequestFrame>(earlier.value()).takesDeltas);
 }
