Tests of replicas whose source comes back from a copy

A source that goes back gives revisions out again, and nodes ignored it or followed changes behind what they had never read.

The text decoder of the tests reads a sequence, which may be left out.

--- /dev/null
+++ b/test/support/replica_steps.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "directory/replica.h"
+#include "support/text_decoder.h"
+
+/*! Items and exchanges of replicas for tests of a source that comes back from a copy. */
+namespace celeryramp::test {
+
+constexpr Millis kGracePeriod{1500};
+/*! Renewal time when a missing entry means that its server has left. */
+constexpr Millis kNoRenewal{0};
+
+[[nodiscard]] inline directory::ItemChange item(std::string key, std::string value,
+                                                const directory::SourcePosition &position)
+{
+    return {std::move(key), std::move(value), position.revision, false, position.era};
+}
+
+[[nodiscard]] inline directory::ItemChange removal(std::string key,
+                                                   const directory::SourcePosition &position)
+{
+    return {std::move(key), {}, position.revision, true, position.era};
+}
+
+[[nodiscard]] inline directory::ItemChange version(int number,
+                                                   const directory::SourcePosition &position,
+                                                   const std::string &content = {})
+{
+    return item("configuration", std::to_string(number) + " " + content, position);
+}
+
+[[nodiscard]] inline directory::ItemChange zone(const std::string &name,
+                                                const directory::SourcePosition &position)
+{
+    return item("zone/" + name, {}, position);
+}
+
+/*! @brief What a server publishes. */
+struct ServerState
+{
+    int sequence = 1;
+    bool isDraining = false;
+    int startedMillis = 1000;
+};
+
+[[nodiscard]] inline directory::ItemChange server(const std::string &id, const ServerState &state,
+                                                  const directory::SourcePosition &position)
+{
+    return item("server/" + id,
+                id + " stock north 10.0.0.1:80 4 " + (state.isDraining ? "draining" : "ready")
+                        + " 0 " + std::to_string(state.startedMillis) + " "
+                        + std::to_string(state.sequence),
+                position);
+}
+
+[[nodiscard]] inline bool has(const std::vector<directory::ReplicaEvent> &events,
+                              const std::string &event)
+{
+    return std::any_of(
+            events.begin(), events.end(),
+            [&event](const directory::ReplicaEvent &it) { return it.event == event; });
+}
+
+/*! @brief State that a replica sends to one that is behind. */
+struct StateReply
+{
+    directory::SourcePosition position;
+    directory::SourcePosition since; /*!< Position of the replica that asked. */
+    std::vector<directory::Replica::SyncItem> items;
+    TimePoint confirmedAt;
+};
+
+/*! @param isWhole Without deltas and whatever `to` holds. */
+[[nodiscard]] inline StateReply stateFor(const directory::Replica &from,
+                                         const directory::Replica &to, TimePoint now,
+                                         bool isWhole = false)
+{
+    const auto since
+            = to.isComplete() && !isWhole ? to.position() : directory::SourcePosition{};
+    return {from.position(), since, from.itemsSince({since, to.knownVersion(), !isWhole}),
+            now - from.age(now)};
+}
+
+/*! @brief Applies a reply by the rules of `engine::PeerCoordinator`.
+ *  @return False if an item can neither be restored nor left out. */
+inline bool applyState(directory::Replica &to, const StateReply &reply, TimePoint now)
+{
+    std::vector<directory::ItemChange> items;
+    for (const auto &[item, base] : reply.items) {
+        const bool isHeld = to.holds(item.key, item.position());
+        const bool isOmitted = item.value.empty()
+                && item.position() <= reply.since;
+        auto whole = to.fromDelta(item, base);
+        if (isOmitted && !isHeld && item.era < reply.position.era) {
+            continue;
+        }
+        if (!isHeld && (isOmitted || !whole)) {
+            return false;
+        }
+        items.push_back(whole ? std::move(*whole) : item);
+    }
+    static_cast<void>(to.applyList(items, reply.position, reply.confirmedAt, kNoRenewal, now));
+    return true;
+}
+
+/*! @brief Takes over the state of a peer, at the second attempt as a whole. */
+inline void sync(const directory::Replica &from, directory::Replica &to, TimePoint now)
+{
+    if (!applyState(to, stateFor(from, to, now), now)) {
+        static_cast<void>(applyState(to, stateFor(from, to, now, true), now));
+    }
+}
+
+} // namespace celeryramp::test
--- a/test/support/text_decoder.cpp
+++ b/test/support/text_decoder.cpp
@@ -26,6 +26,9 @@
     if (!text || !parsed) {
         return directory::DirectoryError{std::string{key}, "not readable"};
     }
+    if (std::uint64_t sequence = 0; text >> sequence) {
+        server.sequence = sequence;
+    }
     server.address = *parsed;
     server.isDraining = state == "draining";
     server.coldRemaining = Millis{cold};
--- a/test/support/text_decoder.h
+++ b/test/support/text_decoder.h
@@ -8,7 +8,8 @@
  * @brief Decodes items in a plain text format for tests.
  *
  * `configuration` holds a version, `zone/Z` marks zone Z as evacuated, and `server/ID` holds
- * "id service zone address slots state cold started", the last two in milliseconds.
+ * "id service zone address slots state cold started sequence", cold and started in milliseconds;
+ * the sequence may be left out.
  */
 class TextDecoder final : public directory::ItemDecoder
 {
