An evacuation that a peer retains ends in time at every replica

Callers of a zone would have found no server of it for good: a node that came to the new era by the state of a peer got the retained evacuation as a listed item. It set no time for it, and the peer's end of the time is no change that is pushed.

Ruled out: an end by the next state of a peer; states of equal position are not exchanged.

Change: every evacuation that is held at a former era ends after kRewriteTime, whoever listed it.

The test failed before (zone still evacuated at the peer after 10 s, two of its sections) and passes. test-directory passes.

--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -53,6 +53,7 @@
             removeItem(key, renewalTime, now, events);
         }
     }
+    retainEvacuations(now, events);
     m_isComplete = true;
     confirm(requestedAt);
     rebuildView();
@@ -314,16 +315,22 @@
 
 void Replica::onLostItem(const std::string &key, TimePoint now, std::vector<ReplicaEvent> &events)
 {
-    if (key == m_configurationKey) {
-        return;
+    if (key != m_configurationKey && m_evacuatedZones.count(key) == 0) {
+        removeItem(key, m_gracePeriod, now, events);
     }
-    if (const auto zone = m_evacuatedZones.find(key); zone != m_evacuatedZones.end()) {
-        events.push_back({"evacuation-retained", zone->second,
-                          "for " + std::to_string(kRewriteTime.count()) + " ms"});
-        m_lapsedUntil.emplace(key, now + kRewriteTime);
-        return;
+}
+
+void Replica::retainEvacuations(TimePoint now, std::vector<ReplicaEvent> &events)
+{
+    for (const auto &[key, zone] : m_evacuatedZones) {
+        const auto held = m_items.find(key);
+        const bool isFormer = held != m_items.end() && held->second.position.era < m_position.era;
+        // The list of a peer has what the peer retains, and no change shows when that ends.
+        if (isFormer && m_lapsedUntil.emplace(key, now + kRewriteTime).second) {
+            events.push_back({"evacuation-retained", zone,
+                              "for " + std::to_string(kRewriteTime.count()) + " ms"});
+        }
     }
-    removeItem(key, m_gracePeriod, now, events);
 }
 
 void Replica::removeItem(const std::string &key, Millis renewalTime, TimePoint now,
--- a/test/directory/replica_restored.cpp
+++ b/test/directory/replica_restored.cpp
@@ -329,6 +329,37 @@
     CHECK(whole->value == version(9, {}, large).value);
 }
 
+// Guards against an evacuation that only the reader ends: the others do not see that it is retained.
+TEST_CASE("Restored source: an evacuation that a peer retains ends in time at every replica")
+{
+    Pair nodes;
+    SECTION("that held it")
+    {
+        nodes.list({zone("north", {1, 40})}, {1, 50});
+        nodes.reader.list({}, {2, 30});
+    }
+    SECTION("that never had it")
+    {
+        nodes.reader.list({zone("north", {1, 40})}, {1, 50});
+        nodes.reader.list({}, {2, 30});
+        nodes.peer.list({}, {2, 29});
+    }
+    SECTION("that held it and goes back twice")
+    {
+        nodes.list({zone("north", {1, 40})}, {1, 50});
+        nodes.reader.list({}, {2, 30});
+        nodes.reader.list({}, {3, 20});
+    }
+    nodes.sync(nodes.reader, nodes.peer);
+    nodes.pass(Replica::kRewriteTime - kMoment);
+    nodes.pass(kMoment);
+    CHECK_FALSE(nodes.reader.isEvacuated("north"));
+    CHECK_FALSE(nodes.peer.isEvacuated("north"));
+    // The one that has ended it first does not get it back.
+    nodes.sync(nodes.peer, nodes.reader);
+    CHECK_FALSE(nodes.reader.isEvacuated("north"));
+}
+
 // Guards against a delta that is taken for one against a value of the same revision.
 TEST_CASE("Restored source: a delta against the other era does not apply")
 {
--- a/test/directory/server_history.cpp
+++ b/test/directory/server_history.cpp
@@ -1,6 +1,5 @@
 #include "directory/server_history.h"
 
-
 #include <catch2/catch.hpp>
 
 using namespace celeryramp;
--- a/test/support/replica_steps.h
+++ b/test/support/replica_steps.h
@@ -26,9 +26,8 @@
     return {std::move(key), {}, position.revision, true, position.era};
 }
 
-[[nodiscard]] inline directory::ItemChange version(int number,
-                                                   const directory::SourcePosition &position,
-                                                   const std::string &content = {})
+[[nodiscard]] inline directory::ItemChange
+version(int number, const directory::SourcePosition &position, const std::string &content = {})
 {
     return item("configuration", std::to_string(number) + " " + content, position);
 }
@@ -60,9 +59,8 @@
 [[nodiscard]] inline bool has(const std::vector<directory::ReplicaEvent> &events,
                               const std::string &event)
 {
-    return std::any_of(
-            events.begin(), events.end(),
-            [&event](const directory::ReplicaEvent &it) { return it.event == event; });
+    return std::any_of(events.begin(), events.end(),
+                       [&event](const directory::ReplicaEvent &it) { return it.event == event; });
 }
 
 /*! @brief State that a replica sends to one that is behind. */
@@ -79,8 +77,7 @@
                                          const directory::Replica &to, TimePoint now,
                                          bool isWhole = false)
 {
-    const auto since
-            = to.isComplete() && !isWhole ? to.position() : directory::SourcePosition{};
+    const auto since = to.isComplete() && !isWhole ? to.position() : directory::SourcePosition{};
     return {from.position(), since, from.itemsSince({since, to.knownVersion(), !isWhole}),
             now - from.age(now)};
 }
@@ -92,8 +89,7 @@
     std::vector<directory::ItemChange> items;
     for (const auto &[item, base] : reply.items) {
         const bool isHeld = to.holds(item.key, item.position());
-        const bool isOmitted = item.value.empty()
-                && item.position() <= reply.since;
+        const bool isOmitted = item.value.empty() && item.position() <= reply.since;
         auto whole = to.fromDelta(item, base);
         if (isOmitted && !isHeld && item.era < reply.position.era) {
             continue;
