A server that was withheld counts as published once it is used

Callers could have been sent to a draining server: after its entry had been withheld for kRewriteTime it was used, but the history still had it as removed. The copy of another era, with an older state, was then withheld as well and replaced the newer one that was in use.

Ruled out: entries of the same text, which are not compared.

Change: expire() records the server as published, in the present era.

--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -104,6 +104,7 @@
             ++it;
             continue;
         }
+        m_history.onPublished(it->first, it->second.server, m_position.era);
         applyServer(it->first, std::move(it->second.server), now, events);
         it = m_withheld.erase(it);
     }
--- a/test/directory/replica_restored.cpp
+++ b/test/directory/replica_restored.cpp
@@ -83,9 +83,18 @@
         const auto events = it.list({version(3, {1, 40}), server("b", {}, {1, 60})}, {1, 60});
         CHECK(has(events, "list-ignored"));
     }
-    SECTION("changes of a former era") { it.change(server("b", {}, {1, 60})); }
-    SECTION("removal of a former era") { it.change(removal("server/a", {1, 60})); }
-    SECTION("changes of a later era") { it.change(server("b", {}, {3, 60})); }
+    SECTION("changes of a former era")
+    {
+        it.change(server("b", {}, {1, 60}));
+    }
+    SECTION("removal of a former era")
+    {
+        it.change(removal("server/a", {1, 60}));
+    }
+    SECTION("changes of a later era")
+    {
+        it.change(server("b", {}, {3, 60}));
+    }
     SECTION("no changes in a later era")
     {
         it.replica.applyChanges({}, {3, 60}, it.now, kNoRenewal, it.now);
@@ -277,6 +286,22 @@
     }
 }
 
+// Guards against a server that is forgotten since it was withheld once, so that a later copy
+// counts.
+TEST_CASE("Restored source: a server that was withheld counts as published afterwards")
+{
+    Fixture it;
+    it.list({server("a", {7, true}, {1, 40})}, {1, 50});
+    it.change(removal("server/a", {1, 51}));
+    it.list({server("a", {7, true}, {2, 40})}, {2, 45});
+    it.pass(Replica::kRewriteTime);
+    REQUIRE(it.find("a")->isDraining);
+    it.list({server("a", {6}, {3, 35})}, {3, 42});
+    CHECK(it.find("a")->isDraining);
+    it.pass(Replica::kRewriteTime);
+    CHECK(it.find("a")->isDraining);
+}
+
 namespace {
 
 /*! @brief A node that reads the source and a peer that is cut off from it. */
@@ -329,7 +354,8 @@
     CHECK(whole->value == version(9, {}, large).value);
 }
 
-// Guards against an evacuation that only the reader ends: the others do not see that it is retained.
+// Guards against an evacuation that only the reader ends: the others do not see that it is
+// retained.
 TEST_CASE("Restored source: an evacuation that a peer retains ends in time at every replica")
 {
     Pair nodes;
