A second era gives the whole time again to write what was lost

Callers could have been sent to an evacuated zone or a removed server, or lost servers, if the source went back twice within 10 s: the times counted from the first return, although the source was away again before anyone could write.

Ruled out: entries that differ from those of the first copy; they were compared anew and withheld for the whole time.

Change: the first list of a new era restarts the running times.

The tests failed before (zone no longer evacuated and server in use 9.9 s after the second return) and pass. test-directory passes.

--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -33,6 +33,7 @@
     const bool isNewEra = m_isComplete && position.era > m_position.era;
     if (isNewEra) {
         events.push_back({"source-restored", position.text(), "after " + m_position.text()});
+        restartTimes(now);
     }
     m_position = position;
     std::set<std::string> listed;
@@ -334,6 +335,16 @@
     }
 }
 
+void Replica::restartTimes(TimePoint now)
+{
+    for (auto &[key, until] : m_lapsedUntil) {
+        until = now + (m_servers.count(key) > 0 ? m_gracePeriod : kRewriteTime);
+    }
+    for (auto &[key, withheld] : m_withheld) {
+        withheld.until = now + kRewriteTime;
+    }
+}
+
 void Replica::removeItem(const std::string &key, Millis renewalTime, TimePoint now,
                          std::vector<ReplicaEvent> &events)
 {
--- a/src/celeryramp/directory/replica.h
+++ b/src/celeryramp/directory/replica.h
@@ -194,6 +194,8 @@
     [[nodiscard]] bool isRetained(const std::string &key) const;
     /*! @brief Handles that the first list of an era lacks an item. */
     void onLostItem(const std::string &key, TimePoint now, std::vector<ReplicaEvent> &events);
+    /*! @brief Gives the whole time again, as the source has gone back before it was over. */
+    void restartTimes(TimePoint now);
     /*! @brief Limits the time of evacuations that a list has not published in its own era. */
     void retainEvacuations(TimePoint now, std::vector<ReplicaEvent> &events);
     void removeItem(const std::string &key, Millis renewalTime, TimePoint now,
--- a/test/directory/replica_restored.cpp
+++ b/test/directory/replica_restored.cpp
@@ -286,6 +286,50 @@
     }
 }
 
+// Guards against a source that goes back again before what it lost could be written again.
+TEST_CASE("Restored source: a second era gives the same time again")
+{
+    Fixture it;
+    it.list({version(7, {1, 38}), zone("north", {1, 39}), server("a", {7}, {1, 40}),
+             server("b", {7, true}, {1, 41})},
+            {1, 50});
+    it.change(removal("server/a", {1, 51}));
+    const Items copy{version(6, {2, 30}), server("a", {7}, {2, 40}), server("b", {6}, {2, 35})};
+    it.list(copy, {2, 45});
+    it.pass(Replica::kRewriteTime - kMoment);
+    Items second{version(5, {3, 20}), server("a", {7}, {3, 40}), server("b", {5}, {3, 25})};
+    SECTION("with the entries of the first copy") { }
+    SECTION("with older entries")
+    {
+        second[1] = server("a", {6}, {3, 22});
+    }
+    it.list(second, {3, 44});
+    it.pass(Replica::kRewriteTime - kMoment);
+    CHECK(it.versionInForce() == 7);
+    CHECK(it.isEvacuated("north"));
+    CHECK(it.find("a") == nullptr);
+    CHECK(it.find("b")->isDraining);
+    it.pass(kMoment);
+    CHECK_FALSE(it.isEvacuated("north"));
+    CHECK(it.find("a") != nullptr);
+    CHECK(it.find("b")->isDraining);
+}
+
+// Guards against lost servers, since the source goes back again before they could write their
+// entries.
+TEST_CASE("Restored source: a server that two copies lack has its grace period from the second")
+{
+    Fixture it;
+    it.list({server("a", {7}, {1, 40})}, {1, 50});
+    it.list({}, {2, 45});
+    it.pass(kGracePeriod - kMoment);
+    it.list({}, {3, 40});
+    it.pass(kGracePeriod - kMoment);
+    CHECK(it.find("a") != nullptr);
+    it.pass(kMoment);
+    CHECK(it.find("a") == nullptr);
+}
+
 // Guards against a server that is forgotten since it was withheld once, so that a later copy
 // counts.
 TEST_CASE("Restored source: a server that was withheld counts as published afterwards")
