A restarted node that read a copy without configuration gets that of its peers

Callers of a restarted node would have got 503 until the operator had written the first version again: peers sent their retained version to nodes only that tell one, and a node without any did not adopt one.

Ruled out: a node whose copy has an older version; that one is replaced.

Change: a node of a later era gets the version also if it tells none, and adopts it. Nodes of earlier releases tell no era and get no more than before.

The test failed before (no routing table at the restarted node) and passes. test-directory passes.

--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -162,6 +162,8 @@
     items.reserve(m_items.size());
     const auto inForce = m_routing ? m_routing->version() : 0;
     for (const auto &[key, held] : m_items) {
+        // Nodes that tell no version know no eras either.
+        const bool tellsVersion = peer.version > 0 || peer.position.era > held.position.era;
         SyncItem it{{key, {}, held.position.revision, false, held.position.era}, {}};
         if (held.position > peer.position) {
             const auto *base = peer.takesDeltas ? previousAt(key, peer.position) : nullptr;
@@ -171,7 +173,7 @@
                 it.item.value = held.value;
                 it.base = {};
             }
-        } else if (key == m_configurationKey && peer.version > 0 && peer.version < inForce) {
+        } else if (key == m_configurationKey && tellsVersion && peer.version < inForce) {
             it.item.value = held.value; // the peer has read a source that has lost this version
         }
         items.push_back(std::move(it));
@@ -287,13 +289,14 @@
 void Replica::adoptConfiguration(const ItemChange &item, std::vector<ReplicaEvent> &events)
 {
     const auto held = m_items.find(item.key);
-    if (item.key != m_configurationKey || item.value.empty() || held == m_items.end()
-        || item.era >= held->second.position.era) {
+    const auto era = held != m_items.end() ? held->second.position.era : m_position.era;
+    const bool isOfKey = !m_routing || item.key == m_configurationKey;
+    if (!isOfKey || item.value.empty() || item.era >= era) {
         return;
     }
     auto decoded = m_decoder.decode(item.key, item.value);
     auto *configuration = decoded ? std::get_if<Configuration>(&decoded.value()) : nullptr;
-    if (configuration == nullptr || configuration->version <= m_routing->version()) {
+    if (configuration == nullptr || (m_routing && configuration->version <= m_routing->version())) {
         return;
     }
     hold(item.key, item.value, item.position());
--- a/test/directory/replica_restored.cpp
+++ b/test/directory/replica_restored.cpp
@@ -498,3 +498,22 @@
     nodes.peer.change(version(9, {2, 48}));
     CHECK(nodes.peer.versionInForce() == 9);
 }
+
+// Guards against a restarted node without any configuration while its peers have one.
+TEST_CASE("Restored source: a restarted node that read a copy without configuration gets one")
+{
+    Pair nodes;
+    nodes.reader.list({version(1, {1, 38}), server("a", {7}, {1, 39})}, {1, 50});
+    SECTION("from a peer of the same state")
+    {
+        nodes.reader.list({}, {2, 20});
+    }
+    SECTION("from a peer of the former era") { }
+    nodes.peer.list({}, {2, 20});
+    nodes.sync(nodes.reader, nodes.peer);
+    REQUIRE(nodes.peer.replica.view()->routing);
+    CHECK(nodes.peer.versionInForce() == 1);
+    nodes.peer.list({}, {2, 21});
+    CHECK(nodes.peer.versionInForce() == 1);
+    CHECK(nodes.peer.find("a") == nullptr);
+}
