A removed evacuation ends although a peer retains that of the former era

Callers would have found no server of a zone for good: a node that held an evacuation of the present era, came to the removal by the state of a peer that had gone from the former era to the state without it, and kept it as listed.

Ruled out: servers and configurations, whose former state is retained where the source lists one.

Change: an evacuation that a list has of a former era is not one that the source has.

--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -38,9 +38,13 @@
     m_position = position;
     std::set<std::string> listed;
     for (const auto &item : items) {
-        listed.insert(item.key);
         applyItem(item, renewalTime, now, events);
+        // An evacuation of a former era is retained by a peer, and the source has none.
+        if (item.era == position.era || m_evacuatedZones.count(item.key) == 0) {
+            listed.insert(item.key);
+        }
     }
+    retainEvacuations(now, events);
     std::vector<std::string> missing;
     for (const auto &[key, held] : m_items) {
         if (listed.count(key) == 0 && held.position <= position) {
@@ -54,7 +58,6 @@
             removeItem(key, renewalTime, now, events);
         }
     }
-    retainEvacuations(now, events);
     m_isComplete = true;
     confirm(requestedAt);
     rebuildView();
--- a/test/directory/replica_restored.cpp
+++ b/test/directory/replica_restored.cpp
@@ -430,6 +430,20 @@
     CHECK_FALSE(nodes.reader.isEvacuated("north"));
 }
 
+// Guards against an evacuation without end, whose removal is hidden by what a peer retains.
+TEST_CASE(
+        "Restored source: a removed evacuation ends although a peer retains that of the former era")
+{
+    Pair nodes;
+    nodes.reader.list({zone("north", {1, 40})}, {1, 50});
+    nodes.peer.list({zone("north", {2, 31})}, {2, 31});
+    nodes.reader.list({}, {2, 32});
+    REQUIRE(nodes.reader.isEvacuated("north"));
+    nodes.sync(nodes.reader, nodes.peer);
+    CHECK(nodes.peer.replica.position() == SourcePosition{2, 32});
+    CHECK_FALSE(nodes.peer.isEvacuated("north"));
+}
+
 // Guards against a delta that is taken for one against a value of the same revision.
 TEST_CASE("Restored source: a delta against the other era does not apply")
 {
