Tests of eras and versions in frames, and of nodes without them

In an upgrade, nodes with and without eras read each other's frames by index; a field too many would be taken for an account or an item. The tests send each frame with 0 to 6 entries, read those of this release with the field arithmetic of the one before, and those of the one before with none.

Ruled out: damaged eras, indexes and bases that stop a node.

--- a/test/directory/replica_restored_model.cpp
+++ b/test/directory/replica_restored_model.cpp
@@ -103,7 +103,8 @@
 
     [[nodiscard]] bool isEmpty() const { return m_next >= m_numbers.size(); }
     std::size_t below(std::size_t n) { return isEmpty() ? 0 : m_numbers[m_next++] % n; }
-    template <typename Value> const Value &of(const std::vector<Value> &values)
+    template <typename Value>
+    const Value &of(const std::vector<Value> &values)
     {
         return values[below(values.size())];
     }
@@ -166,7 +167,8 @@
             for (const auto &[id, wanted] : m_wanted.servers) {
                 const auto *server = view.findServer(id);
                 RC_ASSERT(server != nullptr);
-                RC_ASSERT(server->startedMillis == static_cast<std::uint64_t>(wanted.startedMillis));
+                RC_ASSERT(server->startedMillis
+                          == static_cast<std::uint64_t>(wanted.startedMillis));
                 RC_ASSERT(server->isDraining == wanted.isDraining);
             }
         }
@@ -214,9 +216,8 @@
     {
         std::vector<ItemChange> changes{test::version(m_wanted.version, {}, kContent)};
         for (const auto &name : kZones) {
-            changes.push_back(m_wanted.zones.count(name) > 0
-                                      ? test::zone(name, {})
-                                      : test::removal("zone/" + name, {}));
+            changes.push_back(m_wanted.zones.count(name) > 0 ? test::zone(name, {})
+                                                             : test::removal("zone/" + name, {}));
         }
         for (const auto &id : kServers) {
             const auto it = m_wanted.servers.find(id);
@@ -238,10 +239,10 @@
     void list() { list(m_choices.below(kNodes)); }
     void list(std::size_t i)
     {
-        m_inFlight.push_back([this, i, items = m_source.list(), position = m_source.position,
-                              askedAt = m_now] {
-            m_nodes[i]->applyList(items, position, askedAt, kNoRenewal, m_now);
-        });
+        m_inFlight.push_back(
+                [this, i, items = m_source.list(), position = m_source.position, askedAt = m_now] {
+                    m_nodes[i]->applyList(items, position, askedAt, kNoRenewal, m_now);
+                });
     }
 
     /*! @brief A node reads changes and pushes them to each other node. */
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -1,5 +1,9 @@
 #include "proxy/frame_codec.h"
 
+#include <algorithm>
+#include <functional>
+#include <map>
+
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -145,6 +149,285 @@
     REQUIRE_FALSE(std::get<SyncRequestFrame>(earlier.value()).takesDeltas);
 }
 
+namespace {
+
+using directory::SourcePosition;
+
+/*! @return A frame after encoding and decoding, with its fields in between changed. */
+template <typename FrameType>
+FrameType sent(const FrameType &frame, std::size_t fieldsLess = 0)
+{
+    const auto decoded = decodeFrame(withoutLast(encodeFrame(frame), fieldsLess));
+    REQUIRE(decoded);
+    return std::get<FrameType>(decoded.value());
+}
+
+UsageFrame usageFrame(int accounts)
+{
+    UsageFrame frame{"north", 3, true, 77, {}, {2, 60}, 9};
+    for (int i = 0; i < accounts; ++i) {
+        frame.accounts["account" + std::to_string(i)] = {1.0, 2.0};
+    }
+    return frame;
+}
+
+LevelsFrame levelsFrame(int accounts)
+{
+    LevelsFrame frame{77, {2, 60}, Millis{30}, {}, 9};
+    for (int i = 0; i < accounts; ++i) {
+        frame.accounts["account" + std::to_string(i)] = {1.0, 2.0, 3.0};
+    }
+    return frame;
+}
+
+/*! @return A reply whose items and bases are of the present era, the former one and one before. */
+SyncReplyFrame syncReplyFrame(std::size_t items)
+{
+    SyncReplyFrame frame{{2, 60}, 77, Millis{30}, {}, Millis{800}, {}, {1, 58}, 9};
+    for (std::size_t i = 0; i < items; ++i) {
+        const auto era = static_cast<std::int64_t>(2 - i % 3);
+        frame.items.push_back({"key" + std::to_string(i), "x", 40, false, era});
+        if (i % 2 == 0) {
+            frame.bases[i] = {static_cast<std::int64_t>(2 - i % 4 / 2), 30};
+        }
+    }
+    return frame;
+}
+
+ChangesFrame changesFrame(std::size_t changes)
+{
+    ChangesFrame frame{{2, 58}, {2, 60}, {}, {}, Millis{800}};
+    for (std::size_t i = 0; i < changes; ++i) {
+        frame.changes.push_back(
+                {"key" + std::to_string(i), i % 2 == 0 ? "x" : "", 59, i % 2 == 1, 2});
+        frame.bases.push_back(i % 3 == 0 ? SourcePosition{1, 50} : SourcePosition{});
+    }
+    return frame;
+}
+
+bool isSame(const directory::ItemChange &a, const directory::ItemChange &b)
+{
+    return a.key == b.key && a.value == b.value && a.position() == b.position()
+            && a.isRemoved == b.isRemoved;
+}
+
+bool areSame(const std::vector<directory::ItemChange> &a,
+             const std::vector<directory::ItemChange> &b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(), isSame);
+}
+
+} // namespace
+
+TEST_CASE("Eras and versions of frames are unchanged after encoding and decoding")
+{
+    const int n = GENERATE(range(0, 7));
+    CAPTURE(n);
+    const auto usage = sent(usageFrame(n));
+    CHECK(usage.position == SourcePosition{2, 60});
+    CHECK(usage.version == 9);
+    CHECK(usage.accounts.size() == static_cast<std::size_t>(n));
+    const auto levels = sent(levelsFrame(n));
+    CHECK(levels.position == SourcePosition{2, 60});
+    CHECK(levels.version == 9);
+    CHECK(levels.accounts.size() == static_cast<std::size_t>(n));
+    const auto request = sent(SyncRequestFrame{{2, 60}, 77, n % 2 == 0, 9});
+    CHECK(request.position == SourcePosition{2, 60});
+    CHECK(request.takesDeltas == (n % 2 == 0));
+    CHECK(request.version == 9);
+    const auto items = static_cast<std::size_t>(n);
+    const auto reply = sent(syncReplyFrame(items));
+    CHECK(reply.position == SourcePosition{2, 60});
+    CHECK(reply.since == SourcePosition{1, 58});
+    CHECK(reply.version == 9);
+    CHECK(reply.renewalTimeLeft == Millis{800});
+    CHECK(areSame(reply.items, syncReplyFrame(items).items));
+    CHECK(reply.bases == syncReplyFrame(items).bases);
+    const auto changes = sent(changesFrame(items));
+    CHECK(changes.after == SourcePosition{2, 58});
+    CHECK(changes.position == SourcePosition{2, 60});
+    CHECK(changes.renewalTimeLeft == Millis{800});
+    CHECK(areSame(changes.changes, changesFrame(items).changes));
+    CHECK(changes.bases == changesFrame(items).bases);
+}
+
+TEST_CASE("A node that has no state yet reports none")
+{
+    auto frame = usageFrame(2);
+    frame.position = {};
+    frame.version = 0;
+    const auto usage = sent(frame);
+    CHECK(usage.position == SourcePosition{});
+    CHECK(usage.version == 0);
+    CHECK(usage.accounts.size() == 2);
+}
+
+// Guards against a node that reads an era from the fields of a release that sends none.
+TEST_CASE("Frames of the release without eras have none")
+{
+    const int n = GENERATE(range(0, 7));
+    CAPTURE(n);
+    const auto usage = sent(usageFrame(n), 2);
+    CHECK(usage.position == SourcePosition{});
+    CHECK(usage.version == 0);
+    CHECK(usage.accounts.size() == static_cast<std::size_t>(n));
+    const auto levels = sent(levelsFrame(n), 2);
+    CHECK(levels.position == SourcePosition{0, 60});
+    CHECK(levels.version == 0);
+    CHECK(levels.accounts.size() == static_cast<std::size_t>(n));
+    const auto request = sent(SyncRequestFrame{{2, 60}, 77, true, 9}, 2);
+    CHECK(request.position == SourcePosition{0, 60});
+    CHECK(request.takesDeltas);
+    CHECK(request.version == 0);
+    const auto items = static_cast<std::size_t>(n);
+    const auto changes = sent(changesFrame(items), 2);
+    CHECK(changes.after == SourcePosition{0, 58});
+    CHECK(changes.position == SourcePosition{0, 60});
+    CHECK(changes.renewalTimeLeft == Millis{800});
+    REQUIRE(changes.changes.size() == items);
+    for (std::size_t i = 0; i < items; ++i) {
+        CHECK(changes.changes[i].position() == SourcePosition{0, 59});
+        CHECK(changes.bases[i] == SourcePosition{0, changesFrame(items).bases[i].revision});
+    }
+}
+
+TEST_CASE("States of the release without eras have none")
+{
+    const std::size_t items = GENERATE(0U, 1U, 2U, 3U, 4U, 5U, 6U);
+    CAPTURE(items);
+    const auto whole = nlohmann::json::from_cbor(encodeFrame(syncReplyFrame(items)));
+    auto json = whole;
+    SECTION("with bases")
+    {
+        json.back().erase(json.back().size() - 1);
+    }
+    SECTION("without bases")
+    {
+        json.erase(json.size() - 1);
+    }
+    std::string bytes;
+    nlohmann::json::to_cbor(json, bytes);
+    const auto reply = std::get<SyncReplyFrame>(decodeFrame(bytes).value());
+    CHECK(reply.position == SourcePosition{0, 60});
+    CHECK(reply.since == SourcePosition{});
+    CHECK(reply.version == 0);
+    CHECK(reply.renewalTimeLeft == Millis{800});
+    REQUIRE(reply.items.size() == items);
+    for (const auto &it : reply.items) {
+        CHECK(it.position() == SourcePosition{0, 40});
+    }
+    CHECK(reply.bases.size() == (json.size() == whole.size() ? (items + 1) / 2 : 0));
+    for (const auto &[index, base] : reply.bases) {
+        CHECK(base == SourcePosition{0, 30});
+    }
+}
+
+namespace {
+
+/*! @brief Field arithmetic of the release without eras. */
+struct FormerReader
+{
+    nlohmann::json json;
+
+    template <typename FrameType>
+    explicit FormerReader(const FrameType &frame)
+        : json(nlohmann::json::from_cbor(encodeFrame(frame))) // braces would make a list of one
+    { }
+
+    /*! @return Number of entries; `next` is the first field behind them. */
+    std::size_t entries(std::size_t first, std::size_t size)
+    {
+        std::size_t n = 0;
+        for (next = first; next + size - 1 < json.size(); next += size) {
+            REQUIRE(json.at(next).is_string());
+            ++n;
+        }
+        return n;
+    }
+    [[nodiscard]] std::int64_t millisAtNext() const
+    {
+        return next < json.size() ? json[next].get<std::int64_t>() : 0;
+    }
+
+    std::size_t next = 0;
+};
+
+} // namespace
+
+// Guards against a frame that nodes of the former release reject or read wrongly in an upgrade.
+TEST_CASE("Nodes of the release without eras read the frames of this one")
+{
+    const int n = GENERATE(range(0, 7));
+    const auto items = static_cast<std::size_t>(n);
+    CAPTURE(n);
+    CHECK(FormerReader{usageFrame(n)}.entries(5, 3) == items);
+    FormerReader levels{levelsFrame(n)};
+    CHECK(levels.json.at(2) == 60);
+    CHECK(levels.json.at(3) == 30);
+    CHECK(levels.entries(4, 4) == items);
+    const FormerReader request{SyncRequestFrame{{2, 60}, 77, true, 9}};
+    CHECK(request.json.at(1) == 60);
+    CHECK(request.json.at(2) == 77);
+    CHECK(request.json.at(3) == true);
+
+    FormerReader reply{syncReplyFrame(items)};
+    CHECK(reply.json.at(1) == 60);
+    CHECK(reply.entries(4, 3) == items);
+    CHECK(reply.millisAtNext() == 800);
+    std::map<std::size_t, std::int64_t> bases;
+    if (++reply.next < reply.json.size()) {
+        const auto &pairs = reply.json[reply.next];
+        for (std::size_t k = 0; k + 1 < pairs.size(); k += 2) {
+            bases[pairs[k].get<std::size_t>()] = pairs[k + 1].get<std::int64_t>();
+        }
+    }
+    CHECK(bases.size() == syncReplyFrame(items).bases.size());
+    for (const auto &[index, base] : bases) {
+        CHECK(base == 30);
+    }
+
+    FormerReader changes{changesFrame(items)};
+    CHECK(changes.json.at(1) == 58);
+    CHECK(changes.json.at(2) == 60);
+    CHECK(changes.entries(3, 4) == items);
+    CHECK(changes.millisAtNext() == 800);
+    for (std::size_t i = 0; i < items; ++i) {
+        CHECK(changes.json.at(3 + 4 * i + 2) == changesFrame(items).bases[i].revision);
+    }
+}
+
+// Guards against a node that one damaged frame of a peer stops.
+TEST_CASE("Malformed eras are rejected without a crash")
+{
+    const std::vector<std::string> frames{encodeFrame(usageFrame(2)), encodeFrame(levelsFrame(2)),
+                                          encodeFrame(SyncRequestFrame{{2, 60}, 77, true, 9}),
+                                          encodeFrame(syncReplyFrame(4)),
+                                          encodeFrame(changesFrame(4))};
+    rc::prop("a frame with one byte changed", [&](unsigned frame, unsigned place, char value) {
+        auto bytes = frames[frame % frames.size()];
+        bytes[place % bytes.size()] = value;
+        static_cast<void>(decodeFrame(bytes));
+    });
+    // Indexes and lists of bases that do not fit the items.
+    const auto changed
+            = [](std::size_t items, const std::function<void(nlohmann::json &)> &change) {
+                  auto json = nlohmann::json::from_cbor(encodeFrame(syncReplyFrame(items)));
+                  change(json.back());
+                  std::string bytes;
+                  nlohmann::json::to_cbor(json, bytes);
+                  return decodeFrame(bytes);
+              };
+    CHECK_FALSE(changed(2, [](auto &bases) { bases.back()[0] = {9, 1}; }));
+    CHECK_FALSE(changed(2, [](auto &bases) { bases.back()[1] = {9, 1}; }));
+    CHECK_FALSE(changed(2, [](auto &bases) { bases.back()[3] = {1}; }));
+    CHECK_FALSE(changed(2, [](auto &bases) { bases.back() = 7; }));
+    auto changes = nlohmann::json::from_cbor(encodeFrame(changesFrame(2)));
+    changes.back().erase(0);
+    std::string bytes;
+    nlohmann::json::to_cbor(changes, bytes);
+    CHECK_FALSE(decodeFrame(bytes));
+}
+
 TEST_CASE("Malformed frames are rejected without a crash")
 {
     rc::prop("random bytes",
