A reader whose lists lead nowhere pauses longer and longer

All nodes share the calls that the store takes. A reader whose watch was answered with 410, another era or a lower revision again and again read a list in between, and the list ended its back-off: it called more than 20 times in 2 s, with pauses of 0.1 s at most.

Ruled out: refused lists; their back-off grew.

--- a/test/platform/store_source_era.cpp
+++ b/test/platform/store_source_era.cpp
@@ -16,6 +16,10 @@
 
 const Address kStore{"127.0.0.63", 17805};
 constexpr Millis kSoon{1500};
+/*! Attempts in `kWhile` with the pauses of `directory::readBackoff`, which grow to 0.4 s on average;
+ * each is a list and a watch, or two pages. */
+constexpr std::size_t kMaxAttempts = 10;
+constexpr std::size_t kMaxCalls = 2 * kMaxAttempts;
 constexpr Millis kWhile{2000};
 
 /*! @brief Sink with the rules of a replica for states of other eras. */
@@ -224,6 +228,29 @@
     CHECK(it.sink.lists.size() == 2);
 }
 
+// Guards against a reader without pause, whose calls take the share of all others.
+TEST_CASE("Store era: a reader that finds nothing usable pauses longer and longer")
+{
+    std::vector<Script> scripts;
+    bool refusesLists = false;
+    SECTION("refused lists")
+    {
+        scripts = {list("1", 50), list("1", 50)};
+        refusesLists = true;
+    }
+    SECTION("lost history") { scripts = {list("1", 50), gone("1")}; }
+    SECTION("another era in each watch") { scripts = {list("1", 50), changes("2", 50)}; }
+    SECTION("a lower revision in each watch") { scripts = {list("1", 50), changes("1", 40)}; }
+    SECTION("pages of two eras")
+    {
+        scripts = {list("1", 50, item("a", 10), true), list("2", 50)};
+    }
+    Fixture it{scripts, true};
+    it.sink.refusesLists = refusesLists;
+    CHECK_FALSE(it.runUntil([&] { return it.targets.size() > kMaxCalls; }, kWhile));
+    CHECK(it.sink.failures > 0);
+}
+
 // Guards against a reader that stays slow after a store has come back.
 TEST_CASE("Store era: a usable answer ends the pauses")
 {
