Soak checks the configuration that callers see

What callers saw: in the incident, confirmed versions were not in force for a long time, and no soak run could show it: the versions of its operator differed in a timeout only, and nothing asked which version a node used.

Each version now adds a route with a prefix of its own and drops an older one, and some move a route to another service. A prober for each node asks for new routes, dropped ones and ones that never were. From what callers and servers saw, configuration_check tells whether what was confirmed is in force, whether a process goes back to an older version, whether added routes are served, whether proper requests are denied and whether a request runs that no version allows. Disturbances name what they disturb, so that the first promise is kept by all nodes that are in touch. The checks that were there are as they were.

Measured: test-checker passes (20 cases, 84 assertions).

--- a/standin/soak/promise_check.cpp
+++ b/standin/soak/promise_check.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <deque>
 
+#include "soak/configuration_check.h"
+
 namespace standin::soak {
 
 namespace {
@@ -200,7 +202,11 @@
 
 std::vector<Violation> checkPromises(const Observations &observations, const PromiseBounds &bounds)
 {
-    return PromiseChecker{observations, bounds}.run();
+    auto violations = PromiseChecker{observations, bounds}.run();
+    auto others = checkConfiguration(observations, bounds);
+    violations.insert(violations.end(), std::make_move_iterator(others.begin()),
+                      std::make_move_iterator(others.end()));
+    return violations;
 }
 
 } // namespace standin::soak
--- a/standin/soak/promise_check.h
+++ b/standin/soak/promise_check.h
@@ -23,6 +23,9 @@
     double rateOverage = 0.25;
     double rateSlack = 20.0;
     int attempts = 2;
+    celeryramp::Millis apply{2000}; /*!< From the acknowledgement of a version to its effect. */
+    celeryramp::Millis rollbackSlack{250}; /*!< Requests that cross one another. */
+    int slowedFactor = 8; /*!< Of `rollbackSlack` at nodes that are disturbed. */
 };
 
 /*! @brief A broken promise. */
@@ -37,7 +40,12 @@
 {
     std::map<std::string, SentRequest> requests; /*!< By id. */
     std::vector<Execution> executions; /*!< In the order of time. */
-    std::vector<Span> disturbances; /*!< Unplanned; the subject does not matter. */
+    std::vector<Span> disturbances; /*!< Unplanned. */
+    std::vector<Span> incarnations; /*!< Of nodes, from their start to a signal to end. */
+    std::vector<ConfigurationVersion> versions; /*!< In the order of their numbers. */
+    /*! Versions by number, from an acknowledgement until the store lost it. */
+    std::vector<Span> confirmed;
+    celeryramp::TimePoint calmFrom = celeryramp::TimePoint::max(); /*!< All faults are over. */
     std::vector<Span> gone; /*!< Servers that drain or have left. */
     std::vector<Span> evacuated; /*!< Zones. */
     std::map<std::string, std::pair<double, double>> rates; /*!< Rate and burst by account. */
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -14,8 +14,10 @@
 #include "soak/backend.h"
 #include "soak/fault_plan.h"
 #include "soak/link_proxy.h"
+#include "soak/operator.h"
 #include "soak/promise_check.h"
 #include "soak/store.h"
+#include "soak/store_writer.h"
 
 namespace standin::soak {
 
@@ -62,21 +64,23 @@
     void addNode(int index);
     void record(const Execution &execution);
     void startNode(Node &node);
-    void publishConfiguration();
-    void publishServer(const Node &node, const char *state);
+    void publishServer(Node &node, const char *state);
     void schedule(celeryramp::Millis at, std::function<void()> action);
     void begin(const Fault &fault);
     void silenceZone(const std::string &zone, celeryramp::Millis duration);
     void beginLinkFault(const Fault &fault, Node &node);
     void beginStoreFault(const Fault &fault);
     void beginAnswerFault(const Fault &fault, Node &node);
+    void evacuate(const std::string &zone, celeryramp::Millis duration);
+    void setStoreState(StoreState state, celeryramp::Millis duration);
+    void endIncarnation(const Node &node, celeryramp::TimePoint now);
     void killNode(Node &node, celeryramp::Millis downFor);
     void stopNode(Node &node);
     void awaitStopped(Node &node, celeryramp::TimePoint since);
     void replaceServer(Node &node, celeryramp::Millis after);
-    void withdrawKey(Node &node, celeryramp::Millis pause);
     void sendNext(Caller &caller);
-    void sendRequest(Caller &caller, Node &node);
+    [[nodiscard]] SentRequest drawRequest(const Caller &caller);
+    void sendRequest(Caller &caller);
     void onEnd(Caller &caller, const std::string &id, std::size_t size,
                celeryramp::http::ExchangeEnd end, const celeryramp::http::Answer &answer);
     void pauseThenSend(Caller &caller);
@@ -91,10 +95,8 @@
     std::vector<std::unique_ptr<boost::asio::steady_timer>> m_timers;
     ProcessTable m_processes;
     Observations m_observations;
-    celeryramp::TimePoint m_calmFrom;
-    int m_version = 1;
-    int m_withdrawn = 0; /*!< Keys of the accounts that lose theirs, in order. */
-    std::vector<celeryramp::TimePoint> m_withdrawnAt;
+    StoreWriter m_writer;
+    Operator m_operator;
     int m_nextId = 1;
     int m_nextServer = 1;
     bool m_isOver = false;
