The store of the soak comes back from copies

The soak's store could forget its history but never went back.

Servers write their status, and the operator versions and sometimes the withdrawal of a key, in the seconds that are lost. What was lost is written again in order, before, between or after newer writes, and counts as acknowledged from then on only. Of each promise the soak prints ten violations, so that one doesn't hide the others.

--- a/standin/soak/backend.cpp
+++ b/standin/soak/backend.cpp
@@ -110,7 +110,7 @@
         send(connection, statusAnswer("421 Misdirected", idHeader), false);
         return;
     }
-    Execution execution{id, m_id, m_zone, header(platform::kAccountHeader), bootNow(), {}};
+    Execution execution{id, m_id, m_zone, header(platform::kAccountHeader), bootNow(), {}, {}};
     m_executed(execution);
     const auto size = static_cast<std::size_t>(
             std::atoi(request.target.c_str() + request.target.rfind('/') + 1));
--- a/standin/soak/configuration_check.cpp
+++ b/standin/soak/configuration_check.cpp
@@ -93,21 +93,21 @@
 
     void collectOutcomes()
     {
-        const auto add = [this](const SentRequest &request, TimePoint at,
-                                const Execution *execution) {
-            Outcome outcome{&request, at, execution};
-            for (std::size_t i = 0; i < m_observations.versions.size(); ++i) {
-                const auto &version = m_observations.versions[i];
-                if (version.sentAt <= at && allows(version, outcome)) {
-                    outcome.newest = static_cast<int>(i);
-                    outcome.oldest = outcome.oldest < 0 ? outcome.newest : outcome.oldest;
-                }
-            }
-            m_outcomes.push_back(outcome);
-            if (execution != nullptr && outcome.oldest > 0) {
-                m_effects[request.node].push_back(outcome);
-            }
-        };
+        const auto add
+                = [this](const SentRequest &request, TimePoint at, const Execution *execution) {
+                      Outcome outcome{&request, at, execution};
+                      for (std::size_t i = 0; i < m_observations.versions.size(); ++i) {
+                          const auto &version = m_observations.versions[i];
+                          if (version.sentAt <= at && allows(version, outcome)) {
+                              outcome.newest = static_cast<int>(i);
+                              outcome.oldest = outcome.oldest < 0 ? outcome.newest : outcome.oldest;
+                          }
+                      }
+                      m_outcomes.push_back(outcome);
+                      if (execution != nullptr && outcome.oldest > 0) {
+                          m_effects[request.node].push_back(outcome);
+                      }
+                  };
         for (const auto &execution : m_observations.executions) {
             if (const auto it = m_observations.requests.find(execution.id);
                 it != m_observations.requests.end()) {
@@ -130,20 +130,27 @@
         }
     }
 
+    [[nodiscard]] const ConfigurationVersion &versionAt(int index) const
+    {
+        return m_observations.versions.at(static_cast<std::size_t>(index));
+    }
+
     [[nodiscard]] std::string describeAll(const Found &found) const
     {
         const auto &request = *found.first.request;
         auto text = nodeName(request.node) + ": " + std::to_string(found.n) + " requests, first "
                 + describe(found.first);
         if (found.version >= 0) {
-            const auto &version
-                    = m_observations.versions.at(static_cast<std::size_t>(found.version));
-            text += ", sent " + std::to_string(millisBetween(version.sentAt, request.sentAt).count())
+            const auto &version = versionAt(found.version);
+            auto since = version.sentAt;
+            for (const auto &span : m_observations.confirmed) {
+                if (span.subject == std::to_string(version.number) && span.from <= request.sentAt) {
+                    since = span.from;
+                }
+            }
+            text += ", sent " + std::to_string(millisBetween(since, request.sentAt).count())
                     + " ms after version " + std::to_string(version.number) + ", as of version "
-                    + std::to_string(
-                              m_observations.versions
-                                      .at(static_cast<std::size_t>(found.first.newest))
-                                      .number);
+                    + std::to_string(versionAt(found.first.newest).number);
         }
         return text;
     }
@@ -184,8 +191,8 @@
         const auto sentAt = outcome.request->sentAt;
         const bool isStretched = isDisturbed(kStorePartial, sentAt - m_bounds.settle, outcome.at);
         return sentAt <= confirmed.to
-                && sentAt > confirmed.from + m_bounds.apply
-                        + (isStretched ? m_bounds.stretch : Millis{0})
+                && sentAt
+                > confirmed.from + m_bounds.apply + (isStretched ? m_bounds.stretch : Millis{0})
                 && !(isStretched && isDisturbed(kStoreDown, confirmed.from, outcome.at));
     }
 
@@ -196,8 +203,7 @@
         }
         for (auto i = static_cast<int>(m_observations.versions.size()) - 1; i > outcome.newest;
              --i) {
-            const auto number
-                    = std::to_string(m_observations.versions[static_cast<std::size_t>(i)].number);
+            const auto number = std::to_string(versionAt(i).number);
             if (std::any_of(m_observations.confirmed.begin(), m_observations.confirmed.end(),
                             [&](const Span &span) {
                                 return span.subject == number && binds(span, outcome);
@@ -217,8 +223,8 @@
                 || incarnationAt(request.node, effect.request->sentAt) != incarnation) {
                 continue;
             }
-            const bool isSlowed = isDisturbed(nodeName(request.node), effect.at - m_bounds.settle,
-                                              outcome.at);
+            const bool isSlowed
+                    = isDisturbed(nodeName(request.node), effect.at - m_bounds.settle, outcome.at);
             if (request.sentAt
                 > effect.at + m_bounds.rollbackSlack * (isSlowed ? m_bounds.slowedFactor : 1)) {
                 report("regression", outcome, effect.oldest);
--- a/standin/soak/fault_plan.cpp
+++ b/standin/soak/fault_plan.cpp
@@ -19,7 +19,7 @@
     int maxMillis;
 };
 
-constexpr std::array<KindInfo, 25> kKinds{{{"link-delay", true, 500, 3000},
+constexpr std::array<KindInfo, 31> kKinds{{{"link-delay", true, 500, 3000},
                                            {"link-reset", true, 0, 0},
                                            {"link-silence", true, 300, 4000},
                                            {"link-one-way", true, 300, 3000},
@@ -43,7 +43,21 @@
                                            {"key-withdrawn", true, 6500, 7500},
                                            {"config-changed", false, 0, 0},
                                            {"zone-silence", true, 1000, 5000},
-                                           {"late-frames", true, 3000, 7000}}};
+                                           {"late-frames", true, 3000, 7000},
+                                           {"store-restored", true, 300, 1000},
+                                           {"store-restored-twice", true, 300, 1000},
+                                           {"store-restored-for-some", true, 300, 1000},
+                                           {"store-restored-slow", true, 300, 1000},
+                                           {"key-lost", false, 0, 0},
+                                           {"config-storm", false, 500, 500}}};
+
+/*! Copies that the store comes back from, and how soon all is written again. */
+constexpr int kMinCopyAge = 1000;
+constexpr int kMaxCopyAge = 6000;
+constexpr int kMinRewrite = 200;
+constexpr int kMaxRewrite = 3000;
+/*! Longest time for what follows a return: a second one, or slow answers. */
+constexpr Millis kAftermath{2500};
 
 const KindInfo &infoOf(FaultKind kind)
 {
@@ -62,6 +76,17 @@
     return infoOf(kind).isUnplanned;
 }
 
+bool restoresStore(FaultKind kind)
+{
+    return kind >= FaultKind::StoreRestored && kind <= FaultKind::StoreRestoredSlow;
+}
+
+Millis endOf(const Fault &fault)
+{
+    return fault.at + fault.duration + fault.rewrite
+            + (restoresStore(fault.kind) ? kAftermath : Millis{0});
+}
+
 std::vector<Fault> drawFaults(std::uint64_t seed, int nodes, int zones, Millis length)
 {
     celeryramp::RandomEngine random{seed};
@@ -103,6 +128,33 @@
             add(kind, calm + Millis{below(static_cast<int>((length - calm).count()))});
         }
     }
+    if (seed >= kRestoredStoreSeeds) {
+        const auto between = [&below](int from, int to) { return from + below(to - from + 1); };
+        // The second copy is taken after all that follows from the first return.
+        Millis former{0};
+        for (const Millis from : {Millis{4000}, Millis{1500}}) {
+            const auto kind = static_cast<FaultKind>(
+                    between(static_cast<int>(FaultKind::StoreRestored),
+                            static_cast<int>(FaultKind::StoreRestoredSlow)));
+            add(kind, former + from + Millis{below(3000)});
+            auto &fault = faults.back();
+            fault.copyAge = std::min(Millis{between(kMinCopyAge, kMaxCopyAge)}, fault.at - former);
+            fault.rewrite = Millis{between(kMinRewrite, kMaxRewrite)};
+            former = endOf(fault);
+            const auto at = fault.at;
+            const auto copyAge = static_cast<int>(fault.copyAge.count());
+            const auto back = at + fault.duration;
+            for (int i = below(3); i >= 0; --i) {
+                add(FaultKind::ConfigChanged, at - Millis{below(copyAge)});
+            }
+            if (below(2) == 0) {
+                add(FaultKind::KeyLost, at - Millis{below(copyAge)});
+            }
+            if (below(2) == 0) {
+                add(FaultKind::ConfigStorm, back + Millis{below(4000)});
+            }
+        }
+    }
     std::stable_sort(faults.begin(), faults.end(),
                      [](const Fault &a, const Fault &b) { return a.at < b.at; });
     return faults;
--- a/standin/soak/main.cpp
+++ b/standin/soak/main.cpp
@@ -7,12 +7,16 @@
 #include <cstdio>
 #include <filesystem>
 #include <iostream>
+#include <map>
 
 #include <cxxopts.hpp>
 
 #include "observe/log.h"
 #include "soak/soak.h"
 
+/*! Violations that are printed of each promise. */
+constexpr int kPrintedOfEach = 10;
+
 int main(int argc, char **argv)
 {
     using namespace standin::soak;
@@ -49,9 +53,11 @@
         std::filesystem::remove_all(soak.directory);
         std::filesystem::create_directories(soak.directory);
         const auto result = Soak{soak}.run();
-        for (std::size_t i = 0; i < result.violations.size() && i < 20; ++i) {
-            std::cout << "violation: " << result.violations[i].promise << ": "
-                      << result.violations[i].detail << '\n';
+        std::map<std::string, int> printed;
+        for (const auto &violation : result.violations) {
+            if (++printed[violation.promise] <= kPrintedOfEach) {
+                std::cout << "violation: " << violation.promise << ": " << violation.detail << '\n';
+            }
         }
         std::cout << "soak: seed " << soak.seed << ", " << result.requests << " requests, "
                   << result.served << " served, " << result.executions << " executions, "
--- a/standin/soak/operator.cpp
+++ b/standin/soak/operator.cpp
@@ -85,8 +85,7 @@
     }
     json["Services"] = {{{"Name", "stock"}, {"HealthPath", "/health"}},
                         {{"Name", "files"}, {"HealthPath", "/health"}}};
-    json["Tenants"]
-            = {account("free", "k-free", 0.0), account("small", "k-small", kSmallRate)};
+    json["Tenants"] = {account("free", "k-free", 0.0), account("small", "k-small", kSmallRate)};
     for (int i = 0; i < kRevocableKeys; ++i) {
         if (version.keys.count(revocableKey(i)) > 0) {
             json["Tenants"].push_back(
--- a/standin/soak/soak.cpp
+++ b/standin/soak/soak.cpp
@@ -211,8 +211,11 @@
         std::printf("%7.2f s  %-16s target %d for %.2f s\n",
                     static_cast<double>(fault.at.count()) / 1000.0, faultName(fault.kind),
                     fault.target, static_cast<double>(fault.duration.count()) / 1000.0);
+        if (restoresStore(fault.kind)) {
+            schedule(kWarmUp + fault.at - fault.copyAge, [this, fault] { keepCopy(fault); });
+        }
         schedule(kWarmUp + fault.at, [this, fault] { begin(fault); });
-        lastEnd = std::max(lastEnd, fault.at + fault.duration);
+        lastEnd = std::max(lastEnd, endOf(fault));
     }
     for (int i = 0; i < m_options.callers; ++i) {
         m_callers.push_back(std::make_unique<Caller>(m_context));
--- a/standin/soak/soak.h
+++ b/standin/soak/soak.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,6 +75,11 @@
     void beginAnswerFault(const Fault &fault, Node &node);
     void evacuate(const std::string &zone, celeryramp::Millis duration);
     void setStoreState(StoreState state, celeryramp::Millis duration);
+    void keepCopy(const Fault &fault);
+    void publishStatus();
+    void restoreStore(const Fault &fault);
+    void loseStore(celeryramp::Millis duration, std::function<void()> returns);
+    void returnStore(const Fault &fault);
     void endIncarnation(const Node &node, celeryramp::TimePoint now);
     void killNode(Node &node, celeryramp::Millis downFor);
     void stopNode(Node &node);
@@ -97,8 +104,11 @@
     Observations m_observations;
     StoreWriter m_writer;
     Operator m_operator;
+    std::optional<StoreCopy> m_copy; /*!< That the store comes back from next. */
+    bool m_isStoreAway = false;
     int m_nextId = 1;
     int m_nextServer = 1;
+    std::size_t m_nextStatus = 0; /*!< Index of the node whose server writes its status next. */
     bool m_isOver = false;
 };
 
--- a/standin/soak/soak_callers.cpp
+++ b/standin/soak/soak_callers.cpp
@@ -106,8 +106,8 @@
     }
     http::Exchange exchange;
     exchange.wire = http::serialize(request);
-    exchange.done = [this, &caller, id = sent.id, size = sent.expectedBytes](http::ExchangeEnd end,
-                                                        const http::Answer &answer) {
+    exchange.done = [this, &caller, id = sent.id,
+                     size = sent.expectedBytes](http::ExchangeEnd end, const http::Answer &answer) {
         onEnd(caller, id, size, end, answer);
     };
     const bool givesUp = m_random.below(30) == 0;
--- a/standin/soak/soak_faults.cpp
+++ b/standin/soak/soak_faults.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr int kStormVersions = 4;
 constexpr Millis kDrainTime{6000}; /*!< From the report of a leaving server to its removal. */
 
 /*! @return Subject of the disturbance. */
@@ -26,6 +27,10 @@
     case FaultKind::StoreSlow:
     case FaultKind::StoreSilent:
     case FaultKind::StoreBusy:
+    case FaultKind::StoreRestored:
+    case FaultKind::StoreRestoredTwice:
+    case FaultKind::StoreRestoredForSome:
+    case FaultKind::StoreRestoredSlow:
         return kStoreDown;
     case FaultKind::StoreCompact:
     case FaultKind::StoreTurnsAway:
@@ -85,6 +90,15 @@
     case FaultKind::ConfigChanged:
         m_operator.publish(now);
         break;
+    case FaultKind::KeyLost:
+        m_operator.withdrawKey(now);
+        break;
+    case FaultKind::ConfigStorm:
+        for (int i = 0; i < kStormVersions; ++i) {
+            schedule(fault.duration * i / kStormVersions,
+                     [this] { m_operator.publish(bootNow()); });
+        }
+        break;
     case FaultKind::ZoneSilence:
         silenceZone(zoneName(fault.target), fault.duration);
         break;
@@ -94,6 +108,12 @@
         stopNode(node);
         schedule(fault.duration, [&node] { node.proxy->setState({}); });
         break;
+    case FaultKind::StoreRestored:
+    case FaultKind::StoreRestoredTwice:
+    case FaultKind::StoreRestoredForSome:
+    case FaultKind::StoreRestoredSlow:
+        restoreStore(fault);
+        break;
     default:
         beginLinkFault(fault, node);
         beginStoreFault(fault);
@@ -177,8 +197,12 @@
 
 void Soak::setStoreState(StoreState state, Millis duration)
 {
-    m_store->setState(state);
-    schedule(duration, [this] { m_store->setState({}); });
+    const auto set = [this](StoreState it) {
+        it.isAway = m_isStoreAway; // whatever else strikes meanwhile
+        m_store->setState(it);
+    };
+    set(std::move(state));
+    schedule(duration, [set] { set({}); });
 }
 
 void Soak::beginAnswerFault(const Fault &fault, Node &node)
--- a/standin/soak/store_writer.cpp
+++ b/standin/soak/store_writer.cpp
@@ -59,13 +59,18 @@
     if (!m_hasCopy) {
         return;
     }
-    for (const auto &write : m_sinceCopy) {
-        if (!write.endsPromise) {
-            endPromise(write, now);
+    for (auto it = m_sinceCopy.rbegin(); it != m_sinceCopy.rend(); ++it) {
+        if (!it->endsPromise) {
+            endPromise(*it, now);
+        }
+        // Nobody repeats a former state that promises nothing.
+        const bool isOutdated = it->promises == nullptr
+                && std::any_of(m_waiting.begin(), m_waiting.end(),
+                               [&](const StoreWrite &other) { return other.key == it->key; });
+        if (!isOutdated) {
+            m_waiting.push_front(std::move(*it));
         }
     }
-    m_waiting.insert(m_waiting.begin(), std::make_move_iterator(m_sinceCopy.begin()),
-                     std::make_move_iterator(m_sinceCopy.end()));
     m_sinceCopy.clear();
 }
 
--- a/standin/soak/store_writer.h
+++ b/standin/soak/store_writer.h
@@ -23,7 +23,8 @@
 
 /*!
  * @brief What the operator and the servers write. They wait while the store is away, and write
- * again, in order, what it has lost; newer writes of the same key come instead.
+ * again, in order, what it has lost; newer writes of the same key come instead, and of those that
+ * promise nothing only the last is repeated.
  */
 class StoreWriter
 {
--- a/test/checker/configuration_check.cpp
+++ b/test/checker/configuration_check.cpp
@@ -77,7 +77,8 @@
 
 } // namespace
 
-TEST_CASE("soak configuration: what the old version allows passes until it is due and the new after")
+TEST_CASE(
+        "soak configuration: what the old version allows passes until it is due and the new after")
 {
     Run run;
     run.serve(9000, "/old/");
@@ -96,19 +97,40 @@
 TEST_CASE("soak configuration: a confirmed version that is not in force is reported")
 {
     Run run;
-    SECTION("an added route is missing") { run.refuse(12'100, "/new/", 404); }
-    SECTION("a dropped route is used") { run.serve(12'100, "/old/"); }
-    SECTION("a withdrawn key is used") { run.serve(12'100, "/r/", "stock", "k2"); }
-    SECTION("a moved route is run by its former service") { run.serve(12'100, "/moved/"); }
+    SECTION("an added route is missing")
+    {
+        run.refuse(12'100, "/new/", 404);
+    }
+    SECTION("a dropped route is used")
+    {
+        run.serve(12'100, "/old/");
+    }
+    SECTION("a withdrawn key is used")
+    {
+        run.serve(12'100, "/r/", "stock", "k2");
+    }
+    SECTION("a moved route is run by its former service")
+    {
+        run.serve(12'100, "/moved/");
+    }
     REQUIRE(run.broken() == "configuration");
 }
 
 TEST_CASE("soak configuration: nodes that are not in touch are excused for a while")
 {
     Run run;
-    SECTION("the node was disturbed") { run.disturbances = {{nodeName(0), at(9000), at(9200)}}; }
-    SECTION("the node started") { run.incarnations = {{nodeName(0), at(9200), kMax}}; }
-    SECTION("the store was away") { run.disturbances = {{kStoreDown, at(9000), at(9200)}}; }
+    SECTION("the node was disturbed")
+    {
+        run.disturbances = {{nodeName(0), at(9000), at(9200)}};
+    }
+    SECTION("the node started")
+    {
+        run.incarnations = {{nodeName(0), at(9200), kMax}};
+    }
+    SECTION("the store was away")
+    {
+        run.disturbances = {{kStoreDown, at(9000), at(9200)}};
+    }
     SECTION("the store turned some away")
     {
         run.disturbances = {{kStorePartial, at(12'150), at(14'900)}};
--- a/test/checker/promise_check.cpp
+++ b/test/checker/promise_check.cpp
@@ -32,7 +32,7 @@
 
 Execution execution(const char *id, TimePoint at = kStart + Millis{10})
 {
-    return {id, "s1", "a", "free", at, at + Millis{20}};
+    return {id, "s1", "a", "free", at, at + Millis{20}, {}};
 }
 
 /*! @return The promises that the observations breaks, each once. */
@@ -152,4 +152,22 @@
     REQUIRE(describe(kLaterSeeds - 1).find("zone-silence") == std::string::npos);
     REQUIRE(describe(kLaterSeeds).find("zone-silence") != std::string::npos);
     REQUIRE(describe(kLaterSeeds).find("late-frames") != std::string::npos);
+    REQUIRE(describe(kRestoredStoreSeeds - 1).find("store-restored") == std::string::npos);
+    REQUIRE(describe(kRestoredStoreSeeds).find("store-restored") != std::string::npos);
+}
+
+TEST_CASE("soak: copies that the store comes back from are of different times and some seconds old")
+{
+    for (auto seed = kRestoredStoreSeeds; seed < kRestoredStoreSeeds + 50; ++seed) {
+        Millis former{0};
+        for (const auto &fault : drawFaults(seed, 9, 3, Millis{18'000})) {
+            if (restoresStore(fault.kind)) {
+                REQUIRE(fault.copyAge >= Millis{1000});
+                REQUIRE(fault.copyAge <= Millis{6000});
+                REQUIRE(fault.at - fault.copyAge >= former);
+                former = endOf(fault);
+            }
+        }
+        REQUIRE(former > Millis{0});
+    }
 }
--- a/test/checker/store_writer.cpp
+++ b/test/checker/store_writer.cpp
@@ -15,9 +15,8 @@
 {
     std::string text;
     std::vector<Span> promises;
-    StoreWriter writer{[this](const StoreWrite &it) {
-        text += it.key + "=" + it.value.value_or("-") + " ";
-    }};
+    StoreWriter writer{
+            [this](const StoreWrite &it) { text += it.key + "=" + it.value.value_or("-") + " "; }};
 
     void write(int at, const char *key, const char *value)
     {
@@ -34,9 +33,9 @@
         std::string spans;
         for (const auto &span : promises) {
             const auto time = [](TimePoint it) {
-                return it == TimePoint::max() ? std::string{}
-                                              : std::to_string(
-                                                      celeryramp::millisBetween(kStart, it).count());
+                return it == TimePoint::max()
+                        ? std::string{}
+                        : std::to_string(celeryramp::millisBetween(kStart, it).count());
             };
             spans += span.subject + ":" + time(span.from) + "-" + time(span.to) + " ";
         }
@@ -90,3 +89,16 @@
     REQUIRE(it.text == "a=a1 b=b1 a=a1 a=a1 b=b1 ");
     REQUIRE(it.spans() == "a1:1-2 b1:1-2 a1:3-5 a1:6- b1:6- ");
 }
+
+TEST_CASE("soak writer: of writes that promise nothing only the last is repeated")
+{
+    Written it;
+    it.writer.beginCopy();
+    for (const auto *value : {"s1", "s2"}) {
+        it.writer.write({"s", value, nullptr, {}}, kStart);
+        it.write(1, "a", value);
+    }
+    it.writer.storeReturns(kStart + Millis{2});
+    it.writeAll(3);
+    REQUIRE(it.text == "s=s1 a=s1 s=s2 a=s2 a=s1 s=s2 a=s2 ");
+}
