Stand-in of the platform can go back to an older copy

Scenarios could make the platform fail, serve an old version or alternate, but never lose what it had published. The step `restore` drops the last versions, with the parts that only they name, or the last changes of the instance list, and their numbers are given out again. `publish` with `digest` gives out a lost number with content above or below the lost one, since the order of equal numbers is that of their digests; `expect-reads` limits the reads of the platform.

The lab now compares the digest too when it waits for a version, so that a number that was given out twice counts only with its last content (stricter than before).

--- a/standin/lab/deployment.cpp
+++ b/standin/lab/deployment.cpp
@@ -12,6 +12,7 @@
 constexpr int kLargeAccounts = 3;
 constexpr double kLargeFactor = 4.0;
 constexpr std::uint16_t kPortsPerServer = 5;
+constexpr int kChainLatencies = 100; /*!< Values that touch() goes through. */
 constexpr const char *kHost = "127.0.0.1";
 
 struct ClassShape
@@ -206,8 +207,8 @@
 void Deployment::touch()
 {
     auto &latency = m_servicePart["classes"]["chain"]["latency_ms"];
-    latency = latency.get<int>() == kChainClass.latencyMs ? kChainClass.latencyMs + 1
-                                                          : kChainClass.latencyMs;
+    const auto past = latency.get<int>() - kChainClass.latencyMs;
+    latency = kChainClass.latencyMs + (past + 1) % kChainLatencies;
 }
 
 std::string Deployment::settings(const ServerPlace &place, const std::string &certs,
--- a/standin/lab/scenario.cpp
+++ b/standin/lab/scenario.cpp
@@ -11,6 +11,7 @@
 #include <httplib.h>
 
 #include "common/journal.h"
+#include "lab/step_values.h"
 #include "transport/headers.h"
 
 namespace standin {
@@ -21,32 +22,6 @@
 constexpr int kCallerEndMs = 60'000;
 constexpr int kStopTimeoutMs = 40'000;
 
-std::string text(const toml::table &table, const char *key, const std::string &fallback = {})
-{
-    return table[key].value_or(fallback);
-}
-
-std::int64_t integer(const toml::table &table, const char *key, std::int64_t fallback)
-{
-    return table[key].value_or(fallback);
-}
-
-double real(const toml::table &table, const char *key, double fallback)
-{
-    return table[key].value_or(fallback);
-}
-
-std::vector<std::string> list(const toml::table &table, const char *key)
-{
-    std::vector<std::string> items;
-    if (const auto *array = table[key].as_array()) {
-        for (const auto &element : *array) {
-            items.push_back(element.value_or(std::string{}));
-        }
-    }
-    return items;
-}
-
 /*! `{first}`, `{second}` and so on stand for the services of the deployment. */
 std::string fillServices(std::string path, const DeploymentShape &shape)
 {
@@ -186,6 +161,8 @@
                                          Entry{"cut", &Scenario::cut},
                                          Entry{"heal", &Scenario::heal},
                                          Entry{"platform", &Scenario::platformFault},
+                                         Entry{"restore", &Scenario::restore},
+                                         Entry{"expect-reads", &Scenario::expectReads},
                                          Entry{"list-leaving", &Scenario::listLeaving},
                                          Entry{"expect-version", &Scenario::expectVersion},
                                          Entry{"expect-state", &Scenario::expectState},
@@ -233,80 +210,6 @@
     }
 }
 
-void Scenario::publish(Site &site, const toml::table &step)
-{
-    site.deployment().touch();
-    converge(site, text(step, "name", "target change"), site.publish(), step);
-}
-
-/*! Publishes a version that must be refused: `kind` is truncated, dangling, mis-hashed or large. */
-void Scenario::publishBad(Site &site, const toml::table &step)
-{
-    auto parts = site.deployment().parts();
-    const auto kind = text(step, "kind", "truncated");
-    nlohmann::json body{{"transient", true}};
-    if (kind == "truncated") {
-        body["parts"] = {{"services", parts["services"].substr(0, parts["services"].size() / 2)}};
-    } else if (kind == "dangling") {
-        auto servers = nlohmann::json::parse(parts["servers"]);
-        servers["servers"].begin().value()["zone"] = "nowhere";
-        body["parts"] = {{"servers", servers.dump()}};
-    } else if (kind == "mis-hashed") {
-        body["hashes"] = {{"keys", std::string(64, '0')}};
-    } else {
-        body["parts"] = {{"accounts", std::string(1'100'000, ' ') + parts["accounts"]}};
-    }
-    site.publishRaw(body);
-}
-
-void Scenario::withdrawKey(Site &site, const toml::table &step)
-{
-    const auto account = text(step, "account");
-    const auto at = wallMicros();
-    site.deployment().withdrawKey(account);
-    const auto version = site.publish();
-    for (const auto &place : site.deployment().accounts()) {
-        if (place.name == account) {
-            site.history().keysWithdrawn.push_back(
-                    {place.keyId, at, std::numeric_limits<std::int64_t>::max()});
-        }
-    }
-    converge(site, "withdraw key of " + account, version, step);
-}
-
-void Scenario::zoneOut(Site &site, const toml::table &step)
-{
-    const auto zone = text(step, "zone");
-    const auto at = wallMicros();
-    site.deployment().setZoneStatus(zone, false);
-    const auto version = site.publish();
-    site.history().zonesOut.push_back({zone, at, std::numeric_limits<std::int64_t>::max()});
-    converge(site, "zone " + zone + " out", version, step);
-}
-
-void Scenario::zoneIn(Site &site, const toml::table &step)
-{
-    const auto zone = text(step, "zone");
-    site.deployment().setZoneStatus(zone, true);
-    for (auto &span : site.history().zonesOut) {
-        if (span.name == zone && span.until == std::numeric_limits<std::int64_t>::max()) {
-            span.until = wallMicros();
-        }
-    }
-    converge(site, "zone " + zone + " in", site.publish(), step);
-}
-
-void Scenario::setRate(Site &site, const toml::table &step)
-{
-    const auto account = text(step, "account");
-    const auto rate = real(step, "rate", 10.0);
-    const auto burst = real(step, "burst", 10.0);
-    auto &limit = site.history().limits[account];
-    limit = {std::max(limit.rate, rate), std::max(limit.burst, burst)};
-    site.deployment().setRate(account, rate, burst);
-    converge(site, "rate of " + account, site.publish(), step);
-}
-
 void Scenario::killNodes(Site &site, const toml::table &step)
 {
     for (const auto &server : servers(site, step)) {
@@ -424,29 +327,6 @@
     }
 }
 
-void Scenario::platformFault(Site &site, const toml::table &step)
-{
-    const auto faults = text(step, "faults");
-    site.askPlatform("/admin/faults?" + faults);
-    const bool blind = faults.find("outage=1") != std::string::npos
-            || faults.find("stale=1") != std::string::npos;
-    blind ? beginBlind(site, "platform") : endBlind(site, "platform");
-}
-
-void Scenario::listLeaving(Site &site, const toml::table &step)
-{
-    const auto state = text(step, "state", "leaving");
-    for (const auto &server : servers(site, step)) {
-        auto query = std::string{"/admin/instance?server="};
-        query.append(server).append("&state=").append(state);
-        site.askPlatform(query);
-        if (state == "leaving") {
-            site.history().serversLeaving.push_back(
-                    {server, wallMicros(), std::numeric_limits<std::int64_t>::max()});
-        }
-    }
-}
-
 void Scenario::expectVersion(Site &site, const toml::table &step)
 {
     const auto within = static_cast<int>(integer(step, "within_ms", kConvergeTimeoutMs));
--- a/standin/lab/scenario.h
+++ b/standin/lab/scenario.h
@@ -69,6 +69,8 @@
     void beginBlind(Site &site, const std::string &cause);
     void endBlind(Site &site, const std::string &cause);
     void platformFault(Site &site, const toml::table &step);
+    void restore(Site &site, const toml::table &step);
+    void expectReads(Site &site, const toml::table &step);
     void listLeaving(Site &site, const toml::table &step);
     void expectVersion(Site &site, const toml::table &step);
     void expectState(Site &site, const toml::table &step);
--- a/standin/lab/site.cpp
+++ b/standin/lab/site.cpp
@@ -11,6 +11,8 @@
 #include <httplib.h>
 
 #include "common/journal.h"
+#include "config/manifest.h"
+#include "core/hash.h"
 
 namespace standin {
 
@@ -117,8 +119,8 @@
     if (!answer.is_object()) {
         throw std::runtime_error{"the platform stand-in does not answer"};
     }
-    m_publishedAt[answer.at("version").get<std::uint64_t>()]
-            = answer.at("unix_ms").get<std::int64_t>();
+    m_published[answer.at("version").get<std::uint64_t>()]
+            = {answer.at("unix_ms").get<std::int64_t>(), answer.at("digest").get<std::string>()};
     return answer;
 }
 
@@ -138,14 +140,13 @@
         waiting.erase(std::remove_if(waiting.begin(), waiting.end(),
                                      [&](const std::string &server) {
                                          const auto seen = status(server);
-                                         if (!seen.is_object()
-                                             || seen.value("version", std::uint64_t{0}) < version) {
+                                         if (!seen.is_object() || !hasReached(seen, version)) {
                                              return false;
                                          }
                                          const auto since = seen.value("in_force_since_unix_ms",
                                                                        std::int64_t{0});
                                          convergence.millis[server]
-                                                 = double(since - m_publishedAt[version]);
+                                                 = double(since - m_published[version].unixMillis);
                                          return true;
                                      }),
                       waiting.end());
@@ -153,6 +154,29 @@
     return convergence;
 }
 
+bool Site::hasReached(const nlohmann::json &status, std::uint64_t version) const
+{
+    const auto inForce = status.value("version", std::uint64_t{0});
+    const auto it = m_published.find(version);
+    const bool sameContent
+            = it == m_published.end() || status.value("digest", "") == it->second.digest;
+    return inForce > version || (inForce == version && sameContent);
+}
+
+std::uint64_t Site::publishAgain(bool above)
+{
+    celeryramp::Manifest manifest;
+    manifest.version = askPlatform("/admin/stats").at("version").get<std::uint64_t>() + 1;
+    const auto former = m_published.at(manifest.version).digest;
+    do {
+        m_deployment.touch();
+        for (const auto &[name, text] : m_deployment.parts()) {
+            manifest.parts[name] = celeryramp::sha256Hex(text);
+        }
+    } while ((manifest.digest() > former) != above);
+    return publish();
+}
+
 void Site::startNode(const std::string &server, bool firstStart)
 {
     const auto path = m_paths.out + "/" + server + ".toml";
--- a/standin/lab/site.h
+++ b/standin/lab/site.h
@@ -57,6 +57,12 @@
     /*! @brief Publishes the deployment's parts as the next version. @return The version. */
     std::uint64_t publish();
 
+    /*!
+     * @brief Publishes a number that a restored platform gives out again, with content whose digest
+     * lies above or below that of the lost version. @return The version.
+     */
+    std::uint64_t publishAgain(bool above);
+
     /*! @brief Publishes a body as it is. @return The platform's answer. */
     nlohmann::json publishRaw(const nlohmann::json &body);
 
@@ -119,7 +125,16 @@
     BackendTuning m_tuning;
     ProcessTable m_processes;
     RunHistory m_history;
-    std::map<std::uint64_t, std::int64_t> m_publishedAt; /*!< Unix milliseconds by version. */
+    struct Publication
+    {
+        std::int64_t unixMillis = 0;
+        std::string digest;
+    };
+    /*! @return True when a node with this `/status` has the version as last published, or a later
+     * one. */
+    [[nodiscard]] bool hasReached(const nlohmann::json &status, std::uint64_t version) const;
+
+    std::map<std::uint64_t, Publication> m_published; /*!< By version, the last one of each. */
 };
 
 } // namespace standin
--- a/standin/platform/platform.cpp
+++ b/standin/platform/platform.cpp
@@ -155,6 +155,9 @@
     if (request.path == "/admin/instance") {
         return setInstance(request);
     }
+    if (request.path == "/admin/restore") {
+        return restore(request);
+    }
     if (request.path == "/admin/stats") {
         return stats();
     }
@@ -222,12 +225,51 @@
 HttpResponse Platform::setInstance(const HttpRequest &request)
 {
     const std::lock_guard lock{m_mutex};
+    m_formerInstances.push_back(m_instances);
     m_instances[request.query("server")] = request.query("state");
     ++m_instanceIndex;
     m_changed.notify_all();
     return text(kOk, "{}");
 }
 
+/*!
+ * Forgets the last `versions` manifests with the parts that only they name, and the last `lists`
+ * changes of the instance list. Their numbers are given out again.
+ */
+HttpResponse Platform::restore(const HttpRequest &request)
+{
+    const std::lock_guard lock{m_mutex};
+    for (auto n = number(request.query("versions")); n > 0 && m_manifests.size() > 1; --n) {
+        m_manifests.pop_back();
+    }
+    for (auto n = number(request.query("lists")); n > 0 && !m_formerInstances.empty(); --n) {
+        m_instances = std::move(m_formerInstances.back());
+        m_formerInstances.pop_back();
+        --m_instanceIndex;
+    }
+    if (m_manifests.empty()) {
+        return text(kOk, "{}");
+    }
+    std::map<std::string, std::string> parts;
+    for (const auto &kept : m_manifests) {
+        const auto manifest = celeryramp::parseManifest(kept).value();
+        for (const auto &[name, hash] : manifest.parts) {
+            if (const auto it = m_parts.find(hash); it != m_parts.end()) {
+                parts.insert(*it);
+            }
+        }
+    }
+    m_parts = std::move(parts);
+    const auto last = celeryramp::parseManifest(m_manifests.back()).value();
+    m_version = last.version;
+    m_latest.clear();
+    for (const auto &[name, hash] : last.parts) {
+        m_latest[name] = m_parts[hash];
+    }
+    m_changed.notify_all();
+    return text(kOk, nlohmann::json{{"version", m_version}, {"index", m_instanceIndex}}.dump());
+}
+
 HttpResponse Platform::stats()
 {
     const std::lock_guard lock{m_mutex};
--- a/standin/platform/platform.h
+++ b/standin/platform/platform.h
@@ -38,6 +38,7 @@
     [[nodiscard]] celeryramp::HttpResponse publish(const std::string &body);
     [[nodiscard]] celeryramp::HttpResponse setFaults(const celeryramp::HttpRequest &request);
     [[nodiscard]] celeryramp::HttpResponse setInstance(const celeryramp::HttpRequest &request);
+    [[nodiscard]] celeryramp::HttpResponse restore(const celeryramp::HttpRequest &request);
     [[nodiscard]] celeryramp::HttpResponse stats();
     void countRead();
     [[nodiscard]] const std::string &servedManifest();
@@ -50,6 +51,7 @@
     std::string m_staleManifest;
     std::uint64_t m_version = 0;
     std::map<std::string, std::string> m_instances;
+    std::deque<std::map<std::string, std::string>> m_formerInstances; /*!< Oldest first. */
     std::uint64_t m_instanceIndex = 1;
     Faults m_faults;
     std::uint64_t m_reads = 0;
