Only a manifest that was read confirms the configuration in force

What callers saw: the platform comes back without its last version, whose number the operator gives out again with other content. No node ever takes it, keys withdrawn by it go on, and all nodes report a fresh confirmation.

Cause: a reader watches by number. An answer "not modified" to `not=3` was taken as a confirmation of version 3, whatever its digest, and the manifest itself was not read again. The event of a confirmation named no version either, so that it counted for whatever was in force when it was handled. And the watch remembered the highest number that it had seen, so that after a return below a version under way the platform answered each watch at once.

Ruled out: the way between nodes; announcements and heartbeats carry the digest.

Change: a watch that ends without a change is followed by a read of the manifest; only that confirms, by version and digest. The watch goes on from the number read last, also when that has fallen. A reader makes one read more in 5 s.

--- a/src/celeryramp/distribution/distributor.cpp
+++ b/src/celeryramp/distribution/distributor.cpp
@@ -46,9 +46,11 @@
     return true;
 }
 
-void Distributor::onPlatformConfirmed(TimePoint now)
+void Distributor::onPlatformConfirmed(const ConfigStamp &stamp, TimePoint now)
 {
-    confirm(0, now);
+    if (stamp == m_acceptance.stamp()) {
+        confirm(0, now);
+    }
 }
 
 void Distributor::onAnnounce(const std::string &from, const AnnounceMessage &message,
--- a/src/celeryramp/distribution/distributor.h
+++ b/src/celeryramp/distribution/distributor.h
@@ -63,8 +63,8 @@
     bool onPlatformDocument(ConfigDocument document, const IsUsable &isUsable, TimePoint now,
                             Outbox &out);
 
-    /*! @brief Records that the platform answered and has no newer version. */
-    void onPlatformConfirmed(TimePoint now);
+    /*! @brief Records that the platform has this version, if it is the one in force. */
+    void onPlatformConfirmed(const ConfigStamp &stamp, TimePoint now);
 
     /*! @brief Handles the version that a peer announces: pulls it, forwards it or answers it. */
     void onAnnounce(const std::string &from, const AnnounceMessage &message,
--- a/src/celeryramp/node/control_event.h
+++ b/src/celeryramp/node/control_event.h
@@ -38,9 +38,10 @@
     ConfigDocument document;
 };
 
-/*! @brief The platform answered and had nothing newer. */
+/*! @brief The platform's manifest was read and is the one that was in force then. */
 struct PlatformConfirmedEvent
 {
+    ConfigStamp stamp;
 };
 
 /*! @brief The platform's list of instances was read. */
--- a/src/celeryramp/node/control_service.cpp
+++ b/src/celeryramp/node/control_service.cpp
@@ -203,9 +203,9 @@
     }
 }
 
-void ControlService::handle(const PlatformConfirmedEvent & /*event*/, TimePoint now)
+void ControlService::handle(const PlatformConfirmedEvent &event, TimePoint now)
 {
-    m_distributor.onPlatformConfirmed(now);
+    m_distributor.onPlatformConfirmed(event.stamp, now);
 }
 
 void ControlService::handle(const InstanceListEvent &event, TimePoint now)
--- a/src/celeryramp/node/platform_reader.cpp
+++ b/src/celeryramp/node/platform_reader.cpp
@@ -123,46 +123,49 @@
 
 void PlatformReader::watchOnce()
 {
-    // Waits for a version newer than the one whose parts are still being read.
-    readOnce(std::max(m_seenVersion, m_control.stamp().version), internal::kWatchWait);
+    const auto known = m_seenVersion != 0 ? m_seenVersion : m_control.stamp().version;
+    if (!readOnce(known, internal::kWatchWait)) {
+        // A restored platform gives numbers out again, so only the manifest itself is a
+        // confirmation.
+        readOnce(0, Millis{0});
+    }
 }
 
-void PlatformReader::readOnce(std::uint64_t known, Millis wait)
+bool PlatformReader::readOnce(std::uint64_t known, Millis wait)
 {
     auto manifest = m_client.readManifest(known, wait);
     if (m_stopping) {
-        return;
+        return true;
     }
     if (!manifest) {
         logEvent(LogLevel::Debug, "platform", "read-failed", {{"reason", manifest.error().reason}});
         backOff();
-        return;
+        return true;
     }
     m_backOff = internal::kInitialReadBackOff;
     if (!manifest.value()) {
-        if (known == m_control.stamp().version) {
-            m_control.push(PlatformConfirmedEvent{});
-        }
-        return;
+        return false;
     }
     const auto &found = *manifest.value();
     const ConfigStamp stamp{found.version, found.digest()};
+    m_seenVersion = found.version;
     if (m_control.isWanted(stamp)) {
         m_fetcher.want(found);
-        m_seenVersion = std::max(m_seenVersion, found.version);
         if (m_control.stamp().version == 0) {
             // After a start the control service decides only once peers have answered, so that
             // reading again before then has no effect.
             awaitDecision(stamp);
         }
-        return;
+        return true;
     }
     if (stamp == m_control.stamp()) {
-        m_control.push(PlatformConfirmedEvent{});
+        m_control.push(PlatformConfirmedEvent{stamp});
+        return true;
     }
     if (known != 0) {
         m_watchWaker.sleep(internal::kStaleBackOff + jitter(internal::kStaleBackOff));
     }
+    return true;
 }
 
 void PlatformReader::awaitDecision(const ConfigStamp &stamp)
--- a/src/celeryramp/node/platform_reader.h
+++ b/src/celeryramp/node/platform_reader.h
@@ -41,7 +41,9 @@
     void loop();
     void awaitStart();
     void watchOnce();
-    void readOnce(std::uint64_t known, Millis wait);
+    /*! @return False if the platform held the answer back and its version is still the known one.
+     */
+    bool readOnce(std::uint64_t known, Millis wait);
     void awaitDecision(const ConfigStamp &stamp);
     void readInstances();
     void backOff();
@@ -55,7 +57,8 @@
     DocumentFetcher m_fetcher;
     RandomEngine m_random;
     Millis m_backOff;
-    std::uint64_t m_seenVersion = 0; /*!< Newest version whose manifest was read. */
+    std::uint64_t m_seenVersion
+            = 0; /*!< Version of the last manifest read, which may have fallen. */
     std::uint64_t m_instanceIndex = 0; /*!< Index of the last instance list read. */
     std::atomic<bool> m_reader{false};
     std::atomic<bool> m_firstReadDone{false};
