A version whose parts are gone gives way to an older one

What callers saw: the platform loses a version that a reader has found but not read, and gives out its number, or a lower one, again. The reader tries the lost parts for ever and does not read what is published now; no node gets it.

Cause: the fetcher refused every stamp at or below the highest that it was asked for, though nobody had that version.

Change: while the parts of the requested version cannot be read, an older one that is still wanted replaces it. As long as they can be read, an older one is ignored as before, so that two replicas in turn do not undo each other.

--- a/src/celeryramp/node/document_fetcher.cpp
+++ b/src/celeryramp/node/document_fetcher.cpp
@@ -36,10 +36,12 @@
     {
         const std::lock_guard lock{m_mutex};
         const ConfigStamp stamp{manifest.version, manifest.digest()};
-        if (m_newest == stamp || stamp < m_newest) {
+        // A platform that was restored no longer has the parts of the versions that it lost.
+        const bool canBeRead = m_failures == 0;
+        if (m_requested == stamp || (stamp < m_requested && canBeRead)) {
             return;
         }
-        m_newest = stamp;
+        m_requested = stamp;
         m_wanted = manifest;
     }
     m_waker.wake();
@@ -85,7 +87,7 @@
     const auto stamp = document.stamp();
     m_target.onDocument(std::move(document));
     const std::lock_guard lock{m_mutex};
-    if (m_newest == stamp) {
+    if (m_requested == stamp) {
         m_wanted.reset();
     }
 }
--- a/src/celeryramp/node/document_fetcher.h
+++ b/src/celeryramp/node/document_fetcher.h
@@ -21,7 +21,7 @@
  *
  * Only the newest wanted version is read. A newer version replaces it between two parts, and parts
  * common to both are read once. On a slow platform a version therefore waits for at most one part
- * of its predecessor.
+ * of its predecessor. An older version replaces it only while its parts cannot be read.
  */
 class DocumentFetcher
 {
@@ -38,7 +38,8 @@
     /*! @brief Joins the thread. The owner of the source must interrupt a read in progress. */
     void stop();
 
-    /*! @brief Requests a version, which replaces an older one that is not read yet. */
+    /*! @brief Requests a version, which replaces an older or unreadable one that is not read yet.
+     */
     void want(const Manifest &manifest);
 
 private:
@@ -53,10 +54,10 @@
     DocumentTarget &m_target;
     RandomEngine m_random;
     std::mutex m_mutex;
-    std::optional<Manifest> m_wanted; /*!< Guarded by m_mutex, like m_newest. */
-    ConfigStamp m_newest; /*!< Newest stamp requested so far. */
+    std::optional<Manifest> m_wanted; /*!< Guarded by m_mutex, like m_requested. */
+    ConfigStamp m_requested; /*!< Stamp requested last. */
     std::map<std::string, std::string> m_parts; /*!< Parts read so far, by hash. */
-    int m_failures = 0; /*!< Consecutive failed reads. */
+    std::atomic<int> m_failures{0}; /*!< Consecutive failed reads. */
     std::atomic<bool> m_stopping{false};
     Waker m_waker;
     std::thread m_thread;
--- a/test/node/document_fetcher.cpp
+++ b/test/node/document_fetcher.cpp
@@ -160,3 +160,33 @@
     site.fetcher.want({3, {{"accounts", "a3"}}});
     CHECK(site.target.awaitVersions(2) == std::vector<std::uint64_t>{2, 3});
 }
+
+// Guards against a lost version that keeps the reader from the one which has its number now.
+TEST_CASE("A version given out again replaces one whose parts are gone")
+{
+    const Manifest lost{2, {{"accounts", "missing"}}};
+    Manifest again{2, {{"accounts", "a0"}}};
+    for (int i = 1; again.digest() > lost.digest(); ++i) {
+        again.parts["accounts"] = "a" + std::to_string(i);
+    }
+    Site site;
+    site.fetcher.want(lost);
+    site.source.allow(1);
+    site.source.awaitAsked(2);
+    site.fetcher.want(again);
+    site.source.allow(100);
+    CHECK(site.target.awaitVersions(1) == std::vector<std::uint64_t>{2});
+}
+
+// Guards against the same with two lost versions, of which only the first number is given out
+// again.
+TEST_CASE("An older version replaces one whose parts are gone")
+{
+    Site site;
+    site.fetcher.want({3, {{"accounts", "missing"}}});
+    site.source.allow(1);
+    site.source.awaitAsked(2);
+    site.fetcher.want({2, {{"accounts", "a2"}}});
+    site.source.allow(100);
+    CHECK(site.target.awaitVersions(1) == std::vector<std::uint64_t>{2});
+}
