A platform document confirms only the configuration that it is

What callers saw: a node whose platform still has, or again has, an older version reports the newer one in force as confirmed at that moment, and believes its keys for as long.

Cause: a document read from the platform counted as a confirmation of whatever was in force, before it was offered. A document that waited for the answers of peers after a start was offered below what they had.

Change: it confirms if its stamp is in force after the offer. A rejected one confirms nothing.

No run of processes shows it by itself.

--- a/src/celeryramp/distribution/distributor.cpp
+++ b/src/celeryramp/distribution/distributor.cpp
@@ -38,12 +38,13 @@
 bool Distributor::onPlatformDocument(ConfigDocument document, const IsUsable &isUsable,
                                      TimePoint now, Outbox &out)
 {
-    confirm(0, now);
-    if (!accept(std::move(document), now)) {
-        return false;
+    const auto stamp = document.stamp();
+    const bool accepted = accept(std::move(document), now);
+    onPlatformConfirmed(stamp, now);
+    if (accepted) {
+        announceAsRoot(true, isUsable, now, out);
     }
-    announceAsRoot(true, isUsable, now, out);
-    return true;
+    return accepted;
 }
 
 void Distributor::onPlatformConfirmed(const ConfigStamp &stamp, TimePoint now)
