An answer to a pull confirms by digest, not by number

An answer "you have the same" names the number and an age, but no digest. If the asker took other content with the same number while its pull was under way, the answer about the former content made the new one count as confirmed.

Change: the peer sends an announcement, which carries the digest, before such an answer, and the answer alone confirms nothing. The wire format stays: a node of the release before still understands both. An answer of such a node no longer confirms here; its announcements do, every 3 s.

Measured: test/distribution/confirmation.cpp "a peer that has other content under the same number confirms nothing" failed before (age 1 ms instead of more than 9,000); all cases of test-distribution pass now. Two releases side by side were not run.

--- a/src/celeryramp/distribution/distributor.cpp
+++ b/src/celeryramp/distribution/distributor.cpp
@@ -89,6 +89,10 @@
     const auto &stamp = m_acceptance.stamp();
     const ConfigStamp have{message.haveVersion, message.haveDigest};
     if (stamp.version == 0 || have == stamp) {
+        if (stamp.version != 0) {
+            // The answer below names no digest, and the asker may have other content by then.
+            out.send(from, announcement({}, now));
+        }
         out.send(from, DocumentMessage{stamp.version, true, confirmedAgoMs(now), {}});
         return;
     }
@@ -118,10 +122,7 @@
         answeredPull.sentAt = now;
     }
     if (message.bytes.data.empty()) {
-        if (message.version != 0 && message.version == m_acceptance.stamp().version) {
-            confirm(message.confirmedAgoMs, now);
-        }
-        return false;
+        return false; // the announcement sent with it confirms by digest
     }
     auto document = message.delta ? applyDelta(m_acceptance.document(), message.bytes.data)
                                   : unpackDocument(message.bytes.data);
--- a/src/celeryramp/wire/control_messages.h
+++ b/src/celeryramp/wire/control_messages.h
@@ -67,7 +67,10 @@
     }
 };
 
-/*! @brief A configuration, whole or as a delta from what the asker has. */
+/*!
+ * @brief A configuration, whole or as a delta from what the asker has. Without bytes it says that
+ * the asker had the same; the announcement that precedes it carries the digest.
+ */
 struct DocumentMessage
 {
     std::uint64_t version = 0; /*!< 0 when the sender has none. */
--- a/test/distribution/confirmation.cpp
+++ b/test/distribution/confirmation.cpp
@@ -28,6 +28,14 @@
     }
 };
 
+/*! Two documents with one number, the one with the lower digest first. */
+std::pair<ConfigDocument, ConfigDocument> sameNumber(std::uint64_t version)
+{
+    auto a = sampleDocument(version, SampleShape{2, 2, 100.0, 50.0});
+    auto b = sampleDocument(version, SampleShape{2, 2, 200.0, 50.0});
+    return a.stamp() < b.stamp() ? std::pair{a, b} : std::pair{b, a};
+}
+
 } // namespace
 
 // Guards against a platform that came back older and confirms what it no longer has.
@@ -46,3 +54,47 @@
     node.distributor.onPlatformDocument(sampleDocument(6), kUsable, at(0), node.out);
     CHECK(node.distributor.confirmedAgo(at(0)).count() == 0);
 }
+
+// Guards against an answer about one content that confirms another with the same number.
+TEST_CASE("a peer that has other content under the same number confirms nothing")
+{
+    const auto [lower, higher] = sameNumber(5);
+    NodeUnderTest node;
+    node.accept(lower, 9000, at(0));
+    node.distributor.pullFrom("s-z1-0", at(1), node.out);
+    node.accept(higher, 9000, at(1));
+
+    Distributor peer{"s-z1-0", "z1", 1};
+    Outbox answers;
+    peer.onPlatformDocument(lower, kUsable, at(0), answers);
+    static_cast<void>(answers.takeAll());
+    peer.onPull("s-z0-0", {5, lower.stamp().digest}, at(1), answers);
+    for (const auto &[to, message] : answers.takeAll()) {
+        if (const auto *document = std::get_if<DocumentMessage>(&message)) {
+            node.distributor.onDocument("s-z1-0", *document, kUsable, at(2), node.out);
+        } else if (const auto *announce = std::get_if<AnnounceMessage>(&message)) {
+            node.distributor.onAnnounce("s-z1-0", *announce, kUsable, at(2), node.out);
+        }
+    }
+    CHECK(node.distributor.confirmedAgo(at(2)).count() > 9000);
+}
+
+TEST_CASE("a peer with the same content confirms it in its answer to a pull")
+{
+    const auto document = sampleDocument(5);
+    NodeUnderTest node;
+    node.accept(document, 9000, at(0));
+    Distributor peer{"s-z1-0", "z1", 1};
+    Outbox answers;
+    peer.onPlatformDocument(document, kUsable, at(0), answers);
+    static_cast<void>(answers.takeAll());
+    peer.onPull("s-z0-0", {5, document.stamp().digest}, at(0), answers);
+    for (const auto &[to, message] : answers.takeAll()) {
+        if (const auto *answer = std::get_if<DocumentMessage>(&message)) {
+            node.distributor.onDocument("s-z1-0", *answer, kUsable, at(0), node.out);
+        } else if (const auto *announce = std::get_if<AnnounceMessage>(&message)) {
+            node.distributor.onAnnounce("s-z1-0", *announce, kUsable, at(0), node.out);
+        }
+    }
+    CHECK(node.distributor.confirmedAgo(at(0)).count() == 0);
+}
