--- a/src/celeryramp/distribution/distributor.cpp
+++ b/src/celeryramp/distribution/distributor.cpp
@@ -38,17 +38,20 @@
 bool Distributor::onPlatformDocument(ConfigDocument document, const IsUsable &isUsable,
                                      TimePoint now, Outbox &out)
 {
-    confirm(0, now);
-    if (!accept(std::move(document), now)) {
-        return false;
+    const auto stamp = document.stamp();
+    const bool accepted = accept(std::move(document), now);
+    onPlatformConfirmed(stamp, now);
+    if (accepted) {
+        announceAsRoot(true, isUsable, now, out);
     }
-    announceAsRoot(true, isUsable, now, out);
-    return true;
+    return accepted;
 }
 
-void Distributor::onPlatformConfirmed(TimePoint now)
+void Distributor::onPlatformConfirmed(const ConfigStamp &stamp, TimePoint now)
 {
-    confirm(0, now);
+    if (stamp == m_acceptance.stamp()) {
+        confirm(0, now);
+    }
 }
 
 void Distributor::onAnnounce(const std::string &from, const AnnounceMessage &message,
@@ -86,6 +89,10 @@
     const auto &stamp = m_acceptance.stamp();
     const ConfigStamp have{message.haveVersion, message.haveDigest};
     if (stamp.version == 0 || have == stamp) {
+        if (stamp.version != 0) {
+            // The answer below names no digest, and the asker may have other content by then.
+            out.send(from, announcement({}, now));
+        }
         out.send(from, DocumentMessage{stamp.version, true, confirmedAgoMs(now), {}});
         return;
     }
@@ -115,10 +122,7 @@
         answeredPull.sentAt = now;
     }
     if (message.bytes.data.empty()) {
-        if (message.version != 0 && message.version == m_acceptance.stamp().version) {
-            confirm(message.confirmedAgoMs, now);
-        }
-        return false;
+        return false; // the announcement sent with it confirms by digest
     }
     auto document = message.delta ? applyDelta(m_acceptance.document(), message.bytes.data)
                                   : unpackDocument(message.bytes.data);
