Each process of the tests of a restored store has addresses of its own

Two of them at once, in two worktrees, met on the same addresses: twelve control runs and one whole run ended with "store cannot listen: Address already in use" (11 of the 12, and all 9 cases). The addresses now depend on the process id.

The control and the leaving servers pass.

--- a/test/restored/restored_site.cpp
+++ b/test/restored/restored_site.cpp
@@ -5,6 +5,7 @@
 #include <fstream>
 
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include "core/boot_clock.h"
 #include "names.h"
@@ -26,15 +27,24 @@
 /*! Time between the first requests of probers of a node. */
 constexpr Millis kProberOffset{30};
 
+/*! Pairs of networks of addresses; each process of the test has its own pair. */
+constexpr int kNetworks = 128;
+
+std::string host(int network, int index)
+{
+    return "127.18." + std::to_string(getpid() % kNetworks * 2 + network) + "."
+            + std::to_string(index + 1);
+}
+
 /*! @return Address at which a node finds the store, which differs from node to node. */
 Address storeAddress(int node)
 {
-    return {"127.18.0." + std::to_string(node + 1), kStorePort};
+    return {host(0, node), kStorePort};
 }
 
 Address nodeAddress(int node, std::uint16_t port)
 {
-    return {"127.18.1." + std::to_string(node + 1), port};
+    return {host(1, node), port};
 }
 
 std::string quoted(const Address &address)
