A restored list of instances counts although its index is lower

What callers saw: the platform's list comes back from a copy with a lower index, then a server is listed as leaving; it gets new work until the index passes the one before the return. With an index that is given out again during an outage the list is never read at all.

Cause: readers waited past the last index and the control service dropped lower ones; rumours about listed servers are ordered by the index alone. Nothing said to which history of lists an index belongs.

Change: a reader takes a lower index that it reads twice, or other content under the same index, as a new history, and reads the list anew after each failed read (InstanceListHistory). The sequence of a rumour is the number of the history above the index (ListedMembers); readers learn the number from rumours, and a reader that has not noticed the return yet cannot overrule the others. One answer of a replica that lags behind still changes nothing. A server that the restored list does not name keeps its state until the next list, since its entry may be written again.

Ruled out by test: two readers that notice one after the other; a server that the copy has forgotten.

Open: a return and as many changes as were lost, all between two reads without a failed one, give the same index with other content, which no read shows; the platform's list has no validator but its index. A node of the release before orders by the index alone, so its rumours lose against those of a new history.

--- a/src/celeryramp/membership/fwd.h
+++ b/src/celeryramp/membership/fwd.h
@@ -8,6 +8,7 @@
 namespace celeryramp {
 
 class FailureDetector;
+class ListedMembers;
 class MembershipView;
 class RumourStore;
 class Topology;
--- a/src/celeryramp/node/control_event.h
+++ b/src/celeryramp/node/control_event.h
@@ -48,6 +48,7 @@
 struct InstanceListEvent
 {
     InstanceList list;
+    bool restored = false; /*!< Starts a new history of lists, whose indices may be lower. */
 };
 
 /*! @brief This node has rumours to publish to all nodes. */
--- a/src/celeryramp/node/control_service.cpp
+++ b/src/celeryramp/node/control_service.cpp
@@ -38,8 +38,8 @@
       m_ring{internal::kControlRing}, m_pauses{metrics.counter("pauses_total")},
       m_suspicions{metrics.counter("suspicions_total")}, m_distributor{settings.server,
                                                                        settings.zone, incarnation},
-      m_rumours{settings.server, settings.zone}, m_view{m_rumours.store()}, m_incarnation{
-                                                                                    incarnation}
+      m_rumours{settings.server, settings.zone}, m_view{m_rumours.store()},
+      m_listedMembers{internal::kRumourLifetime}, m_incarnation{incarnation}
 {
     metrics.gauge("control_ring_refused", [this] { return double(m_ring.refused()); });
 }
@@ -210,22 +210,17 @@
 
 void ControlService::handle(const InstanceListEvent &event, TimePoint now)
 {
-    if (event.list.index < m_listIndex || !m_distributor.acceptance().inForce()) {
+    if (!m_distributor.acceptance().inForce()) {
         return;
     }
-    m_listIndex = event.list.index;
-    std::vector<Rumour> rumours;
+    std::vector<std::string> servers;
     for (const auto &[name, server] : m_distributor.acceptance().inForce()->model().servers) {
-        const bool listed = event.list.leaving.count(name) > 0;
-        const auto left = m_rumours.store().sequence(RumourKind::ListedLeaving, name).value_or(0);
-        const auto live = m_rumours.store().sequence(RumourKind::ListedLive, name).value_or(0);
-        const bool known = left > live;
-        if (listed != known && event.list.index > std::max(left, live)) {
-            const auto kind = listed ? RumourKind::ListedLeaving : RumourKind::ListedLive;
-            rumours.push_back(internal::rumour(kind, name, event.list.index));
-        }
+        servers.push_back(name);
     }
-    publishRumours(rumours, now);
+    const auto &[list, restored] = event;
+    publishRumours(
+            m_listedMembers.onList(list.index, list.leaving, restored, servers, m_rumours.store()),
+            now);
 }
 
 void ControlService::handle(const PublishEvent &event, TimePoint now)
--- a/src/celeryramp/node/control_service.h
+++ b/src/celeryramp/node/control_service.h
@@ -13,6 +13,7 @@
 #include "distribution/pause_guard.h"
 #include "distribution/rumour_distributor.h"
 #include "membership/failure_detector.h"
+#include "membership/listed_members.h"
 #include "membership/membership_view.h"
 #include "node/control_event.h"
 #include "node/document_target.h"
@@ -130,8 +131,8 @@
     MembershipView m_view;
     FailureDetector m_detector;
     Outbox m_out;
+    ListedMembers m_listedMembers;
     std::uint64_t m_incarnation;
-    std::uint64_t m_listIndex = 0;
     std::uint64_t m_fleetDigest = 0;
     std::uint64_t m_loggedRejections = 0;
     /*! Peers to pull from until a configuration is in force. */
--- a/src/celeryramp/node/fwd.h
+++ b/src/celeryramp/node/fwd.h
@@ -13,6 +13,7 @@
 class DocumentFetcher;
 class DocumentTarget;
 class GateWorkerPool;
+class InstanceListHistory;
 class Node;
 class OperatorPort;
 class PlatformReader;
--- a/src/celeryramp/node/platform_reader.cpp
+++ b/src/celeryramp/node/platform_reader.cpp
@@ -178,17 +178,20 @@
 
 void PlatformReader::readInstances()
 {
-    auto list = m_instances.readInstances(m_instanceIndex, internal::kInstanceWait);
+    auto list = m_instances.readInstances(m_listHistory.knownIndex(), internal::kInstanceWait);
     if (!list) {
+        m_listHistory.onFailure();
         if (!m_stopping) {
             logEvent(LogLevel::Debug, "platform", "instances-unread",
                      {{"reason", list.error().reason}});
         }
         return;
     }
-    if (list.value()) {
-        m_instanceIndex = list.value()->index;
-        m_control.push(InstanceListEvent{std::move(*list.value())});
+    if (!list.value()) {
+        return;
+    }
+    if (const auto change = m_listHistory.onList(*list.value()); change != ListChange::None) {
+        m_control.push(InstanceListEvent{std::move(*list.value()), change == ListChange::Restored});
     }
 }
 
--- a/src/celeryramp/node/platform_reader.h
+++ b/src/celeryramp/node/platform_reader.h
@@ -7,6 +7,7 @@
 #include "core/waker.h"
 #include "node/control_service.h"
 #include "node/document_fetcher.h"
+#include "node/instance_list_history.h"
 #include "node/node_settings.h"
 #include "transport/platform_client.h"
 
@@ -59,7 +60,7 @@
     Millis m_backOff;
     std::uint64_t m_seenVersion
             = 0; /*!< Version of the last manifest read, which may have fallen. */
-    std::uint64_t m_instanceIndex = 0; /*!< Index of the last instance list read. */
+    InstanceListHistory m_listHistory;
     std::atomic<bool> m_reader{false};
     std::atomic<bool> m_firstReadDone{false};
     std::atomic<bool> m_stopping{false};
--- a/src/celeryramp/wire/control_messages.h
+++ b/src/celeryramp/wire/control_messages.h
@@ -90,8 +90,9 @@
     Suspicion, /*!< An observer misses a member. Subject `member observer`. */
     Alive, /*!< A member refutes suspicions below its incarnation. */
     Leaving, /*!< A member announces that it takes no new work; sequence is its incarnation. */
-    ListedLeaving, /*!< The platform lists the member as leaving; sequence is the list's index. */
-    ListedLive, /*!< The platform lists the member as live again; sequence is the list's index. */
+    ListedLeaving, /*!< The platform lists the member as leaving; sequence is the number of the
+                        list's history and its index. */
+    ListedLive, /*!< The platform lists the member as live again; sequence as above. */
     Crash /*!< A backend server died with a request in flight. Subject `digest server`. */
 };
 
