The age of a configuration counts from the read of its manifest

What callers saw: keys of a class with `key_freshness_ms` are believed for longer than that while the platform serves parts slowly; `confirmed_ago_ms` is too low on all nodes, since the age travels with the document.

Cause: a confirmation was dated when the last part had arrived, or after the wait for peers at a start. What vouches for a version is its manifest, which may be read many seconds earlier.

Change: the time of the read goes with the manifest through the fetcher and the control service. A read dates from its request, a watch from its answer, since the platform chooses the manifest at its end.

All cases of test-node and test-distribution pass, with two new ones; these do not compile with the code before.

--- a/src/celeryramp/distribution/distributor.cpp
+++ b/src/celeryramp/distribution/distributor.cpp
@@ -35,22 +35,22 @@
       m_sequence{incarnation}, m_mode{mode}, m_random{incarnation ^ stableHash(m_self)}
 { }
 
-bool Distributor::onPlatformDocument(ConfigDocument document, const IsUsable &isUsable,
-                                     TimePoint now, Outbox &out)
+bool Distributor::onPlatformDocument(ConfigDocument document, TimePoint readAt,
+                                     const IsUsable &isUsable, TimePoint now, Outbox &out)
 {
     const auto stamp = document.stamp();
     const bool accepted = accept(std::move(document), now);
-    onPlatformConfirmed(stamp, now);
+    onPlatformConfirmed(stamp, readAt);
     if (accepted) {
         announceAsRoot(true, isUsable, now, out);
     }
     return accepted;
 }
 
-void Distributor::onPlatformConfirmed(const ConfigStamp &stamp, TimePoint now)
+void Distributor::onPlatformConfirmed(const ConfigStamp &stamp, TimePoint readAt)
 {
     if (stamp == m_acceptance.stamp()) {
-        confirm(0, now);
+        confirm(readAt);
     }
 }
 
@@ -310,10 +310,13 @@
 
 void Distributor::confirm(std::uint32_t agoMs, TimePoint now)
 {
-    if (agoMs == internal::kNeverConfirmedMs) {
-        return;
+    if (agoMs != internal::kNeverConfirmedMs) {
+        confirm(now - Millis{agoMs});
     }
-    const auto at = now - Millis{agoMs};
+}
+
+void Distributor::confirm(TimePoint at)
+{
     m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, at) : at;
 }
 
--- a/src/celeryramp/distribution/distributor.h
+++ b/src/celeryramp/distribution/distributor.h
@@ -58,13 +58,15 @@
 
     /*!
      * @brief Offers a document that was read from the platform, and announces it once accepted.
+     * @param readAt When its manifest was read.
      * @return True if the document came in force.
      */
-    bool onPlatformDocument(ConfigDocument document, const IsUsable &isUsable, TimePoint now,
-                            Outbox &out);
+    bool onPlatformDocument(ConfigDocument document, TimePoint readAt, const IsUsable &isUsable,
+                            TimePoint now, Outbox &out);
 
-    /*! @brief Records that the platform has this version, if it is the one in force. */
-    void onPlatformConfirmed(const ConfigStamp &stamp, TimePoint now);
+    /*! @brief Records that the platform had this version at that time, if it is the one in force.
+     */
+    void onPlatformConfirmed(const ConfigStamp &stamp, TimePoint readAt);
 
     /*! @brief Handles the version that a peer announces: pulls it, forwards it or answers it. */
     void onAnnounce(const std::string &from, const AnnounceMessage &message,
@@ -121,6 +123,7 @@
     void gossip(const IsUsable &isUsable, TimePoint now, Outbox &out);
     void startPull(Pull pull, bool requestFull, Outbox &out);
     void confirm(std::uint32_t agoMs, TimePoint now);
+    void confirm(TimePoint at);
     [[nodiscard]] std::uint32_t confirmedAgoMs(TimePoint now) const;
     [[nodiscard]] AnnounceMessage announcement(const std::string &root, TimePoint now) const;
 
--- a/src/celeryramp/node/control_event.h
+++ b/src/celeryramp/node/control_event.h
@@ -36,12 +36,14 @@
 struct PlatformDocumentEvent
 {
     ConfigDocument document;
+    TimePoint readAt; /*!< When its manifest was read. */
 };
 
 /*! @brief The platform's manifest was read and is the one that was in force then. */
 struct PlatformConfirmedEvent
 {
     ConfigStamp stamp;
+    TimePoint readAt;
 };
 
 /*! @brief The platform's list of instances was read. */
--- a/src/celeryramp/node/control_service.cpp
+++ b/src/celeryramp/node/control_service.cpp
@@ -83,10 +83,10 @@
     return acceptance.isNewer(stamp) && !acceptance.wasRejected(stamp);
 }
 
-void ControlService::onDocument(ConfigDocument document)
+void ControlService::onDocument(ConfigDocument document, TimePoint readAt)
 {
     const auto version = document.manifest.version;
-    if (!push(PlatformDocumentEvent{std::move(document)})) {
+    if (!push(PlatformDocumentEvent{std::move(document), readAt})) {
         logEvent(LogLevel::Warn, "control", "document-dropped",
                  {{"version", std::to_string(version)}, {"reason", "ring full"}});
     }
@@ -195,17 +195,17 @@
 {
     if (mustWaitForPeers(now)) {
         // The platform may be stale, and peers may have a newer version.
-        m_deferredDocument = event.document;
+        m_deferredDocument = event;
         return;
     }
-    if (m_distributor.onPlatformDocument(event.document, usable(), now, m_out)) {
+    if (m_distributor.onPlatformDocument(event.document, event.readAt, usable(), now, m_out)) {
         adoptSnapshot(now);
     }
 }
 
-void ControlService::handle(const PlatformConfirmedEvent &event, TimePoint now)
+void ControlService::handle(const PlatformConfirmedEvent &event, TimePoint /*now*/)
 {
-    m_distributor.onPlatformConfirmed(event.stamp, now);
+    m_distributor.onPlatformConfirmed(event.stamp, event.readAt);
 }
 
 void ControlService::handle(const InstanceListEvent &event, TimePoint now)
@@ -261,7 +261,7 @@
 {
     m_lastTick = now;
     if (m_deferredDocument && !mustWaitForPeers(now)) {
-        handle(PlatformDocumentEvent{*std::exchange(m_deferredDocument, std::nullopt)}, now);
+        handle(*std::exchange(m_deferredDocument, std::nullopt), now);
     }
     m_rumours.tick(now);
     const auto role = readerRole();
--- a/src/celeryramp/node/control_service.h
+++ b/src/celeryramp/node/control_service.h
@@ -75,7 +75,7 @@
     [[nodiscard]] ConfigDocument document() const override;
 
     /*! @brief Queues a document read from the platform. */
-    void onDocument(ConfigDocument document) override;
+    void onDocument(ConfigDocument document, TimePoint readAt) override;
 
     /*! @return True once a peer has sent its configuration to this process. */
     [[nodiscard]] bool hasPeerAnswered() const noexcept { return m_peerAnswered; }
@@ -147,7 +147,7 @@
     /*! Wall clock, for the operator port only. */
     std::chrono::system_clock::time_point m_inForceSince;
     /*! Platform document deferred until peers have answered. */
-    std::optional<ConfigDocument> m_deferredDocument;
+    std::optional<PlatformDocumentEvent> m_deferredDocument;
     TimePoint m_startedAt;
     TimePoint m_lastTick;
     PauseGuard m_pauseGuard;
--- a/src/celeryramp/node/document_fetcher.cpp
+++ b/src/celeryramp/node/document_fetcher.cpp
@@ -31,17 +31,22 @@
     }
 }
 
-void DocumentFetcher::want(const Manifest &manifest)
+void DocumentFetcher::want(const Manifest &manifest, TimePoint readAt)
 {
     {
         const std::lock_guard lock{m_mutex};
         const ConfigStamp stamp{manifest.version, manifest.digest()};
         // A platform that was restored no longer has the parts of the versions that it lost.
         const bool canBeRead = m_failures == 0;
-        if (m_requested == stamp || (stamp < m_requested && canBeRead)) {
+        if (m_requested == stamp) {
+            m_readAt = readAt;
+            return;
+        }
+        if (stamp < m_requested && canBeRead) {
             return;
         }
         m_requested = stamp;
+        m_readAt = readAt;
         m_wanted = manifest;
     }
     m_waker.wake();
@@ -85,11 +90,14 @@
     }
     m_parts.clear();
     const auto stamp = document.stamp();
-    m_target.onDocument(std::move(document));
-    const std::lock_guard lock{m_mutex};
-    if (m_requested == stamp) {
-        m_wanted.reset();
+    std::unique_lock lock{m_mutex};
+    if (!(m_requested == stamp)) {
+        return; // replaced meanwhile
     }
+    m_wanted.reset();
+    const auto readAt = m_readAt;
+    lock.unlock();
+    m_target.onDocument(std::move(document), readAt);
 }
 
 void DocumentFetcher::readPart(const std::string &name, const std::string &hash)
--- a/src/celeryramp/node/document_fetcher.h
+++ b/src/celeryramp/node/document_fetcher.h
@@ -39,8 +39,8 @@
     void stop();
 
     /*! @brief Requests a version, which replaces an older or unreadable one that is not read yet.
-     */
-    void want(const Manifest &manifest);
+     *  @param readAt When the manifest was read. */
+    void want(const Manifest &manifest, TimePoint readAt);
 
 private:
     void loop();
@@ -56,6 +56,7 @@
     std::mutex m_mutex;
     std::optional<Manifest> m_wanted; /*!< Guarded by m_mutex, like m_requested. */
     ConfigStamp m_requested; /*!< Stamp requested last. */
+    TimePoint m_readAt; /*!< When its manifest was last read. */
     std::map<std::string, std::string> m_parts; /*!< Parts read so far, by hash. */
     std::atomic<int> m_failures{0}; /*!< Consecutive failed reads. */
     std::atomic<bool> m_stopping{false};
--- a/src/celeryramp/node/document_target.h
+++ b/src/celeryramp/node/document_target.h
@@ -2,6 +2,7 @@
 
 #include "config/config_document.h"
 #include "config/manifest.h"
+#include "core/time.h"
 
 namespace celeryramp {
 
@@ -15,8 +16,11 @@
     [[nodiscard]] virtual bool isWanted(const ConfigStamp &stamp) const = 0;
     /*! @return The document in force. */
     [[nodiscard]] virtual ConfigDocument document() const = 0;
-    /*! @brief Called when a document was read completely. */
-    virtual void onDocument(ConfigDocument document) = 0;
+    /*!
+     * @brief Called when a document was read completely.
+     * @param readAt When its manifest was read, which may be long before its last part.
+     */
+    virtual void onDocument(ConfigDocument document, TimePoint readAt) = 0;
 };
 
 } // namespace celeryramp
--- a/src/celeryramp/node/platform_reader.cpp
+++ b/src/celeryramp/node/platform_reader.cpp
@@ -133,7 +133,10 @@
 
 bool PlatformReader::readOnce(std::uint64_t known, Millis wait)
 {
+    const auto askedAt = Clock::now();
     auto manifest = m_client.readManifest(known, wait);
+    // The platform may hold the answer to a watch back, and chooses the manifest at its end.
+    const auto readAt = known == 0 ? askedAt : Clock::now();
     if (m_stopping) {
         return true;
     }
@@ -150,7 +153,7 @@
     const ConfigStamp stamp{found.version, found.digest()};
     m_seenVersion = found.version;
     if (m_control.isWanted(stamp)) {
-        m_fetcher.want(found);
+        m_fetcher.want(found, readAt);
         if (m_control.stamp().version == 0) {
             // After a start the control service decides only once peers have answered, so that
             // reading again before then has no effect.
@@ -159,7 +162,7 @@
         return true;
     }
     if (stamp == m_control.stamp()) {
-        m_control.push(PlatformConfirmedEvent{stamp});
+        m_control.push(PlatformConfirmedEvent{stamp, readAt});
         return true;
     }
     if (known != 0) {
--- a/test/distribution/confirmation.cpp
+++ b/test/distribution/confirmation.cpp
@@ -43,7 +43,8 @@
 {
     NodeUnderTest node;
     node.accept(sampleDocument(6), 9000, at(0));
-    CHECK_FALSE(node.distributor.onPlatformDocument(sampleDocument(5), kUsable, at(0), node.out));
+    CHECK_FALSE(node.distributor.onPlatformDocument(sampleDocument(5), at(0), kUsable, at(0),
+                                                    node.out));
     CHECK(node.distributor.confirmedAgo(at(0)).count() == 9000);
 }
 
@@ -51,10 +52,23 @@
 {
     NodeUnderTest node;
     node.accept(sampleDocument(6), 9000, at(0));
-    node.distributor.onPlatformDocument(sampleDocument(6), kUsable, at(0), node.out);
+    node.distributor.onPlatformDocument(sampleDocument(6), at(0), kUsable, at(0), node.out);
     CHECK(node.distributor.confirmedAgo(at(0)).count() == 0);
 }
 
+// Guards against keys that are believed too long because parts were read slowly.
+TEST_CASE("a confirmation dates from the manifest and not from the last part")
+{
+    NodeUnderTest node;
+    REQUIRE(node.distributor.onPlatformDocument(sampleDocument(5), at(0), kUsable, at(8000),
+                                                node.out));
+    CHECK(node.distributor.confirmedAgo(at(8000)).count() == 8000);
+    node.distributor.onPlatformConfirmed(sampleDocument(5).stamp(), at(7000));
+    CHECK(node.distributor.confirmedAgo(at(8000)).count() == 1000);
+    node.distributor.onPlatformConfirmed(sampleDocument(4).stamp(), at(8000));
+    CHECK(node.distributor.confirmedAgo(at(8000)).count() == 1000);
+}
+
 // Guards against an answer about one content that confirms another with the same number.
 TEST_CASE("a peer that has other content under the same number confirms nothing")
 {
@@ -66,7 +80,7 @@
 
     Distributor peer{"s-z1-0", "z1", 1};
     Outbox answers;
-    peer.onPlatformDocument(lower, kUsable, at(0), answers);
+    peer.onPlatformDocument(lower, at(0), kUsable, at(0), answers);
     static_cast<void>(answers.takeAll());
     peer.onPull("s-z0-0", {5, lower.stamp().digest}, at(1), answers);
     for (const auto &[to, message] : answers.takeAll()) {
@@ -86,7 +100,7 @@
     node.accept(document, 9000, at(0));
     Distributor peer{"s-z1-0", "z1", 1};
     Outbox answers;
-    peer.onPlatformDocument(document, kUsable, at(0), answers);
+    peer.onPlatformDocument(document, at(0), kUsable, at(0), answers);
     static_cast<void>(answers.takeAll());
     peer.onPull("s-z0-0", {5, document.stamp().digest}, at(0), answers);
     for (const auto &[to, message] : answers.takeAll()) {
--- a/test/distribution/distributor.cpp
+++ b/test/distribution/distributor.cpp
@@ -72,7 +72,7 @@
     void publish(const std::string &reader, const ConfigDocument &document, TimePoint now)
     {
         Outbox out;
-        node(reader).onPlatformDocument(document, m_usable, now, out);
+        node(reader).onPlatformDocument(document, now, m_usable, now, out);
         collect(reader, out);
     }
 
@@ -233,7 +233,7 @@
     REQUIRE(crossZoneAnnouncements(ReaderRole::First, 10) == 2);
     REQUIRE(crossZoneAnnouncements(ReaderRole::Reader, 10) == 0);
     Outbox out;
-    first.onPlatformDocument(sampleDocument(2, kShape), usable, at(0), out);
+    first.onPlatformDocument(sampleDocument(2, kShape), at(0), usable, at(0), out);
     int crossZoneCount = 0;
     for (const auto &[to, message] : out.takeAll()) {
         crossZoneCount += first.topology().zoneOf(to) == "z1" ? 1 : 0;
--- a/test/node/document_fetcher.cpp
+++ b/test/node/document_fetcher.cpp
@@ -7,6 +7,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "support/sample_config.h"
+
 namespace {
 
 using celeryramp::ConfigDocument;
@@ -17,6 +19,8 @@
 using celeryramp::PlatformError;
 using celeryramp::PlatformErrorCode;
 using celeryramp::Result;
+using celeryramp::TimePoint;
+using testsupport::at;
 
 constexpr std::chrono::seconds kTimeout{10};
 
@@ -78,13 +82,19 @@
         const std::lock_guard lock{m_mutex};
         return m_inForce;
     }
-    void onDocument(ConfigDocument document) override
+    void onDocument(ConfigDocument document, TimePoint readAt) override
     {
         const std::lock_guard lock{m_mutex};
         m_inForce = std::move(document);
+        m_readAt = readAt;
         m_versions.push_back(m_inForce.manifest.version);
         m_changed.notify_all();
     }
+    TimePoint readAt() const
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_readAt;
+    }
     std::vector<std::uint64_t> awaitVersions(std::size_t n)
     {
         std::unique_lock lock{m_mutex};
@@ -96,6 +106,7 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
     ConfigDocument m_inForce;
+    TimePoint m_readAt;
     std::vector<std::uint64_t> m_versions;
 };
 
@@ -118,9 +129,9 @@
 TEST_CASE("A replaced version delays the next one by a single part")
 {
     Site site;
-    site.fetcher.want({1, {{"accounts", "a1"}, {"keys", "k1"}, {"zones", "z1"}}});
+    site.fetcher.want({1, {{"accounts", "a1"}, {"keys", "k1"}, {"zones", "z1"}}}, at(0));
     site.source.awaitAsked(1);
-    site.fetcher.want({2, {{"accounts", "a1"}, {"keys", "k2"}, {"zones", "z2"}}});
+    site.fetcher.want({2, {{"accounts", "a1"}, {"keys", "k2"}, {"zones", "z2"}}}, at(0));
     site.source.allow(3);
     CHECK(site.target.awaitVersions(1) == std::vector<std::uint64_t>{2});
     CHECK(site.source.awaitAsked(3) == std::vector<std::string>{"a1", "k2", "z2"});
@@ -130,10 +141,10 @@
 TEST_CASE("Parts that are already in force are not read again")
 {
     Site site;
-    site.fetcher.want({1, {{"accounts", "a1"}, {"keys", "k1"}}});
+    site.fetcher.want({1, {{"accounts", "a1"}, {"keys", "k1"}}}, at(0));
     site.source.allow(2);
     site.target.awaitVersions(1);
-    site.fetcher.want({2, {{"accounts", "a1"}, {"keys", "k2"}}});
+    site.fetcher.want({2, {{"accounts", "a1"}, {"keys", "k2"}}}, at(0));
     site.source.allow(1);
     site.target.awaitVersions(2);
     CHECK(site.source.awaitAsked(3) == std::vector<std::string>{"a1", "k1", "k2"});
@@ -142,10 +153,10 @@
 TEST_CASE("A version with an unreadable part is replaced by the next one")
 {
     Site site;
-    site.fetcher.want({1, {{"accounts", "missing"}}});
+    site.fetcher.want({1, {{"accounts", "missing"}}}, at(0));
     site.source.allow(1);
     site.source.awaitAsked(1);
-    site.fetcher.want({2, {{"accounts", "a2"}}});
+    site.fetcher.want({2, {{"accounts", "a2"}}}, at(0));
     site.source.allow(100);
     CHECK(site.target.awaitVersions(1) == std::vector<std::uint64_t>{2});
 }
@@ -154,10 +165,10 @@
 {
     Site site;
     site.source.allow(100);
-    site.fetcher.want({2, {{"accounts", "a2"}}});
+    site.fetcher.want({2, {{"accounts", "a2"}}}, at(0));
     site.target.awaitVersions(1);
-    site.fetcher.want({1, {{"accounts", "a1"}}});
-    site.fetcher.want({3, {{"accounts", "a3"}}});
+    site.fetcher.want({1, {{"accounts", "a1"}}}, at(0));
+    site.fetcher.want({3, {{"accounts", "a3"}}}, at(0));
     CHECK(site.target.awaitVersions(2) == std::vector<std::uint64_t>{2, 3});
 }
 
@@ -170,10 +181,10 @@
         again.parts["accounts"] = "a" + std::to_string(i);
     }
     Site site;
-    site.fetcher.want(lost);
+    site.fetcher.want(lost, at(0));
     site.source.allow(1);
     site.source.awaitAsked(2);
-    site.fetcher.want(again);
+    site.fetcher.want(again, at(0));
     site.source.allow(100);
     CHECK(site.target.awaitVersions(1) == std::vector<std::uint64_t>{2});
 }
@@ -183,10 +194,22 @@
 TEST_CASE("An older version replaces one whose parts are gone")
 {
     Site site;
-    site.fetcher.want({3, {{"accounts", "missing"}}});
+    site.fetcher.want({3, {{"accounts", "missing"}}}, at(0));
     site.source.allow(1);
     site.source.awaitAsked(2);
-    site.fetcher.want({2, {{"accounts", "a2"}}});
+    site.fetcher.want({2, {{"accounts", "a2"}}}, at(0));
     site.source.allow(100);
     CHECK(site.target.awaitVersions(1) == std::vector<std::uint64_t>{2});
 }
+
+// Guards against a document whose age counts from its last part.
+TEST_CASE("A document carries the time of the last read of its manifest")
+{
+    Site site;
+    site.fetcher.want({1, {{"accounts", "a1"}}}, at(0));
+    site.source.awaitAsked(1);
+    site.fetcher.want({1, {{"accounts", "a1"}}}, at(500));
+    site.source.allow(1);
+    site.target.awaitVersions(1);
+    CHECK(site.target.readAt() == at(500));
+}
