--- a/src/celeryramp/node/control_event.h
+++ b/src/celeryramp/node/control_event.h
@@ -36,18 +36,21 @@
 struct PlatformDocumentEvent
 {
     ConfigDocument document;
+    TimePoint readAt; /*!< When its manifest was read. */
 };
 
 /*! @brief The platform's manifest was read and is the one that was in force then. */
 struct PlatformConfirmedEvent
 {
     ConfigStamp stamp;
+    TimePoint readAt;
 };
 
 /*! @brief The platform's list of instances was read. */
 struct InstanceListEvent
 {
     InstanceList list;
+    bool restored = false; /*!< Starts a new history of lists, whose indices may be lower. */
 };
 
 /*! @brief This node has rumours to publish to all nodes. */
--- a/src/celeryramp/node/control_service.cpp
+++ b/src/celeryramp/node/control_service.cpp
@@ -38,8 +38,8 @@
       m_ring{internal::kControlRing}, m_pauses{metrics.counter("pauses_total")},
       m_suspicions{metrics.counter("suspicions_total")}, m_distributor{settings.server,
                                                                        settings.zone, incarnation},
-      m_rumours{settings.server, settings.zone}, m_view{m_rumours.store()}, m_incarnation{
-                                                                                    incarnation}
+      m_rumours{settings.server, settings.zone}, m_view{m_rumours.store()},
+      m_listedMembers{internal::kRumourLifetime}, m_incarnation{incarnation}
 {
     metrics.gauge("control_ring_refused", [this] { return double(m_ring.refused()); });
 }
@@ -83,10 +83,10 @@
     return acceptance.isNewer(stamp) && !acceptance.wasRejected(stamp);
 }
 
-void ControlService::onDocument(ConfigDocument document)
+void ControlService::onDocument(ConfigDocument document, TimePoint readAt)
 {
     const auto version = document.manifest.version;
-    if (!push(PlatformDocumentEvent{std::move(document)})) {
+    if (!push(PlatformDocumentEvent{std::move(document), readAt})) {
         logEvent(LogLevel::Warn, "control", "document-dropped",
                  {{"version", std::to_string(version)}, {"reason", "ring full"}});
     }
@@ -195,37 +195,32 @@
 {
     if (mustWaitForPeers(now)) {
         // The platform may be stale, and peers may have a newer version.
-        m_deferredDocument = event.document;
+        m_deferredDocument = event;
         return;
     }
-    if (m_distributor.onPlatformDocument(event.document, usable(), now, m_out)) {
+    if (m_distributor.onPlatformDocument(event.document, event.readAt, usable(), now, m_out)) {
         adoptSnapshot(now);
     }
 }
 
-void ControlService::handle(const PlatformConfirmedEvent &event, TimePoint now)
+void ControlService::handle(const PlatformConfirmedEvent &event, TimePoint /*now*/)
 {
-    m_distributor.onPlatformConfirmed(event.stamp, now);
+    m_distributor.onPlatformConfirmed(event.stamp, event.readAt);
 }
 
 void ControlService::handle(const InstanceListEvent &event, TimePoint now)
 {
-    if (event.list.index < m_listIndex || !m_distributor.acceptance().inForce()) {
+    if (!m_distributor.acceptance().inForce()) {
         return;
     }
-    m_listIndex = event.list.index;
-    std::vector<Rumour> rumours;
+    std::vector<std::string> servers;
     for (const auto &[name, server] : m_distributor.acceptance().inForce()->model().servers) {
-        const bool listed = event.list.leaving.count(name) > 0;
-        const auto left = m_rumours.store().sequence(RumourKind::ListedLeaving, name).value_or(0);
-        const auto live = m_rumours.store().sequence(RumourKind::ListedLive, name).value_or(0);
-        const bool known = left > live;
-        if (listed != known && event.list.index > std::max(left, live)) {
-            const auto kind = listed ? RumourKind::ListedLeaving : RumourKind::ListedLive;
-            rumours.push_back(internal::rumour(kind, name, event.list.index));
-        }
+        servers.push_back(name);
     }
-    publishRumours(rumours, now);
+    const auto &[list, restored] = event;
+    publishRumours(
+            m_listedMembers.onList(list.index, list.leaving, restored, servers, m_rumours.store()),
+            now);
 }
 
 void ControlService::handle(const PublishEvent &event, TimePoint now)
@@ -266,7 +261,7 @@
 {
     m_lastTick = now;
     if (m_deferredDocument && !mustWaitForPeers(now)) {
-        handle(PlatformDocumentEvent{*std::exchange(m_deferredDocument, std::nullopt)}, now);
+        handle(*std::exchange(m_deferredDocument, std::nullopt), now);
     }
     m_rumours.tick(now);
     const auto role = readerRole();
--- a/src/celeryramp/node/control_service.h
+++ b/src/celeryramp/node/control_service.h
@@ -13,6 +13,7 @@
 #include "distribution/pause_guard.h"
 #include "distribution/rumour_distributor.h"
 #include "membership/failure_detector.h"
+#include "membership/listed_members.h"
 #include "membership/membership_view.h"
 #include "node/control_event.h"
 #include "node/document_target.h"
@@ -74,7 +75,7 @@
     [[nodiscard]] ConfigDocument document() const override;
 
     /*! @brief Queues a document read from the platform. */
-    void onDocument(ConfigDocument document) override;
+    void onDocument(ConfigDocument document, TimePoint readAt) override;
 
     /*! @return True once a peer has sent its configuration to this process. */
     [[nodiscard]] bool hasPeerAnswered() const noexcept { return m_peerAnswered; }
@@ -130,8 +131,8 @@
     MembershipView m_view;
     FailureDetector m_detector;
     Outbox m_out;
+    ListedMembers m_listedMembers;
     std::uint64_t m_incarnation;
-    std::uint64_t m_listIndex = 0;
     std::uint64_t m_fleetDigest = 0;
     std::uint64_t m_loggedRejections = 0;
     /*! Peers to pull from until a configuration is in force. */
@@ -146,7 +147,7 @@
     /*! Wall clock, for the operator port only. */
     std::chrono::system_clock::time_point m_inForceSince;
     /*! Platform document deferred until peers have answered. */
-    std::optional<ConfigDocument> m_deferredDocument;
+    std::optional<PlatformDocumentEvent> m_deferredDocument;
     TimePoint m_startedAt;
     TimePoint m_lastTick;
     PauseGuard m_pauseGuard;
