Count requests for a version only when they are sent

What callers saw: possible 404 for a route of a confirmed version at a node that restarted after the store came back from a copy, until the operator writes again.

Cause: each report that told a later version used up one of the five requests for it, also while requestSync() held the request back because of the 500 ms between two of them. A node that aggregates its zone gets more than five reports in that time. If the one request that was sent (or one to a peer that was itself restarting, just before) got no reply, none followed.

Ruled out: reports of a later era, which do not count.

Change: requestSync() tells whether it sent a request, and only then it counts.

--- a/src/celeryramp/engine/peer_coordinator.cpp
+++ b/src/celeryramp/engine/peer_coordinator.cpp
@@ -198,16 +198,17 @@
     }
 }
 
-void PeerCoordinator::requestSync(const Address &peer, TimePoint now)
+bool PeerCoordinator::requestSync(const Address &peer, TimePoint now)
 {
     const auto unanswered = m_unansweredSyncs.find(peer.host);
     if (millisBetween(m_lastSyncRequestAt, now) < internal::kSyncRequestInterval
         || (unanswered != m_unansweredSyncs.end()
             && millisBetween(unanswered->second, now) < internal::kSyncReplyTimeout)) {
-        return;
+        return false;
     }
     const auto held = m_replica.isComplete() ? m_replica.position() : directory::SourcePosition{};
     sendSyncRequest(peer, held, true, now);
+    return true;
 }
 
 void PeerCoordinator::sendSyncRequest(const Address &peer,
@@ -240,9 +241,8 @@
         m_requestedVersion = version;
         m_versionRequests = 0;
     }
-    if (m_versionRequests < internal::kMaxVersionRequests) {
+    if (m_versionRequests < internal::kMaxVersionRequests && requestSync(peer, now)) {
         ++m_versionRequests;
-        requestSync(peer, now);
     }
 }
 
--- a/src/celeryramp/engine/peer_coordinator.h
+++ b/src/celeryramp/engine/peer_coordinator.h
@@ -79,8 +79,8 @@
     /*! @brief Sends a frame to all nodes of all zones. */
     void broadcast(const proxy::Frame &frame, TimePoint now);
     /*! @brief Requests the state after this node's position from a peer, unless an earlier request
-     * to it may still be answered. */
-    void requestSync(const Address &peer, TimePoint now);
+     * to it may still be answered. @return True if a request was made. */
+    bool requestSync(const Address &peer, TimePoint now);
 
     /*! @brief Handles that a peer has changes which this node cannot apply, since it has missed
      * earlier ones. Requests the state of the peer unless a read is likely to bring it at once.
