Tests: answers without a status, in the forms that were not tried before

Ruled out, with processes and raw bytes (a scripted server beside celeryramp-node, callers at its own node and at another one): 48 texts in place of the status (000, 0, 0000, 099, 600, 20, 2000, -01, " 00", none, letters, NUL, fullwidth ...), each with three framings, byte by byte, unsigned, with the field that says not run, without reason and as HTTP/1.0; other versions; 000 before a good answer, behind 100 and 103 and behind a good answer; 1xx without a final response; 204 and 304 with a body.

Change: these forms as tests of the reader, the gate and the older client; the reader's check of broken bytes also ends the stream and takes HEAD.

--- a/test/engine/broken_answer.cpp
+++ b/test/engine/broken_answer.cpp
@@ -137,6 +137,87 @@
     requireBroken("status", "HTTP/1.1 " + std::string{status} + " Odd", {});
 }
 
+// Guards against a server in trouble whose answer has no status, such as 000.
+TEST_CASE("Broken answer: a start line without a status is not passed on")
+{
+    using namespace std::string_literals;
+    Mesh mesh{2};
+    const int index = useOneServer(mesh);
+    int id = 1;
+    for (const auto &status : {"000"s, "0"s, "00"s, "0000"s, "1000"s, "20"s, "2000"s, "-01"s,
+                               "+20"s, "0x1"s, " 00"s, " 200"s, "\t200"s, "200\t"s, "200\0"s,
+                               "2\0x"s, "abc"s, ""s, "\xef\xbc\x92\xef\xbc\x90\xef\xbc\x90"s}) {
+        for (const auto *rest : {" Odd", " ", "", " Odd\r\n\r\nHTTP/1.1 200 OK"}) {
+            CAPTURE(index, status, rest);
+            http::Request request;
+            request.headers = {{"T-Request", "r" + std::to_string(id++)}};
+            const auto bytes
+                    = answerWith(request, "HTTP/1.1 " + status + rest, {}, kFramings.front().text);
+            requireRejected(mesh, index, "status", Script{bytes});
+        }
+    }
+}
+
+TEST_CASE("Broken answer: a status that no server can give is not passed on to HEAD")
+{
+    Mesh mesh{2};
+    const int index = useOneServer(mesh);
+    const auto *status = GENERATE("000 Odd", "000", "600 Odd", "20 Odd");
+    auto &server = *mesh.nodes[static_cast<std::size_t>(index)]->server;
+    server.setRespond([status](const http::Request &request) {
+        return Script{answerWith(request, "HTTP/1.1 " + std::string{status}, {},
+                                 "Content-Length: 3\r\n\r\n")};
+    });
+    REQUIRE(mesh.callAndWait(0, "HEAD", "/once/").answer.status == 502);
+    REQUIRE(mesh.runUntil([&] { return server.openConnections == 0; }, Millis{500}));
+}
+
+TEST_CASE("Broken answer: an interim response without a final one is not passed on")
+{
+    Mesh mesh{2};
+    const int index = useOneServer(mesh);
+    const auto *status = GENERATE("100 Continue", "103 Hints", "199 Odd");
+    for (const auto &framing : kFramings) {
+        CAPTURE(status, framing.text);
+        mesh.nodes[static_cast<std::size_t>(index)]->server->setRespond(
+                [&](const http::Request &request) {
+                    return Script{answerWith(request, "HTTP/1.1 " + std::string{status}, {},
+                                             framing.text),
+                                  true};
+                });
+        const auto outcome = mesh.callAndWait(0, "POST", "/once/", {}, "x");
+        REQUIRE(outcome.answer.status == 502);
+        REQUIRE(outcome.answer.body.empty());
+        REQUIRE(http::findHeader(outcome.answer.headers, "T-Signed").empty());
+    }
+}
+
+TEST_CASE("Broken answer: bytes behind a complete answer do not hurt other requests")
+{
+    Mesh mesh{2};
+    const int index = useOneServer(mesh);
+    const std::string start = GENERATE("200 OK", "204 None", "304 Same");
+    const bool hasBody = start == "200 OK";
+    auto &server = *mesh.nodes[static_cast<std::size_t>(index)]->server;
+    for (const auto *extra :
+         {"HTTP/1.1 000 Odd\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 000\r\n\r\n", "000", "abc",
+          "\r\n", "3\r\nabc\r\n0\r\n\r\n"}) {
+        for (const auto *method : {"POST", "GET"}) {
+            CAPTURE(index, start, extra, method);
+            const auto seen = server.seen.size();
+            server.setRespond([&](const http::Request &request) {
+                return Script{answerWith(request, "HTTP/1.1 " + start, {}, kFramings.front().text)
+                              + extra};
+            });
+            const auto outcome = mesh.callAndWait(0, method, "/once/");
+            REQUIRE(outcome.answer.status == std::stoi(start));
+            REQUIRE(outcome.answer.body == (hasBody ? "abc" : ""));
+            REQUIRE(server.seen.size() == seen + 1);
+            REQUIRE(mesh.runUntil([&] { return server.openConnections == 0; }, Millis{500}));
+        }
+    }
+}
+
 TEST_CASE("Broken answer: a status that no server can give is no refusal")
 {
     const auto *status = GENERATE("000", "600");
--- a/test/http/answer_reader.cpp
+++ b/test/http/answer_reader.cpp
@@ -102,22 +102,23 @@
 
 struct Broken
 {
-    const char *bytes;
+    std::string bytes;
     AnswerError error;
 };
 
 /*! @brief Requires that the bytes are no response, in one piece and byte by byte. */
-void requireBad(const Broken &broken)
+void requireBad(const Broken &broken, bool isHead = false)
 {
-    CAPTURE(broken.bytes);
+    CAPTURE(broken.bytes, isHead);
     const std::string_view bytes{broken.bytes};
     AnswerReader whole{1000};
-    whole.expect(false);
+    whole.expect(isHead);
     REQUIRE(whole.feed(bytes) == State::Bad);
     REQUIRE(whole.error() == broken.error);
     REQUIRE(!whole.hasHead());
+    REQUIRE(whole.finish() == State::Bad);
     AnswerReader single{1000};
-    single.expect(false);
+    single.expect(isHead);
     for (std::size_t i = 0; i < bytes.size(); ++i) {
         single.feed(bytes.substr(i, 1));
         REQUIRE(single.state() != State::Done);
@@ -154,3 +155,56 @@
              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
               AnswerError::Framing}})));
 }
+
+// Guards against a server in trouble whose answer has no status, such as 000.
+TEST_CASE("A start line without a status that a server can give is no response")
+{
+    using namespace std::string_literals;
+    const auto status
+            = GENERATE(as<std::string>{}, "000", "0", "00", "0000", "001", "099", "600", "999",
+                       "1000", "20", "2000", "00200", "-01", "+20", "0x1", "2e2", "200.0", "200,",
+                       "abc", "OK", "", " 00", " 200", "\t200", "200\t", "2 00", "20 0", "2\0x"s,
+                       "200\0"s, "\0OK"s, "200\xa0", "\xef\xbc\x92\xef\xbc\x90\xef\xbc\x90");
+    for (const std::string before :
+         {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n"}) {
+        for (const auto *version : {"HTTP/1.1 ", "HTTP/1.0 "}) {
+            for (const auto *rest :
+                 {" Odd\r\n\r\n", "\r\n\r\n", " \r\nContent-Length: 0\r\n\r\n",
+                  "\r\nContent-Length: 2\r\n\r\nab",
+                  " Odd\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"}) {
+                auto bytes = before;
+                bytes.append(version).append(status).append(rest).append(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                requireBad({bytes, AnswerError::Status}, false);
+                requireBad({bytes, AnswerError::Status}, true);
+            }
+        }
+    }
+}
+
+TEST_CASE("An interim response is no response without a final one")
+{
+    const auto *status = GENERATE("100", "102", "103", "199");
+    const auto head = std::string{"HTTP/1.1 "} + status + " Odd\r\nContent-Length: 3\r\n\r\n";
+    AnswerReader reader{1000};
+    reader.expect(false);
+    REQUIRE(reader.feed(head) == State::Idle);
+    REQUIRE(!reader.hasHead());
+    REQUIRE(reader.finish() == State::Idle);
+    requireBad({head + "abcHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", AnswerError::Syntax});
+}
+
+TEST_CASE("Bytes behind a response without a body are no part of it")
+{
+    const std::string status = GENERATE("204 None", "304 Same");
+    const std::string body = GENERATE("Content-Length: 3\r\n\r\nabc", "\r\nabc",
+                                      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    AnswerReader reader{1000};
+    reader.expect(false);
+    REQUIRE(reader.feed("HTTP/1.1 " + status + "\r\n" + body) == State::Done);
+    REQUIRE(reader.buffered() > 0);
+    REQUIRE(reader.take().body.empty());
+    reader.expect(false);
+    REQUIRE(reader.feed({}) != State::Done);
+    REQUIRE(reader.finish() == State::Bad);
+}
--- a/test/transport/broken_answer.cpp
+++ b/test/transport/broken_answer.cpp
@@ -145,11 +145,21 @@
 
 TEST_CASE("broken answer: a status that no server can give")
 {
-    const auto *status = GENERATE("000", "001", "099", "101", "600", "999");
+    const auto *status = GENERATE("000", "001", "099", "101", "600", "999", "0", "0000", "20",
+                                  "1000", "-01", "+20", " 00", " 200", "200\t", "abc", "");
     requireBroken("HTTP/1.1 " + std::string{status} + " Odd\r\n" + kLength, End::Keeps);
+    requireBroken("HTTP/1.1 " + std::string{status} + "\r\n" + kLength, End::Keeps);
+    requireBroken("HTTP/1.1 " + std::string{status} + " Odd\r\n\r\n" + kOk + kLength, End::Keeps);
     requireBroken("HTTP/1.1 " + std::string{status} + " Odd\r\n\r\nabc", End::Closes);
 }
 
+TEST_CASE("broken answer: an interim response without a final one")
+{
+    const auto *status = GENERATE("100 Continue", "103 Hints", "199 Odd");
+    requireBroken("HTTP/1.1 " + std::string{status} + "\r\n" + kLength, End::Closes);
+    requireBroken("HTTP/1.1 " + std::string{status} + "\r\n\r\n", End::Closes);
+}
+
 TEST_CASE("broken answer: a head with a blank or control byte in the name of a field")
 {
     const std::string line = GENERATE(
