Processes of the lab inherit no connections

Cause: ProcessTable starts children with all descriptors of the parent, and sockets are not closed on exec. A node that is restarted in a soak thus held all connections that were open at its start, those of callers, backends and the store. One that the parent closes later stays open for the other side: a caller that leaves is not seen to leave.

Change: the spawn closes all descriptors above the standard ones.

--- a/standin/lab/process_table.cpp
+++ b/standin/lab/process_table.cpp
@@ -46,6 +46,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, logPath.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, kMode);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A connection that is closed here would stay open as long as a child has it too.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     posix_spawnattr_t attributes;
     posix_spawnattr_init(&attributes);
     sigset_t none;
