Go on from the held state if peers overtake a list within its era

What callers saw: nothing yet; the store got list after list, and a node that can read counted as unable for 2.5 s, so that others of its zone took over.

Cause: since states are ordered by era, a list that is not used counts as no answer and is read again, at once and then with the pauses of failed reads. That is meant for lists of a former era. A list that takes longer than the time after which others read (1.3 s) is overtaken by their pushes while changes go on, and so are its successors.

Ruled out: a source that goes back without naming eras; the watch from the held revision gets 410 there and a list follows, with the pauses of listAgain().

--- a/src/celeryramp/directory/item_sink.h
+++ b/src/celeryramp/directory/item_sink.h
@@ -24,7 +24,7 @@
      * @brief Receives a complete list of items.
      * @param position Of the platform when it produced the first page.
      * @param requestedAt When the first page was requested.
-     * @return False if a later state is held, so that the list was not used.
+     * @return False if a state of a later era is held, so that another list is needed.
      */
     [[nodiscard]] virtual bool onList(const std::vector<ItemChange> &items,
                                       const SourcePosition &position, TimePoint requestedAt)
--- a/src/celeryramp/engine/engine.cpp
+++ b/src/celeryramp/engine/engine.cpp
@@ -378,15 +378,17 @@
                     const directory::SourcePosition &position, TimePoint askedAt)
 {
     const auto now = bootNow();
-    const bool isUsed = !m_replica.isComplete() || position >= m_replica.position();
-    if (isUsed) {
+    // A list that peers have overtaken within its era needs no successor: changes lead on from the
+    // state that is held.
+    const bool isOfHeldEra = !m_replica.isComplete() || position.era >= m_replica.position().era;
+    if (isOfHeldEra) {
         onSourceAnswered(askedAt, now);
         m_metrics.counter("directory_confirmed_total{by=\"list\"}").add();
     }
     onDirectoryChanged(
             m_replica.applyList(items, position, askedAt, m_replica.renewalTimeLeft(now), now),
             "list", now);
-    return isUsed;
+    return isOfHeldEra;
 }
 
 bool Engine::onChanges(const std::vector<directory::ItemChange> &changes,
