Test: a status that is cut to another one when its frame is decoded

Cause: readReply takes the number with get<int>(), which wraps and truncates, so that the check of the reply sees a status that was not sent.

--- a/test/engine/broken_reply.cpp
+++ b/test/engine/broken_reply.cpp
@@ -298,6 +298,31 @@
     REQUIRE(site.mesh.metric(0, "answers_rejected_total{from=\"peer\"") == 1);
 }
 
+// Guards against a status that is cut to another one when its frame is decoded.
+TEST_CASE("Broken reply: a status that is not a whole number of three digits is not passed on")
+{
+    using Json = nlohmann::json;
+    const Json status = GENERATE(as<Json>{}, 0, 600, 4'294'967'496U, -4'294'967'096, 200.9, true,
+                                 "200", Json::array({200}), Json());
+    CAPTURE(status.dump());
+    Site site;
+    site.gate.respond = [](const proxy::CallFrame &call) {
+        return std::vector<proxy::Frame>{goodReply(call)};
+    };
+    site.gate.tamper = [&](const std::string &bytes) {
+        auto json = Json::from_cbor(bytes);
+        json[6] = status;
+        std::string out;
+        Json::to_cbor(json, out);
+        return out;
+    };
+    const auto outcome = site.call("POST", "/once/");
+    REQUIRE(outcome.end == http::ExchangeEnd::Answered);
+    REQUIRE(outcome.answer.status == 502);
+    REQUIRE(outcome.answer.body.empty());
+    REQUIRE(site.mesh.metric(0, "answers_rejected_total{from=\"peer\"") == 1);
+}
+
 TEST_CASE("Broken reply: a part of a body that cannot be decoded ends its answer at once")
 {
     Site site;
