A status in a reply of a peer is taken as sent or not at all

Cause: the number was converted to int, which wraps and truncates, before the check of statuses.

Change: only whole numbers that fit are taken; any other counts as 0, which the check refuses.

--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -115,6 +115,14 @@
     return frame;
 }
 
+/*! @return The status as sent; 0, which no server can give, if it is no whole number that fits. */
+[[nodiscard]] int statusFromJson(const Json &json)
+{
+    constexpr std::uint64_t kLargest = 999;
+    const bool isStatus = json.is_number_unsigned() && json.get<std::uint64_t>() <= kLargest;
+    return isStatus ? json.get<int>() : 0;
+}
+
 void append(Json &out, const ReplyFrame &frame)
 {
     out.push_back(frame.id);
@@ -165,7 +173,7 @@
                   load.size() > 9 && load[9].get<bool>(),
                   load.size() > 10 ? std::clamp(load[10].get<int>(), 0, kMaxWaitMillis) : 0};
     if (frame.kind == ReplyKind::Answer) {
-        frame.answer.status = json.at(6).get<int>();
+        frame.answer.status = statusFromJson(json.at(6));
         frame.answer.reason = bytesOf(json.at(7));
         frame.answer.headers = headersFromJson(json.at(8));
         frame.answer.body = bytesOf(json.at(9));
