Restored store: the leaving servers are watched as long as a server needs to join

The case looked at servers and zone for 2 s after the return; a server that nodes take for a new one may get its first request later. It looks for 4 s now (ConfigApply and 2 s), and makes sure first that both servers and the zone get requests before they leave.

--- a/test/restored/store_comes_back_older.cpp
+++ b/test/restored/store_comes_back_older.cpp
@@ -219,13 +219,19 @@
         site.removeServer(kRemoved);
         return site.evacuate(kEvacuated);
     };
+    REQUIRE(site.runUntil(
+            [&] {
+                const auto all = executions(TimePoint{});
+                return std::count(all.begin(), all.end(), 0) == 0;
+            },
+            kJoined));
     const auto acknowledgedAt = write();
     site.runUntil(std::max(acknowledgedAt + kEvacuate, site.copiedAt() + kCopyAge));
     const auto leftAt = bootNow();
     site.run(kLookedAt / 2);
     REQUIRE(executions(leftAt) == none);
     const auto returnedAt = fixture.restore();
-    site.runUntil(returnedAt + kConfigApply);
+    site.runUntil(returnedAt + kJoined);
     CHECK(executions(leftAt) == none);
     write();
     site.run(kLookedAt);
