--- a/test/platform/store_source_era.cpp
+++ b/test/platform/store_source_era.cpp
@@ -16,8 +16,8 @@
 
 const Address kStore{"127.0.0.63", 17805};
 constexpr Millis kSoon{1500};
-/*! Attempts in `kWhile` with the pauses of `directory::readBackoff`, which grow to 0.4 s on average;
- * each is a list and a watch, or two pages. */
+/*! Attempts in `kWhile` with the pauses of `directory::readBackoff`, which grow to 0.4 s on
+ * average; each is a list and a watch, or two pages. */
 constexpr std::size_t kMaxAttempts = 10;
 constexpr std::size_t kMaxCalls = 2 * kMaxAttempts;
 constexpr Millis kWhile{2000};
@@ -83,15 +83,15 @@
 Script list(const std::string &era, int revision, const std::string &items = {},
             bool isTruncated = false)
 {
-    return response(era, R"({"items":[)" + items + R"(],"Truncated":)"
-                            + (isTruncated ? "true" : "false") + R"(,"CurrentRev":)"
-                            + std::to_string(revision) + "}");
+    return response(era,
+                    R"({"items":[)" + items + R"(],"Truncated":)" + (isTruncated ? "true" : "false")
+                            + R"(,"CurrentRev":)" + std::to_string(revision) + "}");
 }
 
 Script changes(const std::string &era, int revision, const std::string &events = {})
 {
-    return response(era, R"({"events":[)" + events + R"(],"CurrentRev":)" + std::to_string(revision)
-                            + "}");
+    return response(
+            era, R"({"events":[)" + events + R"(],"CurrentRev":)" + std::to_string(revision) + "}");
 }
 
 Script gone(const std::string &era)
@@ -149,9 +149,9 @@
 // Guards against changes of a new era that are applied to the state of the former one.
 TEST_CASE("Store era: a watch answered in a later era is followed by a list at once")
 {
-    const auto answer = GENERATE(values<Script>(
-            {changes("2", 70, item("a", 70)), changes("2", 50), changes("2", 20),
-             after(Millis{100}, changes("2", 50)), gone("2")}));
+    const auto answer = GENERATE(
+            values<Script>({changes("2", 70, item("a", 70)), changes("2", 50), changes("2", 20),
+                            after(Millis{100}, changes("2", 50)), gone("2")}));
     Fixture it{{list("1", 50), answer, list("2", 60, item("b", 20))}};
     REQUIRE(it.runUntil([&] { return it.targets.size() == 4; }));
     CHECK(it.isWatchAfter(1, 50));
@@ -176,9 +176,9 @@
 // Guards against one state that is put together from two histories.
 TEST_CASE("Store era: a list whose pages are of two eras is read again")
 {
-    const auto second = GENERATE(values<Script>({list("2", 50, item("b", 20)),
-                                                 list("none", 50, item("b", 20)),
-                                                 list("1", 40, item("b", 20))}));
+    const auto second = GENERATE(
+            values<Script>({list("2", 50, item("b", 20)), list("none", 50, item("b", 20)),
+                            list("1", 40, item("b", 20))}));
     Fixture it{{list("1", 50, item("a", 10), true), second, list("2", 45, item("c", 30))}};
     REQUIRE(it.runUntil([&] { return it.targets.size() == 4; }));
     CHECK(it.targets[1].find("after=a") != std::string::npos);
@@ -238,9 +238,18 @@
         scripts = {list("1", 50), list("1", 50)};
         refusesLists = true;
     }
-    SECTION("lost history") { scripts = {list("1", 50), gone("1")}; }
-    SECTION("another era in each watch") { scripts = {list("1", 50), changes("2", 50)}; }
-    SECTION("a lower revision in each watch") { scripts = {list("1", 50), changes("1", 40)}; }
+    SECTION("lost history")
+    {
+        scripts = {list("1", 50), gone("1")};
+    }
+    SECTION("another era in each watch")
+    {
+        scripts = {list("1", 50), changes("2", 50)};
+    }
+    SECTION("a lower revision in each watch")
+    {
+        scripts = {list("1", 50), changes("1", 40)};
+    }
     SECTION("pages of two eras")
     {
         scripts = {list("1", 50, item("a", 10), true), list("2", 50)};
@@ -286,9 +295,8 @@
 
 TEST_CASE("Store era: an era that is no number counts as none")
 {
-    const std::string era
-            = GENERATE(as<std::string>{}, "", "+2", "-2", "two", "2x", "2 2", "0x2", "2.0",
-                       "9223372036854775808", "99999999999999999999999999");
+    const std::string era = GENERATE(as<std::string>{}, "", "+2", "-2", "two", "2x", "2 2", "0x2",
+                                     "2.0", "9223372036854775808", "99999999999999999999999999");
     CAPTURE(era);
     Fixture it{{list(era, 50), changes(era, 51)}};
     REQUIRE(it.runUntil([&] { return it.targets.size() == 3; }));
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -198,6 +198,16 @@
 }
 
 double Mesh::metric(int node, const std::string &prefix)
+{
+    return sumOfLines(node, "celeryramp_" + prefix);
+}
+
+double Mesh::gauge(int node, const std::string &name)
+{
+    return sumOfLines(node, name + " ");
+}
+
+double Mesh::sumOfLines(int node, const std::string &prefix)
 {
     http::Request request;
     request.method = "GET";
@@ -209,7 +219,7 @@
     std::istringstream lines{outcome->answer.body};
     double sum = 0.0;
     for (std::string line; std::getline(lines, line);) {
-        if (line.rfind("celeryramp_" + prefix, 0) == 0) {
+        if (line.rfind(prefix, 0) == 0) {
             sum += std::stod(line.substr(line.rfind(' ') + 1));
         }
     }
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -103,6 +103,8 @@
 
     /*! @return Sum of the counters of a node whose names begin with `prefix`, labels included. */
     [[nodiscard]] double metric(int node, const std::string &prefix);
+    /*! @return A gauge of a node; 0 if there is none. */
+    [[nodiscard]] double gauge(int node, const std::string &name);
 
     /*! @brief Runs the event loop for a time. */
     void run(Millis time);
@@ -135,6 +137,8 @@
     standin::soak::LinkProxy *proxy = nullptr; /*!< The last of `proxies`. */
 
 private:
+    /*! @return Sum of the values of the metrics of a node whose lines begin with `prefix`. */
+    [[nodiscard]] double sumOfLines(int node, const std::string &prefix);
     /*! @brief Sends a request to a port of a node, on a connection of its own. */
     http::ClientConnectionPtr send(int node, std::uint16_t port, const http::Request &request,
                                    const std::shared_ptr<Outcome> &outcome);
