Adopt a later version of the same former era from a peer that is behind

What callers saw: possible 404 for routes of the newest confirmed version at nodes that hold the one before it, if the source has lost both, until the operator writes again.

Cause: a state before that of the replica brought a version only if its era came before that of the held one. Of two lost versions of one era, the second was refused; each refusal used up one of the five requests for it.

Ruled out: states that are not behind; there the item counts as later. Lists of the present era, which lack nothing that the replica has.

Change: adoptConfiguration() takes an item of any era before the replica's, unless the held one is of the same era and not older.

The test failed before (version 25 where 26 is due) and passes; test-directory passes.

--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -292,9 +292,10 @@
 void Replica::adoptConfiguration(const ItemChange &item, std::vector<ReplicaEvent> &events)
 {
     const auto held = m_items.find(item.key);
-    const auto era = held != m_items.end() ? held->second.position.era : m_position.era;
     const bool isOfKey = !m_routing || item.key == m_configurationKey;
-    if (!isOfKey || item.value.empty() || item.era >= era) {
+    const bool isHeldLater = held != m_items.end() && item.era == held->second.position.era
+            && item.position() <= held->second.position;
+    if (!isOfKey || item.value.empty() || item.era >= m_position.era || isHeldLater) {
         return;
     }
     auto decoded = m_decoder.decode(item.key, item.value);
