--- a/test/directory/replica_adoption.cpp
+++ b/test/directory/replica_adoption.cpp
@@ -28,9 +28,9 @@
     const SourcePosition second{1, 110};
     const SourcePosition restored{2, 60};
     const SourcePosition behind{2, 59};
+    static_cast<void>(replica.applyList({version(25, first)}, first, kStart, Millis{0}, kStart));
     static_cast<void>(
-            replica.applyList({version(25, first)}, first, kStart, Millis{0}, kStart));
-    static_cast<void>(replica.applyList({version(20, {2, 50})}, restored, kStart, Millis{0}, kStart));
+            replica.applyList({version(20, {2, 50})}, restored, kStart, Millis{0}, kStart));
     REQUIRE(replica.view()->routing->version() == 25);
     static_cast<void>(replica.applyList({version(26, second)}, behind, kStart, Millis{0}, kStart));
     REQUIRE(replica.view()->routing->version() == 26);
--- a/test/engine/restored_source.cpp
+++ b/test/engine/restored_source.cpp
@@ -154,7 +154,8 @@
     CHECK(mesh.gauge(1, "directory_version") == 2);
 }
 
-// Guards against a restarted node that serves the version of a copy, although its peers know better.
+// Guards against a restarted node that serves the version of a copy, although its peers know
+// better.
 TEST_CASE("Restored source: a restarted node hears of the later version that its peers retain")
 {
     const int restarted = GENERATE(0, 2);
