A frame that announces more elements than memory can hold is refused

In celeryrampd nothing between decode() and the thread of the peers catches it; that a process ends by it was not run.

Cause: the parser is asked not to throw and still does for such sizes; decode() caught its own errors only.

Change: the parser's exceptions are turned into `Malformed`, which closes the link.

--- a/src/celeryramp/wire/codec.cpp
+++ b/src/celeryramp/wire/codec.cpp
@@ -243,14 +243,17 @@
     if (frame.size() > kMaxFrameBytes) {
         return WireError{WireErrorCode::TooLarge, std::to_string(frame.size()) + " bytes"};
     }
-    auto json = internal::Json::from_cbor(frame.begin(), frame.end(), true, false);
-    if (!json.is_array() || json.size() != 2 || !json[0].is_number_unsigned()) {
-        return WireError{WireErrorCode::Malformed, "expected type and fields"};
-    }
     try {
+        // Announced sizes beyond what memory can hold are thrown even where exceptions are off.
+        auto json = internal::Json::from_cbor(frame.begin(), frame.end(), true, false);
+        if (!json.is_array() || json.size() != 2 || !json[0].is_number_unsigned()) {
+            return WireError{WireErrorCode::Malformed, "expected type and fields"};
+        }
         return internal::decodeAs(json[0].get<std::size_t>(), json[1]);
     } catch (const internal::ShapeError &error) {
         return WireError{WireErrorCode::Malformed, error.what()};
+    } catch (const internal::Json::exception &error) {
+        return WireError{WireErrorCode::Malformed, error.what()};
     }
 }
 
--- a/test/wire/codec.cpp
+++ b/test/wire/codec.cpp
@@ -60,6 +60,21 @@
     REQUIRE_FALSE(decode(encode(sampleCall()) + "x"));
 }
 
+// Guards against a peer whose frame ends the process by an exception of the parser.
+TEST_CASE("a frame that announces more elements than memory can hold is refused")
+{
+    REQUIRE(decode("\x9B"
+                   "aaaaaaaa")
+                    .error()
+                    .code
+            == WireErrorCode::Malformed);
+    REQUIRE(decode("\xBB"
+                   "aaaaaaaa")
+                    .error()
+                    .code
+            == WireErrorCode::Malformed);
+}
+
 TEST_CASE("no bytes break the decoder")
 {
     REQUIRE(rc::check("random bytes",
