Other content under the number in force shows as a rejection

What callers saw: the platform comes back without its last version and gives its number out again; where the digest is the lower one, no node takes it, which is the documented order, and no node says so, though docs/CONFIGURATION.md promises that a refused version shows in `/state`, the log and `celeryrampctl status`.

Cause: a manifest that is not wanted was dropped before its parts were read, so that the document was never offered and its conflict never recorded.

Change: the reader hands each manifest that is not wanted to the control service; it confirms what is in force, or is recorded as a conflict, once, by version and digest.

All cases of test-node, test-config and test-distribution pass, one of them new.

--- a/src/celeryramp/config/acceptance.cpp
+++ b/src/celeryramp/config/acceptance.cpp
@@ -11,6 +11,13 @@
 constexpr std::size_t kMaxHistory = 8;
 constexpr std::size_t kMaxRejections = 16;
 
+[[nodiscard]] ConfigError conflictError(const ConfigStamp &stamp)
+{
+    return {ConfigErrorCode::Conflict, "manifest", "/version",
+            "version " + std::to_string(stamp.version)
+                    + " is already in force with different content"};
+}
+
 } // namespace internal
 
 Result<SnapshotPtr, ConfigError> Acceptance::offer(ConfigDocument document, TimePoint now)
@@ -22,11 +29,8 @@
                                    + " is not newer than the one in force"};
     }
     if (!isNewer(stamp)) {
-        ConfigError error{ConfigErrorCode::Conflict, "manifest", "/version",
-                          "version " + std::to_string(stamp.version)
-                                  + " is already in force with different content"};
-        recordRejection(stamp, error, now);
-        return error;
+        recordRejection(stamp, internal::conflictError(stamp), now);
+        return internal::conflictError(stamp);
     }
     auto built = buildSnapshot(document);
     if (!built) {
@@ -37,6 +41,15 @@
     return m_inForce;
 }
 
+bool Acceptance::recordConflict(const ConfigStamp &stamp, TimePoint now)
+{
+    if (stamp.version != m_stamp.version || !(stamp < m_stamp) || wasRejected(stamp)) {
+        return false;
+    }
+    recordRejection(stamp, internal::conflictError(stamp), now);
+    return true;
+}
+
 bool Acceptance::isNewer(const ConfigStamp &stamp) const noexcept
 {
     return m_stamp < stamp;
--- a/src/celeryramp/config/acceptance.h
+++ b/src/celeryramp/config/acceptance.h
@@ -40,6 +40,13 @@
      */
     [[nodiscard]] Result<SnapshotPtr, ConfigError> offer(ConfigDocument document, TimePoint now);
 
+    /*!
+     * @brief Records a rejection if the stamp has the version in force and a lower digest, which
+     * is never put in force. A known rejection is not recorded again.
+     * @return True if a rejection was recorded.
+     */
+    bool recordConflict(const ConfigStamp &stamp, TimePoint now);
+
     /*! @return True if the stamp is higher than the one in force. */
     [[nodiscard]] bool isNewer(const ConfigStamp &stamp) const noexcept;
 
--- a/src/celeryramp/distribution/distributor.cpp
+++ b/src/celeryramp/distribution/distributor.cpp
@@ -40,18 +40,19 @@
 {
     const auto stamp = document.stamp();
     const bool accepted = accept(std::move(document), now);
-    onPlatformConfirmed(stamp, readAt);
+    onPlatformManifest(stamp, readAt, now);
     if (accepted) {
         announceAsRoot(true, isUsable, now, out);
     }
     return accepted;
 }
 
-void Distributor::onPlatformConfirmed(const ConfigStamp &stamp, TimePoint readAt)
+void Distributor::onPlatformManifest(const ConfigStamp &stamp, TimePoint readAt, TimePoint now)
 {
     if (stamp == m_acceptance.stamp()) {
         confirm(readAt);
     }
+    m_counters.rejected += m_acceptance.recordConflict(stamp, now) ? 1 : 0;
 }
 
 void Distributor::onAnnounce(const std::string &from, const AnnounceMessage &message,
--- a/src/celeryramp/distribution/distributor.h
+++ b/src/celeryramp/distribution/distributor.h
@@ -64,9 +64,11 @@
     bool onPlatformDocument(ConfigDocument document, TimePoint readAt, const IsUsable &isUsable,
                             TimePoint now, Outbox &out);
 
-    /*! @brief Records that the platform had this version at that time, if it is the one in force.
+    /*!
+     * @brief Records what the platform had at that time: a confirmation of the version in force, or
+     * other content under its number, which is rejected.
      */
-    void onPlatformConfirmed(const ConfigStamp &stamp, TimePoint readAt);
+    void onPlatformManifest(const ConfigStamp &stamp, TimePoint readAt, TimePoint now);
 
     /*! @brief Handles the version that a peer announces: pulls it, forwards it or answers it. */
     void onAnnounce(const std::string &from, const AnnounceMessage &message,
--- a/src/celeryramp/node/control_event.h
+++ b/src/celeryramp/node/control_event.h
@@ -39,8 +39,8 @@
     TimePoint readAt; /*!< When its manifest was read. */
 };
 
-/*! @brief The platform's manifest was read and is the one that was in force then. */
-struct PlatformConfirmedEvent
+/*! @brief The platform's manifest was read and is not wanted: no newer than the one in force. */
+struct PlatformManifestEvent
 {
     ConfigStamp stamp;
     TimePoint readAt;
@@ -67,6 +67,6 @@
 /*! @brief Any event handled by the control service. */
 using ControlEvent
         = std::variant<PeerMessageEvent, PeerUpEvent, PeerLostEvent, PlatformDocumentEvent,
-                       PlatformConfirmedEvent, InstanceListEvent, PublishEvent, LeaveEvent>;
+                       PlatformManifestEvent, InstanceListEvent, PublishEvent, LeaveEvent>;
 
 } // namespace celeryramp
--- a/src/celeryramp/node/control_service.cpp
+++ b/src/celeryramp/node/control_service.cpp
@@ -203,9 +203,9 @@
     }
 }
 
-void ControlService::handle(const PlatformConfirmedEvent &event, TimePoint /*now*/)
+void ControlService::handle(const PlatformManifestEvent &event, TimePoint now)
 {
-    m_distributor.onPlatformConfirmed(event.stamp, event.readAt);
+    m_distributor.onPlatformManifest(event.stamp, event.readAt, now);
 }
 
 void ControlService::handle(const InstanceListEvent &event, TimePoint now)
--- a/src/celeryramp/node/control_service.h
+++ b/src/celeryramp/node/control_service.h
@@ -96,7 +96,7 @@
     void handle(const PeerUpEvent &event, TimePoint now);
     void handle(const PeerLostEvent &event, TimePoint now);
     void handle(const PlatformDocumentEvent &event, TimePoint now);
-    void handle(const PlatformConfirmedEvent &event, TimePoint now);
+    void handle(const PlatformManifestEvent &event, TimePoint now);
     void handle(const InstanceListEvent &event, TimePoint now);
     void handle(const PublishEvent &event, TimePoint now);
     void handle(const LeaveEvent &event, TimePoint now);
--- a/src/celeryramp/node/platform_reader.cpp
+++ b/src/celeryramp/node/platform_reader.cpp
@@ -161,11 +161,8 @@
         }
         return true;
     }
-    if (stamp == m_control.stamp()) {
-        m_control.push(PlatformConfirmedEvent{stamp, readAt});
-        return true;
-    }
-    if (known != 0) {
+    m_control.push(PlatformManifestEvent{stamp, readAt});
+    if (known != 0 && !(stamp == m_control.stamp())) {
         m_watchWaker.sleep(internal::kStaleBackOff + jitter(internal::kStaleBackOff));
     }
     return true;
--- a/test/distribution/confirmation.cpp
+++ b/test/distribution/confirmation.cpp
@@ -56,6 +56,22 @@
     CHECK(node.distributor.confirmedAgo(at(0)).count() == 0);
 }
 
+// Guards against a published version that is not taken without a word to the operator.
+TEST_CASE("another content under the number in force is recorded as rejected once")
+{
+    const auto [lower, higher] = sameNumber(5);
+    NodeUnderTest node;
+    node.accept(higher, 9000, at(0));
+    node.distributor.onPlatformManifest(lower.stamp(), at(1), at(1));
+    node.distributor.onPlatformManifest(lower.stamp(), at(2), at(2));
+    node.distributor.onPlatformManifest(sampleDocument(4).stamp(), at(3), at(3));
+    const auto &rejections = node.distributor.acceptance().rejections();
+    REQUIRE(rejections.size() == 1);
+    CHECK(rejections.front().error.code == ConfigErrorCode::Conflict);
+    CHECK(node.distributor.counters().rejected == 1);
+    CHECK(node.distributor.confirmedAgo(at(3)).count() == 9003);
+}
+
 // Guards against keys that are believed too long because parts were read slowly.
 TEST_CASE("a confirmation dates from the manifest and not from the last part")
 {
@@ -63,9 +79,9 @@
     REQUIRE(node.distributor.onPlatformDocument(sampleDocument(5), at(0), kUsable, at(8000),
                                                 node.out));
     CHECK(node.distributor.confirmedAgo(at(8000)).count() == 8000);
-    node.distributor.onPlatformConfirmed(sampleDocument(5).stamp(), at(7000));
+    node.distributor.onPlatformManifest(sampleDocument(5).stamp(), at(7000), at(8000));
     CHECK(node.distributor.confirmedAgo(at(8000)).count() == 1000);
-    node.distributor.onPlatformConfirmed(sampleDocument(4).stamp(), at(8000));
+    node.distributor.onPlatformManifest(sampleDocument(4).stamp(), at(8000), at(8000));
     CHECK(node.distributor.confirmedAgo(at(8000)).count() == 1000);
 }
 
