--- a/test/directory/replica_restored.cpp
+++ b/test/directory/replica_restored.cpp
@@ -25,7 +25,7 @@
 /*! @brief A replica that reads a source and hears of peers. */
 struct Fixture
 {
-    const test::TextDecoder decoder;
+    const test::TextDecoder decoder{};
     Replica replica{decoder, kGracePeriod};
     TimePoint now = kStart;
 
--- a/test/directory/replica_restored_model.cpp
+++ b/test/directory/replica_restored_model.cpp
@@ -255,6 +255,7 @@
         }
         std::vector<std::pair<ItemChange, SourcePosition>> deltas;
         const auto changes = m_source.changesAfter(after.revision);
+        deltas.reserve(changes.size());
         for (const auto &it : changes) {
             deltas.push_back(reader.asDelta(it));
         }
@@ -355,7 +356,7 @@
         }
     }
 
-    const test::TextDecoder m_decoder;
+    const test::TextDecoder m_decoder{};
     Choices m_choices;
     Source m_source;
     Wanted m_wanted;
