--- a/test/support/replica_steps.h
+++ b/test/support/replica_steps.h
@@ -63,6 +63,41 @@
                        [&event](const directory::ReplicaEvent &it) { return it.event == event; });
 }
 
+/*! @brief A replica that reads a source and hears of peers. */
+struct RestoredReplica
+{
+    const TextDecoder decoder{};
+    directory::Replica replica{decoder, kGracePeriod};
+    TimePoint now{std::chrono::hours{1}};
+
+    std::vector<directory::ReplicaEvent> list(const std::vector<directory::ItemChange> &items,
+                                              const directory::SourcePosition &position)
+    {
+        return replica.applyList(items, position, now, kNoRenewal, now);
+    }
+    std::vector<directory::ReplicaEvent> change(const directory::ItemChange &change)
+    {
+        return replica.applyChanges({change}, change.position(), now, kNoRenewal, now);
+    }
+    std::vector<directory::ReplicaEvent> pass(Millis time)
+    {
+        now += time;
+        return replica.expire(now);
+    }
+    [[nodiscard]] std::uint64_t versionInForce() const
+    {
+        return replica.view()->routing->version();
+    }
+    [[nodiscard]] const directory::BackendServer *find(const std::string &id) const
+    {
+        return replica.view()->findServer(id);
+    }
+    [[nodiscard]] bool isEvacuated(const std::string &name) const
+    {
+        return replica.view()->evacuatedZones.count(name) > 0;
+    }
+};
+
 /*! @brief State that a replica sends to one that is behind. */
 struct StateReply
 {
