Refuse eras that no source can have reached

What callers would have seen: after one absurd era, 2^62 in the answers of a store for 0.1 s (run by hand before), entries of servers frozen at all nodes until all were restarted.

Cause: eras were believed as named, and one that is far too large comes after all that the source will ever name. An era rises by one with each return from a copy.

Change: an era above 10^9, or a negative one, counts as none in an answer of the store, which is then not used, and makes a frame of a peer unreadable.

The new test failed before with 2^62 and 10^9 + 1 (five kinds of frames and the header), and with -1 in frames; it passes. Open: a smaller wrong era is still believed.

--- a/src/celeryramp/directory/source_position.h
+++ b/src/celeryramp/directory/source_position.h
@@ -7,6 +7,10 @@
 
 namespace celeryramp::directory {
 
+/*! Largest era that is read; it rises by one with each return of a source, so larger ones are
+ * errors of whoever names them. */
+inline constexpr std::int64_t kLargestEra = 1'000'000'000;
+
 /*!
  * @brief A state of the source.
  *
--- a/src/celeryramp/proxy/frame_codec.cpp
+++ b/src/celeryramp/proxy/frame_codec.cpp
@@ -221,9 +221,25 @@
     return Json::array({position.era, position.revision});
 }
 
+/*! @return An era. Throws for one that no source can have reached. */
+[[nodiscard]] std::int64_t eraFromJson(const Json &json)
+{
+    const auto era = json.get<std::int64_t>();
+    if (era < 0 || era > directory::kLargestEra) {
+        throw std::out_of_range{"era out of range"};
+    }
+    return era;
+}
+
+/*! @return Era at an index; 0 if earlier releases omit it. */
+[[nodiscard]] std::int64_t eraOrNone(const Json &json, std::size_t index)
+{
+    return index < json.size() ? eraFromJson(json[index]) : 0;
+}
+
 [[nodiscard]] directory::SourcePosition positionFromJson(const Json &json)
 {
-    return {json.at(0).get<std::int64_t>(), json.at(1).get<std::int64_t>()};
+    return {eraFromJson(json.at(0)), json.at(1).get<std::int64_t>()};
 }
 
 void append(Json &out, const UsageFrame &frame)
@@ -288,7 +304,7 @@
         frame.accounts[json[i].get<std::string>()]
                 = {json[i + 1].get<double>(), json[i + 2].get<double>(), json[i + 3].get<double>()};
     }
-    frame.position.era = fieldOr(json, i, frame.position.era);
+    frame.position.era = eraOrNone(json, i);
     frame.version = fieldOr(json, i + 1, frame.version);
     return frame;
 }
@@ -305,7 +321,7 @@
 [[nodiscard]] Frame readSyncRequest(const Json &json)
 {
     SyncRequestFrame frame;
-    frame.position = {fieldOr(json, 4, std::int64_t{0}), json.at(1).get<std::int64_t>()};
+    frame.position = {eraOrNone(json, 4), json.at(1).get<std::int64_t>()};
     frame.askedAt = json.at(2).get<std::int64_t>();
     frame.takesDeltas = fieldOr(json, 3, false);
     frame.version = fieldOr(json, 5, frame.version);
@@ -366,7 +382,7 @@
 
 void readHistory(SyncReplyFrame &frame, const Json &history)
 {
-    frame.position.era = history.at(2).get<std::int64_t>();
+    frame.position.era = eraFromJson(history.at(2));
     frame.since = positionFromJson(history.at(3));
     frame.version = history.at(4).get<std::uint64_t>();
     for (auto &item : frame.items) {
@@ -377,11 +393,11 @@
     }
     const auto &items = history.at(0);
     for (std::size_t k = 0; k + 1 < items.size(); k += 2) {
-        frame.items.at(items[k].get<std::size_t>()).era = items[k + 1].get<std::int64_t>();
+        frame.items.at(items[k].get<std::size_t>()).era = eraFromJson(items[k + 1]);
     }
     const auto &bases = history.at(1);
     for (std::size_t k = 0; k + 1 < bases.size(); k += 2) {
-        frame.bases.at(bases[k].get<std::size_t>()).era = bases[k + 1].get<std::int64_t>();
+        frame.bases.at(bases[k].get<std::size_t>()).era = eraFromJson(bases[k + 1]);
     }
 }
 
@@ -455,12 +471,12 @@
         frame.bases.push_back({0, json[i + 2].get<std::int64_t>()});
     }
     frame.renewalTimeLeft = lastMillis(json, i);
-    const auto era = fieldOr(json, i + 1, std::int64_t{0});
+    const auto era = eraOrNone(json, i + 1);
     frame.after.era = era;
     frame.position.era = era;
     for (std::size_t k = 0; k < frame.changes.size(); ++k) {
         frame.changes[k].era = era;
-        frame.bases[k].era = i + 2 < json.size() ? json[i + 2].at(k).get<std::int64_t>() : 0;
+        frame.bases[k].era = i + 2 < json.size() ? eraFromJson(json[i + 2].at(k)) : 0;
     }
     return frame;
 }
--- a/test/platform/store_source_era.cpp
+++ b/test/platform/store_source_era.cpp
@@ -324,7 +324,8 @@
 TEST_CASE("Store era: an era that is no number counts as none")
 {
     const std::string era = GENERATE(as<std::string>{}, "", "+2", "-2", "two", "2x", "2 2", "0x2",
-                                     "2.0", "9223372036854775808", "99999999999999999999999999");
+                                     "2.0", "9223372036854775808", "99999999999999999999999999",
+                                     "4611686018427387904", "1000000001");
     CAPTURE(era);
     Fixture it{{list(era, 50), changes(era, 51)}};
     REQUIRE(it.runUntil([&] { return it.targets.size() == 3; }));
--- a/test/proxy/frame_codec.cpp
+++ b/test/proxy/frame_codec.cpp
@@ -428,6 +428,42 @@
     CHECK_FALSE(decodeFrame(bytes));
 }
 
+// Guards against an absurd era of one frame, which comes after all that the source will ever name.
+TEST_CASE("Eras that no source can have reached are refused")
+{
+    const std::int64_t era
+            = GENERATE(as<std::int64_t>{}, -1, std::int64_t{1} << 62, directory::kLargestEra + 1);
+    CAPTURE(era);
+    auto usage = usageFrame(2);
+    usage.position.era = era;
+    CHECK_FALSE(decodeFrame(encodeFrame(usage)));
+    auto levels = levelsFrame(2);
+    levels.position.era = era;
+    CHECK_FALSE(decodeFrame(encodeFrame(levels)));
+    CHECK_FALSE(decodeFrame(encodeFrame(SyncRequestFrame{{era, 60}, 77, true, 9})));
+    auto reply = syncReplyFrame(4);
+    SECTION("of the state")
+    {
+        reply.position.era = era;
+    }
+    SECTION("of an item")
+    {
+        reply.items.at(0).era = era;
+    }
+    SECTION("of a base")
+    {
+        reply.bases[1] = {era, 4};
+    }
+    SECTION("of the request")
+    {
+        reply.since.era = era;
+    }
+    CHECK_FALSE(decodeFrame(encodeFrame(reply)));
+    auto changes = changesFrame(4);
+    changes.position.era = era;
+    CHECK_FALSE(decodeFrame(encodeFrame(changes)));
+}
+
 TEST_CASE("Malformed frames are rejected without a crash")
 {
     rc::prop("random bytes",
