The same version of a later era is taken after an unreadable configuration as well

What callers would have seen: an older content of a version until the next one, if the source came back from a copy, had an unreadable configuration first, and then the version that was in force anew.

Cause: whether a version was of a later era was told by the era of the held item, which an unreadable one had already moved on. What is compared is the version in force.

Change: the replica keeps the era that published the item in force last.

The test had this case, but its decoder took a configuration without a number for version 0. The decoder now refuses it, and the section "after an unreadable one" failed before and passes.

--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -239,6 +239,9 @@
         if (const auto it = m_servers.find(change.key); it != m_servers.end()) {
             m_history.onPublished(change.key, it->second, change.era);
         }
+        if (change.key == m_configurationKey) {
+            m_configurationEra = change.era;
+        }
         hold(change.key, change.value, change.position());
         return;
     }
@@ -261,7 +264,7 @@
             return;
         }
         hold(change.key, change.value, change.position());
-        applyConfiguration(change.key, std::move(*configuration), isLaterEra, events);
+        applyConfiguration(change, std::move(*configuration), events);
     } else if (auto *server = std::get_if<BackendServer>(&decoded.value())) {
         const auto age = m_history.compare(change.key, *server, change.era);
         if (age == EntryAge::Outdated && isHeld) {
@@ -304,7 +307,7 @@
         return;
     }
     hold(item.key, item.value, item.position());
-    applyConfiguration(item.key, std::move(*configuration), false, events);
+    applyConfiguration(item, std::move(*configuration), events);
 }
 
 void Replica::applyServer(const std::string &key, BackendServer server, TimePoint now,
@@ -385,14 +388,16 @@
     }
 }
 
-void Replica::applyConfiguration(const std::string &key, Configuration configuration,
-                                 bool isLaterEra, std::vector<ReplicaEvent> &events)
+void Replica::applyConfiguration(const ItemChange &item, Configuration configuration,
+                                 std::vector<ReplicaEvent> &events)
 {
     const auto version = std::to_string(configuration.version);
     m_knownVersion = std::max(m_knownVersion, configuration.version);
-    const bool isRepeated = m_routing && configuration.version == m_routing->version();
-    if ((isRepeated && !isLaterEra)
-        || (m_routing && configuration.version < m_routing->version())) {
+    // A later era can publish a version anew that it has lost, and with other content.
+    const bool isOfLaterEra = item.era > m_configurationEra;
+    if (m_routing
+        && (configuration.version < m_routing->version()
+            || (configuration.version == m_routing->version() && !isOfLaterEra))) {
         events.push_back({"configuration-ignored", version,
                           "in force: " + std::to_string(m_routing->version())});
         return;
@@ -404,7 +409,8 @@
         return;
     }
     m_routing = std::make_shared<const RoutingTable>(std::move(table.value()));
-    m_configurationKey = key;
+    m_configurationKey = item.key;
+    m_configurationEra = item.era;
     const auto &problems = m_routing->problems();
     for (std::size_t i = 0; i < problems.size() && i < internal::kMaxLoggedProblems; ++i) {
         events.push_back({"configuration-entry-unreadable", problems[i].place,
--- a/src/celeryramp/directory/replica.h
+++ b/src/celeryramp/directory/replica.h
@@ -201,8 +201,7 @@
     void removeItem(const std::string &key, Millis renewalTime, TimePoint now,
                     std::vector<ReplicaEvent> &events);
     void removeDecoded(const std::string &key, TimePoint now, std::vector<ReplicaEvent> &events);
-    /*! @param isLaterEra The source has published it anew, maybe with other content. */
-    void applyConfiguration(const std::string &key, Configuration configuration, bool isLaterEra,
+    void applyConfiguration(const ItemChange &item, Configuration configuration,
                             std::vector<ReplicaEvent> &events);
     void rebuildView();
 
@@ -218,6 +217,7 @@
     std::map<std::string, TimePoint> m_lapsedUntil; /*!< When items that are gone are removed. */
     std::shared_ptr<const RoutingTable> m_routing;
     std::string m_configurationKey; /*!< Of the item in force; empty before the first one. */
+    std::int64_t m_configurationEra = 0; /*!< That published the item in force last. */
     std::uint64_t m_knownVersion = 0;
     DirectoryPtr m_view = std::make_shared<Directory>();
     SourcePosition m_position;
--- a/test/support/text_decoder.cpp
+++ b/test/support/text_decoder.cpp
@@ -11,6 +11,9 @@
     if (key == "configuration") {
         auto configuration = base;
         text >> configuration.version;
+        if (!text) {
+            return directory::DirectoryError{std::string{key}, "no version"};
+        }
         return directory::DecodedItem{std::move(configuration)};
     }
     if (key.substr(0, 5) == "zone/") {
