Peers are asked ever more rarely for a version that only they have, and not five times at most

What callers would have seen: a restarted node that serves an older version until the operator writes again, if five requests got no usable reply; and the same after one report of an absurd version, as lower ones were then not asked for.

Cause: a limit that ends the repair for good, counted for the highest version that was ever reported.

Change: the pause before the next request doubles from 0.5 to 32 s, and starts anew when the node knows another version.

--- a/src/celeryramp/engine/peer_coordinator.h
+++ b/src/celeryramp/engine/peer_coordinator.h
@@ -153,8 +153,9 @@
     std::map<std::string, TimePoint> m_unansweredSyncs; /*!< Time of sync requests, by host. */
     TimePoint m_lastSyncRequestAt;
     directory::SourcePosition m_requiredPosition; /*!< Up to which this node reads by itself. */
-    std::uint64_t m_requestedVersion = 0; /*!< Of the configuration, that peers were asked for. */
-    int m_versionRequests = 0; /*!< For `m_requestedVersion`. */
+    TimePoint m_versionRequestedAt; /*!< When a peer was last asked for a later version. */
+    Millis m_versionPause{0}; /*!< Before a peer is asked again. */
+    std::uint64_t m_versionAtRequest = 0; /*!< Known when a peer was asked. */
     std::map<std::string, TimePoint>
             m_readFailedAt; /*!< When nodes reported that they cannot read, by host. */
 };
--- a/src/celeryramp/engine/peer_coordinator_sync.cpp
+++ b/src/celeryramp/engine/peer_coordinator_sync.cpp
@@ -4,6 +4,8 @@
 
 #include "engine/peer_coordinator.h"
 
+#include <algorithm>
+
 #include "observe/log.h"
 #include "proxy/frame_codec.h"
 
@@ -21,9 +23,9 @@
 /*! Time for which a peer is not asked again while it may still answer. Replies with whole values
  *  take long on its link, and a second one would only queue behind the first. */
 constexpr Millis kSyncReplyTimeout{1000};
-/*! Requests for a version that only peers have. One that a node cannot read is not asked for again
- *  and again. */
-constexpr int kMaxVersionRequests = 5;
+/*! Longest pause before peers are asked again for a version that only they have. It doubles from
+ *  `kSyncRequestInterval` on, since the version may be one that no peer can give. */
+constexpr Millis kMaxVersionPause{32'000};
 
 } // namespace internal
 
@@ -66,12 +68,14 @@
     if (!m_replica.isComplete() || version <= m_replica.knownVersion()) {
         return;
     }
-    if (version > m_requestedVersion) {
-        m_requestedVersion = version;
-        m_versionRequests = 0;
+    if (m_replica.knownVersion() != m_versionAtRequest) {
+        m_versionAtRequest = m_replica.knownVersion();
+        m_versionPause = Millis{0};
     }
-    if (m_versionRequests < internal::kMaxVersionRequests && requestSync(peer, now)) {
-        ++m_versionRequests;
+    if (millisBetween(m_versionRequestedAt, now) >= m_versionPause && requestSync(peer, now)) {
+        m_versionRequestedAt = now;
+        m_versionPause = std::clamp(m_versionPause * 2, internal::kSyncRequestInterval,
+                                    internal::kMaxVersionPause);
     }
 }
 
