Tests that notice when later eras and versions in frames of peers are not followed

Two tests of nodes in a mesh did not notice their mechanism when it was switched off, since other reports brought the state within 300 ms. These have one frame and no network: changes of a later era, and levels with a later version. In a trial without the era in onMissedChanges the first fails, without syncVersion in onLevels the second.

--- a/test/engine/peer_coordinator.cpp
+++ b/test/engine/peer_coordinator.cpp
@@ -109,3 +109,41 @@
     fixture.reportAll(5, kStart + Millis{120'000});
     REQUIRE(fixture.requests() == before + 1);
 }
+
+// Guards against a node that waits for its next read although a peer has told it of a later era.
+TEST_CASE("Peer coordinator: changes of a later era are followed by a request at any age")
+{
+    Fixture fixture;
+    const Address peer{"127.0.0.12", 17802};
+    SECTION("a later era")
+    {
+        fixture.coordinator.onMissedChanges(peer, {3, 5}, kStart + Millis{100});
+        REQUIRE(fixture.requests() == 1);
+    }
+    SECTION("the same era")
+    {
+        fixture.coordinator.onMissedChanges(peer, {2, 90}, kStart + Millis{100});
+        REQUIRE(fixture.requests() == 0);
+    }
+}
+
+// Guards against a restarted node that does not aggregate its zone and gets no reports.
+TEST_CASE("Peer coordinator: a later version in the levels of a peer is asked for")
+{
+    Fixture fixture;
+    const Address peer{"127.0.0.12", 17802};
+    proxy::LevelsFrame levels;
+    levels.position = kCopy;
+    SECTION("a later version")
+    {
+        levels.version = 5;
+        fixture.coordinator.onLevels(peer, levels, kStart);
+        REQUIRE(fixture.requests() == 1);
+    }
+    SECTION("the known version")
+    {
+        levels.version = 1;
+        fixture.coordinator.onLevels(peer, levels, kStart);
+        REQUIRE(fixture.requests() == 0);
+    }
+}
