directory_confirmed_total counts only states that confirm the replica

It also counted lists that pushed changes had overtaken, and states of peers from which only a version was taken: a claim of freshness that no state stands for. The age itself was right. Two comments say what they mean.

Measured: no test of its own; the metric is read by operators only.

--- a/src/celeryramp/engine/engine.h
+++ b/src/celeryramp/engine/engine.h
@@ -102,6 +102,9 @@
     void onDirectoryChanged(const std::vector<directory::ReplicaEvent> &beliefs, const char *source,
                             TimePoint now);
     void onSourceAnswered(TimePoint requestedAt, TimePoint now);
+    /*! @brief Counts a state that confirms the replica, unless a later one is held.
+     *  @param by Label of the metric. */
+    void countConfirmation(const char *by, const directory::SourcePosition &position);
     /*! @return True once the node has stopped. */
     [[nodiscard]] bool continueShutdown(TimePoint now);
     /*! @brief Tells a peer how far the shutdown has come. */
--- a/src/celeryramp/engine/engine_source.cpp
+++ b/src/celeryramp/engine/engine_source.cpp
@@ -24,13 +24,12 @@
                     const directory::SourcePosition &position, TimePoint askedAt)
 {
     const auto now = bootNow();
-    // A list that peers have overtaken within its era needs no successor: changes lead on from the
-    // state that is held.
+    // If peers have brought a later state of the same era meanwhile, the watch goes on from there.
     const bool isOfHeldEra = !m_replica.isComplete() || position.era >= m_replica.position().era;
     if (isOfHeldEra) {
         onSourceAnswered(askedAt, now);
-        m_metrics.counter("directory_confirmed_total{by=\"list\"}").add();
     }
+    countConfirmation("list", position);
     onDirectoryChanged(
             m_replica.applyList(items, position, askedAt, m_replica.renewalTimeLeft(now), now),
             "list", now);
@@ -45,7 +44,7 @@
         return false; // a peer has brought the state of a later era meanwhile
     }
     onSourceAnswered(askedAt, now);
-    m_metrics.counter("directory_confirmed_total{by=\"watch\"}").add();
+    countConfirmation("watch", position);
     const auto renewalTime = m_replica.renewalTimeLeft(now);
     proxy::ChangesFrame changesFrame{m_replica.position(), position, {}, {}, renewalTime};
     for (const auto &change : changes) {
@@ -151,12 +150,19 @@
     // The peer may have confirmed its state longer ago than this node its own, and still hold more:
     // pushed changes do not confirm a replica. The position decides.
     const auto asOf = TimePoint{TimePoint::duration{reply.askedAt}} - reply.age;
-    m_metrics.counter("directory_confirmed_total{by=\"peer-state\"}").add();
+    countConfirmation("peer-state", reply.position);
     onDirectoryChanged(
             m_replica.applyList(*items, reply.position, asOf, reply.renewalTimeLeft, now), "peer",
             now);
 }
 
+void Engine::countConfirmation(const char *by, const directory::SourcePosition &position)
+{
+    if (!m_replica.isComplete() || position >= m_replica.position()) {
+        m_metrics.counter("directory_confirmed_total{by=\"" + std::string{by} + "\"}").add();
+    }
+}
+
 void Engine::onDirectoryChanged(const std::vector<directory::ReplicaEvent> &beliefs,
                                 const char *source, TimePoint now)
 {
