--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -184,6 +184,30 @@
     return items;
 }
 
+Result<std::vector<ItemChange>, Replica::MissingBase>
+Replica::restoreItems(const PeerState &peer) const
+{
+    std::vector<ItemChange> items;
+    items.reserve(peer.items.size());
+    for (const auto &[item, base] : peer.items) {
+        const bool isHeld = holds(item.key, item.position());
+        const bool isOmitted = item.value.empty() && item.position() <= peer.since;
+        if (isOmitted && !isHeld && item.era < peer.position.era) {
+            continue; // it was removed in the former era, which the peer left before that
+        }
+        auto whole = fromDelta(item, base);
+        if (!isHeld && (isOmitted || !whole)) {
+            return MissingBase{item.key, base};
+        }
+        if (whole) {
+            items.push_back(std::move(*whole));
+        } else {
+            items.push_back(item);
+        }
+    }
+    return items;
+}
+
 const Replica::HeldItem *Replica::previousAt(const std::string &key,
                                              const SourcePosition &position) const
 {
--- a/src/celeryramp/directory/replica.h
+++ b/src/celeryramp/directory/replica.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/result.h"
 #include "core/time.h"
 #include "directory/directory.h"
 #include "directory/item_decoder.h"
@@ -159,6 +160,24 @@
     /*! @return All items, with the values that the peer lacks. */
     [[nodiscard]] std::vector<SyncItem> itemsSince(const SyncBase &peer) const;
 
+    /*! @brief State of a peer, as it answers a request for items since a position. */
+    struct PeerState
+    {
+        SourcePosition position;
+        SourcePosition since; /*!< Of the request; older items have no value. */
+        std::vector<SyncItem> items;
+    };
+    /*! @brief Value that can neither be restored nor left out. */
+    struct MissingBase
+    {
+        std::string key;
+        SourcePosition base;
+    };
+    /*! @return The items of a peer for `applyList`, or the first one that needs a value which this
+     * replica does not hold. */
+    [[nodiscard]] Result<std::vector<ItemChange>, MissingBase>
+    restoreItems(const PeerState &peer) const;
+
     /*! @return True if this state of an item, or a later one, is held. */
     [[nodiscard]] bool holds(const std::string &key, const SourcePosition &position) const;
 
--- a/src/celeryramp/engine/peer_coordinator_sync.cpp
+++ b/src/celeryramp/engine/peer_coordinator_sync.cpp
@@ -163,32 +163,24 @@
         && frame.version <= m_replica.knownVersion()) {
         return std::nullopt;
     }
-    std::vector<directory::ItemChange> items;
-    items.reserve(frame.items.size());
+    directory::Replica::PeerState state{frame.position, frame.since, {}};
+    state.items.reserve(frame.items.size());
     for (std::size_t i = 0; i < frame.items.size(); ++i) {
-        const auto &item = frame.items[i];
         const auto base = frame.bases.find(i);
-        auto whole = base == frame.bases.end() ? std::optional{item}
-                                               : m_replica.fromDelta(item, base->second);
-        const bool isHeld = m_replica.holds(item.key, item.position());
-        const bool isOmitted = item.value.empty() && item.position() <= frame.since;
-        if (isOmitted && !isHeld && item.era < frame.position.era) {
-            continue; // this node has seen its removal in the era that the peer holds it from
-        }
-        if (!isHeld && (isOmitted || !whole)) {
-            const auto baseText = base == frame.bases.end() ? "none" : base->second.text();
-            logEvent(LogLevel::Info, "fleet", "sync-not-applicable",
-                     {{"peer", peer.text()}, {"item", item.key}, {"base", baseText}});
-            sendSyncRequest(peer, {}, false, now);
-            return std::nullopt;
-        }
-        if (whole) {
-            items.push_back(std::move(*whole));
-        } else {
-            items.push_back(item);
-        }
+        state.items.push_back(
+                {frame.items[i],
+                 base == frame.bases.end() ? directory::SourcePosition{} : base->second});
+    }
+    auto items = m_replica.restoreItems(state);
+    if (!items) {
+        logEvent(LogLevel::Info, "fleet", "sync-not-applicable",
+                 {{"peer", peer.text()},
+                  {"item", items.error().key},
+                  {"base", items.error().base.text()}});
+        sendSyncRequest(peer, {}, false, now);
+        return std::nullopt;
     }
-    return items;
+    return std::move(items.value());
 }
 
 } // namespace celeryramp::engine
--- a/test/support/replica_steps.h
+++ b/test/support/replica_steps.h
@@ -101,9 +101,7 @@
 /*! @brief State that a replica sends to one that is behind. */
 struct StateReply
 {
-    directory::SourcePosition position;
-    directory::SourcePosition since; /*!< Position of the replica that asked. */
-    std::vector<directory::Replica::SyncItem> items;
+    directory::Replica::PeerState state;
     TimePoint confirmedAt;
 };
 
@@ -113,29 +111,19 @@
                                          bool isWhole = false)
 {
     const auto since = to.isComplete() && !isWhole ? to.position() : directory::SourcePosition{};
-    return {from.position(), since, from.itemsSince({since, to.knownVersion(), !isWhole}),
+    return {{from.position(), since, from.itemsSince({since, to.knownVersion(), !isWhole})},
             now - from.age(now)};
 }
 
-/*! @brief Applies a reply by the rules of `engine::PeerCoordinator`.
- *  @return False if an item can neither be restored nor left out. */
+/*! @return False if an item can neither be restored nor left out. */
 inline bool applyState(directory::Replica &to, const StateReply &reply, TimePoint now)
 {
-    std::vector<directory::ItemChange> items;
-    for (const auto &[item, base] : reply.items) {
-        const bool isHeld = to.holds(item.key, item.position());
-        const bool isOmitted = item.value.empty() && item.position() <= reply.since;
-        auto whole = to.fromDelta(item, base);
-        if (isOmitted && !isHeld && item.era < reply.position.era) {
-            continue;
-        }
-        if (!isHeld && (isOmitted || !whole)) {
-            return false;
-        }
-        items.push_back(whole ? std::move(*whole) : item);
+    const auto items = to.restoreItems(reply.state);
+    if (items) {
+        static_cast<void>(to.applyList(items.value(), reply.state.position, reply.confirmedAt,
+                                       kNoRenewal, now));
     }
-    static_cast<void>(to.applyList(items, reply.position, reply.confirmedAt, kNoRenewal, now));
-    return true;
+    return items.has_value();
 }
 
 /*! @brief Takes over the state of a peer, at the second attempt as a whole. */
