--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -193,7 +193,7 @@
         const bool isHeld = holds(item.key, item.position());
         const bool isOmitted = item.value.empty() && item.position() <= peer.since;
         if (isOmitted && !isHeld && item.era < peer.position.era) {
-            continue; // it was removed in the former era, which the peer left before that
+            continue; // this replica has seen its removal in the former era, and the peer has not
         }
         auto whole = fromDelta(item, base);
         if (!isHeld && (isOmitted || !whole)) {
--- a/src/celeryramp/directory/source_position.h
+++ b/src/celeryramp/directory/source_position.h
@@ -7,8 +7,8 @@
 
 namespace celeryramp::directory {
 
-/*! Largest era that is read; it rises by one with each return of a source, so larger ones are
- * errors of whoever names them. */
+/*! Largest era that is accepted. An era rises by one with each return of the source, so larger ones
+ *  are errors. */
 inline constexpr std::int64_t kLargestEra = 1'000'000'000;
 
 /*!
--- a/test/engine/broken_answer.cpp
+++ b/test/engine/broken_answer.cpp
@@ -137,7 +137,7 @@
     requireBroken("status", "HTTP/1.1 " + std::string{status} + " Odd", {});
 }
 
-// Guards against a server in trouble whose answer has no status, such as 000.
+// Guards against an answer whose status no server can give, such as 000, and that reaches a caller.
 TEST_CASE("Broken answer: a start line without a status is not passed on")
 {
     using namespace std::string_literals;
--- a/test/http/answer_reader.cpp
+++ b/test/http/answer_reader.cpp
@@ -156,7 +156,7 @@
               AnswerError::Framing}})));
 }
 
-// Guards against a server in trouble whose answer has no status, such as 000.
+// Guards against an answer whose status no server can give, such as 000, and that reaches a caller.
 TEST_CASE("A start line without a status that a server can give is no response")
 {
     using namespace std::string_literals;
