--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.h
@@ -586,7 +586,6 @@
     int slots = 18;
     int workMillis = 50;
     string state = "ready";
-    bool isQuietRecord = false;
     // Answers in place of the usual one; false to go on as usual. Called after the work.
     std::function<bool(int fd, const Message &)> answer;
 
