--- a/review/standin-2/last_tenant.cpp
+++ b/review/standin-2/last_tenant.cpp
@@ -1,4 +1,5 @@
-// The operator takes the last tenant away with a new version. Its key, and any other, must not work.
+// The operator takes the last tenant away with a new version. Its key, and any other, must not
+// work.
 #include "kit.h"
 
 using namespace kit;
@@ -10,8 +11,8 @@
     site.add("asahikawa-b", "orders", 50);
     site.add("sapporo-a", "orders", 50);
     RouteText orders{"orders", "orders.example", "/orders/", "non_idempotent", "orders"};
-    const auto before = configuration(7, {orders}, {{"club", {"key-of-club"}},
-                                                    {"shop", {"key-of-shop"}}});
+    const auto before
+            = configuration(7, {orders}, {{"club", {"key-of-club"}}, {"shop", {"key-of-shop"}}});
     site.store.put("op/config", before);
     site.start();
     site.waitUntilReady();
--- a/review/standin-2/stop.cpp
+++ b/review/standin-2/stop.cpp
@@ -36,10 +36,12 @@
     std::atomic<int> lost{0};
     std::atomic<int> served{0};
     std::vector<std::thread> clients;
+    clients.reserve(kClients);
     for (int i = 0; i < kClients; ++i) {
         clients.emplace_back([&, mark = std::to_string(i)] {
             const int fd = connectTo(machine.host, kOutbound);
-            sendAll(fd, requestText("GET", "rain.example", "/rain/1", "rain-" + mark, {}, 3000)
+            sendAll(fd,
+                    requestText("GET", "rain.example", "/rain/1", "rain-" + mark, {}, 3000)
                             + requestText("GET", "series.example", "/series/1", "series-" + mark,
                                           {}, 1200));
             Reader reader{fd, {}};
@@ -55,15 +57,16 @@
             }
             // The connection was not closed, nor was that announced.
             const auto id = "cert-" + mark;
-            const bool isSent = sendAll(fd, requestText("POST", "certs.example", "/certs/1", id, {},
-                                                        1200, {}, "certificate"));
+            const bool isSent = sendAll(fd,
+                                        requestText("POST", "certs.example", "/certs/1", id, {},
+                                                    1200, {}, "certificate"));
             const auto sentAt = now();
             record.line("client    %s: %s is sent whole on the same connection", mark.c_str(),
                         id.c_str());
             const auto answer = reader.read(kGraceMillis + 1000);
             record.line("client    %s: %s -> %d after %lld ms, %s", mark.c_str(), id.c_str(),
                         answer.status(), static_cast<long long>(now() - sentAt),
-                        answer.isComplete       ? "complete"
+                        answer.isComplete           ? "complete"
                                 : answer.isTimeOver ? "time over"
                                                     : "the connection has ended");
             close(fd);
--- a/review/standin-2/successor.cpp
+++ b/review/standin-2/successor.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr int kListen = 7001; // of the nodes, behind the proxies
-constexpr int kResentAfter = 210; // least time after which TCP sends a lost packet again, and the way
+constexpr int kResentAfter
+        = 210; // least time after which TCP sends a lost packet again, and the way
 constexpr int kAtOnce = 4;
 
 // Passes the links to a node on. The bytes back to one other node are late on the first link.
@@ -87,7 +88,8 @@
     batches.timeout = 1200;
     batches.target = 600;
     billing.timeout = 800;
-    site.store.put("op/config", configuration(7, {batches, billing, catalogue}, {{"club", {"key"}}}));
+    site.store.put("op/config",
+                   configuration(7, {batches, billing, catalogue}, {{"club", {"key"}}}));
 
     auto &entry = *site.machines[1];
     auto &gate = *site.machines[3];
@@ -154,6 +156,7 @@
         pause(150);
     }
     std::vector<std::thread> reservations;
+    reservations.reserve(kAtOnce);
     for (int i = 0; i < kAtOnce; ++i) {
         reservations.emplace_back([&, i] { ask(entry, "batches", "batch-" + std::to_string(i)); });
     }
