Review: the scripts of cases 8 to 10 name their record

Cause: record.txt was written by the program only, and run.sh did not show it; what was sent first was not in it.

--- a/review/standin-2/last_tenant.cpp
+++ b/review/standin-2/last_tenant.cpp
@@ -22,6 +22,7 @@
         int ran = 0;
         for (auto &machine : site.machines) {
             const auto attempt = id + "-" + machine->name;
+            record.line("client    %s is sent with key '%s'", attempt.c_str(), key.c_str());
             const auto outcome = call(machine->host, kOutbound,
                                       requestText("PUT", "orders.example", "/orders/1", attempt,
                                                   key, 1200, {}, "order"),
--- a/review/standin-2/stop.cpp
+++ b/review/standin-2/stop.cpp
@@ -40,6 +40,8 @@
     for (int i = 0; i < kClients; ++i) {
         clients.emplace_back([&, mark = std::to_string(i)] {
             const int fd = connectTo(machine.host, kOutbound);
+            record.line("client    %s: rain-%s and series-%s are sent on one connection",
+                        mark.c_str(), mark.c_str(), mark.c_str());
             sendAll(fd,
                     requestText("GET", "rain.example", "/rain/1", "rain-" + mark, {}, 3000)
                             + requestText("GET", "series.example", "/series/1", "series-" + mark,
