Logs: which API keys a version asks for

Three hypotheses explain requests that run with keys that were taken away: the version is not in force, its accounts are those of the version before, or it asks for no keys. No log line or gauge told them apart: configuration-accepted had an empty detail. Change: configuration-accepted says whether requests need a key, how many accounts and keys there are, and whether more may be valid than could be read; gauges directory_keys_required, directory_accounts and directory_keys. No key is logged.

--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -13,6 +13,16 @@
 /*! Unreadable entries of one version that are reported; a version can have thousands of routes. */
 constexpr std::size_t kMaxLoggedProblems = 8;
 
+/*! @return Whether requests need a key, and how many can be valid; without any key itself. */
+[[nodiscard]] std::string keySummary(const RoutingTable &routing)
+{
+    std::string text = routing.needsKeys() ? "keys=required" : "keys=not-required";
+    text += " accounts=" + std::to_string(routing.configuration().accounts.size());
+    text += " known_keys=" + std::to_string(routing.keyCount());
+    text += routing.hasUnknownKeys() ? " unknown_keys=yes" : " unknown_keys=no";
+    return text;
+}
+
 } // namespace internal
 
 std::vector<ReplicaEvent> Replica::applyList(const std::vector<ItemChange> &items,
@@ -442,7 +452,7 @@
                                   + " in version " + version + ")"});
     }
     m_isViewOutdated = true;
-    events.push_back({"configuration-accepted", version, ""});
+    events.push_back({"configuration-accepted", version, internal::keySummary(*m_routing)});
 }
 
 void Replica::rebuildView()
--- a/src/celeryramp/directory/routing_table.h
+++ b/src/celeryramp/directory/routing_table.h
@@ -44,6 +44,8 @@
     {
         return !m_configuration.accounts.empty() || m_configuration.hasUnknownKeys;
     }
+    /*! @return Number of keys that accounts of the configuration have. */
+    [[nodiscard]] std::size_t keyCount() const noexcept { return m_byKey.size(); }
     /*! @return True if a key that no account has may belong to an account that is not readable. */
     [[nodiscard]] bool hasUnknownKeys() const noexcept { return m_configuration.hasUnknownKeys; }
     /*! @return The entries of the configuration that cannot be read, and why. */
--- a/src/celeryramp/engine/engine_status.cpp
+++ b/src/celeryramp/engine/engine_status.cpp
@@ -28,6 +28,10 @@
             answer.body += std::string{name} + " " + std::to_string(value) + "\n";
         };
         gauge("directory_version", view.routing ? view.routing->version() : 0);
+        gauge("directory_keys_required", view.routing && view.routing->needsKeys() ? 1 : 0);
+        gauge("directory_accounts",
+              view.routing ? view.routing->configuration().accounts.size() : 0);
+        gauge("directory_keys", view.routing ? view.routing->keyCount() : 0);
         gauge("directory_era", m_replica.position().era);
         gauge("directory_revision", m_replica.position().revision);
         gauge("source_era", m_sourceEra);
