Accounts: an empty list requires keys, only a missing one requires none

What callers saw: once the last account was removed, a key that had been taken away and one that no version had ever held both ran at every node, 200, with an empty account.

Cause: "there is no list" and "the list is empty" were one value, a vector, and whether keys are asked for was its size. The decoder read a member that is not there, an empty one, one without a value and one with an escaped name into that same vector.

Change: directory::AccountList holds both facts. RoutingTable::checkKey is the one place that decides on a key. The fixture Mesh::removeAccounts relied on the fault; it says now which of the two states it publishes.

--- a/src/celeryramp/directory/configuration.h
+++ b/src/celeryramp/directory/configuration.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "core/time.h"
-#include "directory/client_account.h"
+#include "directory/account_list.h"
 #include "directory/directory_error.h"
 #include "directory/route.h"
 #include "directory/service.h"
@@ -27,9 +27,8 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<Service> services;
-    std::vector<ClientAccount> accounts; /*!< If empty, no route requires an API key. */
+    AccountList accounts;
     InputLimits limits;
-    bool hasUnknownKeys = false; /*!< An account whose keys cannot be read was left out. */
     std::vector<DirectoryError> problems; /*!< Entries that cannot be read, and why. */
 };
 
--- a/src/celeryramp/directory/fwd.h
+++ b/src/celeryramp/directory/fwd.h
@@ -9,6 +9,7 @@
 
 namespace celeryramp::directory {
 
+class AccountList;
 struct BackendServer;
 struct ClientAccount;
 struct Configuration;
@@ -21,6 +22,8 @@
 struct ReadProgress;
 class ItemSink;
 class ItemSource;
+struct KeyCheck;
+enum class KeyVerdict : std::uint8_t;
 class Replica;
 class RevisionLag;
 struct Route;
--- a/src/celeryramp/directory/replica.cpp
+++ b/src/celeryramp/directory/replica.cpp
@@ -13,16 +13,6 @@
 /*! Unreadable entries of one version that are reported; a version can have thousands of routes. */
 constexpr std::size_t kMaxLoggedProblems = 8;
 
-/*! @return Whether requests need a key, and how many can be valid; without any key itself. */
-[[nodiscard]] std::string keySummary(const RoutingTable &routing)
-{
-    std::string text = routing.needsKeys() ? "keys=required" : "keys=not-required";
-    text += " accounts=" + std::to_string(routing.configuration().accounts.size());
-    text += " known_keys=" + std::to_string(routing.keyCount());
-    text += routing.hasUnknownKeys() ? " unknown_keys=yes" : " unknown_keys=no";
-    return text;
-}
-
 } // namespace internal
 
 std::vector<ReplicaEvent> Replica::applyList(const std::vector<ItemChange> &items,
@@ -451,8 +441,11 @@
                           problems[i].reason + " (" + std::to_string(problems.size())
                                   + " in version " + version + ")"});
     }
+    if (m_routing->needsKeys() && m_routing->keyCount() == 0) {
+        events.push_back({"no-valid-key", version, "only open routes are served"});
+    }
     m_isViewOutdated = true;
-    events.push_back({"configuration-accepted", version, internal::keySummary(*m_routing)});
+    events.push_back({"configuration-accepted", version, m_routing->keySummary()});
 }
 
 void Replica::rebuildView()
--- a/src/celeryramp/directory/routing_table.cpp
+++ b/src/celeryramp/directory/routing_table.cpp
@@ -77,13 +77,19 @@
             return config.routes[a].prefix.size() > config.routes[b].prefix.size();
         });
     }
-    for (std::size_t i = 0; i < config.accounts.size(); ++i) {
-        const auto &account = config.accounts[i];
+    const auto &accounts = config.accounts.entries();
+    for (std::size_t i = 0; i < accounts.size(); ++i) {
+        const auto &account = accounts[i];
         if (!table.m_accounts.emplace(account.name, i).second) {
             return DirectoryError{account.name, "duplicate account name"};
         }
         for (const auto &key : account.keys) {
-            if (!table.m_byKey.emplace(key, i).second) {
+            if (key.empty()) {
+                table.m_configuration.problems.push_back(
+                        {account.name, "a key without characters is not accepted"});
+                continue;
+            }
+            if (const auto [it, isNew] = table.m_byKey.emplace(key, i); !isNew && it->second != i) {
                 return DirectoryError{account.name, "duplicate API key"};
             }
         }
@@ -107,13 +113,36 @@
 const ClientAccount *RoutingTable::findAccountByKey(std::string_view key) const
 {
     const auto it = m_byKey.find(std::string{key});
-    return it == m_byKey.end() ? nullptr : &m_configuration.accounts[it->second];
+    return it == m_byKey.end() ? nullptr : &m_configuration.accounts.entries()[it->second];
+}
+
+KeyCheck RoutingTable::checkKey(const Route &route, std::optional<std::string_view> key) const
+{
+    const bool isRequired = needsKeys() && !route.isOpen;
+    if (const auto *account = key ? findAccountByKey(*key) : nullptr; account != nullptr) {
+        return {account->isReadable ? KeyVerdict::Accepted : KeyVerdict::Undecided, account,
+                isRequired};
+    }
+    if (!isRequired) {
+        return {KeyVerdict::Accepted, nullptr, false};
+    }
+    const bool mayBeValid = key && !m_configuration.accounts.isComplete();
+    return {mayBeValid ? KeyVerdict::Undecided : KeyVerdict::Rejected, nullptr, true};
+}
+
+std::string RoutingTable::keySummary() const
+{
+    std::string text = needsKeys() ? "keys=required" : "keys=not-required";
+    text += " accounts=" + std::to_string(m_configuration.accounts.entries().size());
+    text += " known_keys=" + std::to_string(keyCount());
+    text += m_configuration.accounts.isComplete() ? " unknown_keys=no" : " unknown_keys=yes";
+    return text;
 }
 
 const ClientAccount *RoutingTable::findAccount(std::string_view name) const
 {
     const auto it = m_accounts.find(name);
-    return it == m_accounts.end() ? nullptr : &m_configuration.accounts[it->second];
+    return it == m_accounts.end() ? nullptr : &m_configuration.accounts.entries()[it->second];
 }
 
 const Service *RoutingTable::findService(std::string_view name) const
--- a/src/celeryramp/directory/routing_table.h
+++ b/src/celeryramp/directory/routing_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -9,6 +10,7 @@
 #include "core/result.h"
 #include "directory/configuration.h"
 #include "directory/directory_error.h"
+#include "directory/key_check.h"
 
 namespace celeryramp::directory {
 
@@ -33,21 +35,25 @@
     /*! @return The account to which the API key belongs, or null. */
     [[nodiscard]] const ClientAccount *findAccountByKey(std::string_view key) const;
 
+    /*!
+     * @brief Decides whether a request may run with its API key.
+     * @param route That the request matches.
+     * @param key Nothing if the request carries none.
+     */
+    [[nodiscard]] KeyCheck checkKey(const Route &route, std::optional<std::string_view> key) const;
+
     /*! @return The account with this name, or null. */
     [[nodiscard]] const ClientAccount *findAccount(std::string_view name) const;
 
     /*! @return The service with this name, or null. */
     [[nodiscard]] const Service *findService(std::string_view name) const;
 
-    /*! @return True if the configuration has accounts, so that requests need an API key. */
-    [[nodiscard]] bool needsKeys() const noexcept
-    {
-        return !m_configuration.accounts.empty() || m_configuration.hasUnknownKeys;
-    }
+    /*! @return True if requests need an API key, except on open routes. */
+    [[nodiscard]] bool needsKeys() const noexcept { return m_configuration.accounts.needsKeys(); }
     /*! @return Number of keys that accounts of the configuration have. */
     [[nodiscard]] std::size_t keyCount() const noexcept { return m_byKey.size(); }
-    /*! @return True if a key that no account has may belong to an account that is not readable. */
-    [[nodiscard]] bool hasUnknownKeys() const noexcept { return m_configuration.hasUnknownKeys; }
+    /*! @return Whether requests need a key and how many are valid, for logs; without any key. */
+    [[nodiscard]] std::string keySummary() const;
     /*! @return The entries of the configuration that cannot be read, and why. */
     [[nodiscard]] const std::vector<DirectoryError> &problems() const noexcept
     {
--- a/src/celeryramp/engine/engine_status.cpp
+++ b/src/celeryramp/engine/engine_status.cpp
@@ -30,7 +30,7 @@
         gauge("directory_version", view.routing ? view.routing->version() : 0);
         gauge("directory_keys_required", view.routing && view.routing->needsKeys() ? 1 : 0);
         gauge("directory_accounts",
-              view.routing ? view.routing->configuration().accounts.size() : 0);
+              view.routing ? view.routing->configuration().accounts.entries().size() : 0);
         gauge("directory_keys", view.routing ? view.routing->keyCount() : 0);
         gauge("directory_era", m_replica.position().era);
         gauge("directory_revision", m_replica.position().revision);
--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -85,23 +85,17 @@
             m_dependencies.headerAdapter.localAnswer({status, reason, requestId, retryAfter}));
 }
 
-std::optional<RequestDispatcher::Refusal> RequestDispatcher::refusalOfKey(
-        const directory::RoutingTable &routing, const directory::Route &route,
-        const directory::ClientAccount *account, bool hasKey, TimePoint now) const
+std::optional<RequestDispatcher::Refusal>
+RequestDispatcher::refusalOfKey(const directory::KeyCheck &check, TimePoint now) const
 {
-    if (!routing.needsKeys() || route.isOpen) {
-        return std::nullopt;
-    }
-    if (m_dependencies.settings.mechanisms.freshKeys
+    if (check.isRequired && m_dependencies.settings.mechanisms.freshKeys
         && m_dependencies.replica.age(now) > m_dependencies.settings.keyFreshness) {
         return Refusal{503, proxy::Reason::StaleKeys, internal::kRetryAfter, {}};
     }
-    const bool isUndecided
-            = account == nullptr ? routing.hasUnknownKeys() && hasKey : !account->isReadable;
-    if (isUndecided) {
+    if (check.verdict == directory::KeyVerdict::Undecided) {
         return Refusal{503, proxy::Reason::Unreadable, std::nullopt, {}};
     }
-    if (account == nullptr) {
+    if (check.verdict == directory::KeyVerdict::Rejected) {
         return Refusal{401, proxy::Reason::UnknownKey, std::nullopt, {}};
     }
     return std::nullopt;
@@ -154,13 +148,11 @@
         refuseRequest(response, metadata.requestId, 400, proxy::Reason::BadRequest, std::nullopt);
         return;
     }
-    const directory::ClientAccount *account = nullptr;
-    if (routing.needsKeys() && metadata.key) {
-        account = routing.findAccountByKey(*metadata.key);
-    }
+    const auto check = routing.checkKey(*route, metadata.key);
+    const auto *account = check.account;
     const auto callerDeadline = now + metadata.deadline.value_or(internal::kDefaultDeadline);
     const auto deadline = std::min(callerDeadline, now + route->timeout);
-    auto refusal = refusalOfKey(routing, *route, account, metadata.key.has_value(), now);
+    auto refusal = refusalOfKey(check, now);
     if (!refusal) {
         refusal = refusalOfLoad(account, request, deadline, now);
     }
--- a/src/celeryramp/engine/request_dispatcher.h
+++ b/src/celeryramp/engine/request_dispatcher.h
@@ -168,11 +168,9 @@
         std::string detail; /*!< For the log. */
     };
 
-    /*! @param account Of the key that came with the request; null if there is none. */
-    [[nodiscard]] std::optional<Refusal> refusalOfKey(const directory::RoutingTable &routing,
-                                                      const directory::Route &route,
-                                                      const directory::ClientAccount *account,
-                                                      bool hasKey, TimePoint now) const;
+    /*! @return Refusal because of the API key, or because keys cannot be checked now. */
+    [[nodiscard]] std::optional<Refusal> refusalOfKey(const directory::KeyCheck &check,
+                                                      TimePoint now) const;
     /*! @return Refusal because of the shutdown, the rate of the account or an earlier crash. */
     [[nodiscard]] std::optional<Refusal> refusalOfLoad(const directory::ClientAccount *account,
                                                        const http::Request &request,
--- a/test/directory/routing_table.cpp
+++ b/test/directory/routing_table.cpp
@@ -25,7 +25,7 @@
     it.services = {{"stock"}, {"orders"}};
     it.routes = {route("root", "a.example", "/"), route("shop", "a.example", "/shop/", "orders"),
                  route("other", "b.example", "/shop/")};
-    it.accounts = {{"mill", {"k1", "k2"}, 0, 10.0, 5.0}, {"press", {"k3"}}};
+    it.accounts = AccountList{{{"mill", {"k1", "k2"}, 0, 10.0, 5.0}, {"press", {"k3"}}}};
     return it;
 }
 
@@ -86,7 +86,7 @@
     }
     SECTION("duplicate API key")
     {
-        configuration.accounts[1].keys = {"k1"};
+        configuration.accounts = AccountList{{{"mill", {"k1"}}, {"press", {"k1"}}}};
     }
     SECTION("duplicate service name")
     {
--- a/test/engine/nested_calls.cpp
+++ b/test/engine/nested_calls.cpp
@@ -17,7 +17,7 @@
     BusyMesh()
     {
         mesh.serverSlots = 1;
-        mesh.removeAccounts();
+        mesh.publishAccounts(directory::AccountList::withoutKeys());
         mesh.run(Millis{1100}); // so long a gate keeps off a cold server after its start
         const auto respond = [this](const http::Request &request) {
             order.push_back(request.target);
--- a/test/platform/store_item_decoder.cpp
+++ b/test/platform/store_item_decoder.cpp
@@ -114,7 +114,7 @@
     REQUIRE(configuration.routes.at(0).isIdempotent);
     REQUIRE(configuration.services.at(0).coldPerSecond == Approx(15.0));
     REQUIRE(configuration.limits.idleTimeout == Millis{15'000});
-    REQUIRE(configuration.accounts.at(0).burst == Approx(79.0));
+    REQUIRE(configuration.accounts.entries().at(0).burst == Approx(79.0));
 }
 
 TEST_CASE("A configuration that is damaged as a whole is an error")
@@ -188,12 +188,12 @@
                 decode("op/config", replaced(kConfiguration, from, to)).value());
     };
     const auto noRate = decoded("\"RatePerS\":78", "\"RatePerS\":\"78\"");
-    REQUIRE_FALSE(noRate.accounts.at(0).isReadable);
-    REQUIRE(noRate.accounts.at(0).keys == std::vector<std::string>{"k"});
-    REQUIRE_FALSE(noRate.hasUnknownKeys);
+    REQUIRE_FALSE(noRate.accounts.entries().at(0).isReadable);
+    REQUIRE(noRate.accounts.entries().at(0).keys == std::vector<std::string>{"k"});
+    REQUIRE(noRate.accounts.isComplete());
     const auto noKeys = decoded("\"ApiKeys\":[\"k\"]", "\"ApiKeys\":7");
-    REQUIRE(noKeys.accounts.empty());
-    REQUIRE(noKeys.hasUnknownKeys);
+    REQUIRE(noKeys.accounts.entries().empty());
+    REQUIRE_FALSE(noKeys.accounts.isComplete());
     REQUIRE(RoutingTable::build(noKeys).value().needsKeys());
 }
 
@@ -211,6 +211,19 @@
     REQUIRE(configuration.problems.size() == 2);
 }
 
+// Guards against a route that is opened by the second of two values.
+TEST_CASE("A route that names a member twice is refused alone")
+{
+    const auto configuration = std::get<Configuration>(
+            decode("op/config",
+                   replaced(kConfiguration, "\"AllowAnonymous\":false",
+                            "\"AllowAnonymous\":false,\"AllowAnonymous\":true"))
+                    .value());
+    REQUIRE(configuration.routes.size() == 1);
+    REQUIRE_FALSE(configuration.routes[0].isReadable);
+    REQUIRE(configuration.problems.size() == 1);
+}
+
 TEST_CASE("A version decoded after another one is the same as decoded alone")
 {
     const platform::StoreItemDecoder decoder;
@@ -237,12 +250,14 @@
         REQUIRE(after.routes.at(0).timeout == alone.routes.at(0).timeout);
         REQUIRE(after.routes.at(0).isReadable == alone.routes.at(0).isReadable);
         REQUIRE(after.routes.at(0).split.size() == alone.routes.at(0).split.size());
-        REQUIRE(after.accounts.size() == alone.accounts.size());
-        REQUIRE(after.hasUnknownKeys == alone.hasUnknownKeys);
+        const auto &accounts = after.accounts.entries();
+        REQUIRE(accounts.size() == alone.accounts.entries().size());
+        REQUIRE(after.accounts.needsKeys() == alone.accounts.needsKeys());
+        REQUIRE(after.accounts.isComplete() == alone.accounts.isComplete());
         REQUIRE(after.problems.size() == alone.problems.size());
-        for (std::size_t i = 0; i < after.accounts.size(); ++i) {
-            REQUIRE(after.accounts[i].rate == alone.accounts[i].rate);
-            REQUIRE(after.accounts[i].keys == alone.accounts[i].keys);
+        for (std::size_t i = 0; i < accounts.size(); ++i) {
+            REQUIRE(accounts[i].rate == alone.accounts.entries()[i].rate);
+            REQUIRE(accounts[i].keys == alone.accounts.entries()[i].keys);
         }
         for (std::size_t i = 0; i < after.routes.at(0).split.size(); ++i) {
             REQUIRE(after.routes[0].split[i].weight == alone.routes[0].split[i].weight);
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -48,7 +48,8 @@
             = {route("safe", "/safe/", true, true), route("once", "/once/", false, true),
                route("keyed", "/keyed/", true, false),
                route("slow", "/slow/", false, true, kLongTimeout)};
-    m_decoder.base.accounts = {{"mill", {"k1"}, 0, 0.0, 0.0}, {"press", {"k3"}, 0, 20.0, 20.0}};
+    m_decoder.base.accounts = directory::AccountList{
+            {{"mill", {"k1"}, 0, 0.0, 0.0}, {"press", {"k3"}, 0, 20.0, 20.0}}};
     for (int i = 0; i < count; ++i) {
         auto node = std::make_unique<Node>();
         node->host = "127.0.0." + std::to_string(11 + i);
@@ -114,9 +115,9 @@
     }
 }
 
-void Mesh::removeAccounts()
+void Mesh::publishAccounts(directory::AccountList accounts)
 {
-    m_decoder.base.accounts.clear();
+    m_decoder.base.accounts = std::move(accounts);
     m_version = ++m_revision;
     publish();
 }
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -70,8 +70,8 @@
      */
     void publish(const std::set<int> &draining = {}, const std::set<int> &missing = {});
 
-    /*! @brief Publishes a configuration without accounts, so that no request needs a key. */
-    void removeAccounts();
+    /*! @brief Publishes a configuration with other accounts. */
+    void publishAccounts(directory::AccountList accounts);
 
     /*! @brief Publishes a configuration with another limit for the bodies of requests. */
     void limitBodies(std::size_t bytes);
