Configuration: a limit that cannot be read is not lifted

What callers saw: with one unreadable field of a service, its limit on a cold server was gone; an account with a negative rate was served without limit; a negative MaxBodyBytes or MaxHeaderBytes wrapped to the largest size, and one unreadable limit on requests cost the others.

Cause: 0 means "no limit", and it was also what a field fell back to when it, or another one read in the same step, was no number from 0 on.

--- a/test/platform/store_item_decoder.cpp
+++ b/test/platform/store_item_decoder.cpp
@@ -211,6 +211,67 @@
     REQUIRE(configuration.problems.size() == 2);
 }
 
+// Guards against a limit that is lifted because it cannot be read.
+TEST_CASE("A limit that cannot be read does not become none")
+{
+    const auto decoded = [](const std::string &from, const std::string &to) {
+        return std::get<Configuration>(
+                decode("op/config", replaced(kConfiguration, from, to)).value());
+    };
+    const auto value
+            = GENERATE(as<std::string>{}, "-1", "-0.5", "null", "true", "\"9\"", "[]", "{}");
+    CAPTURE(value);
+    for (const auto *member : {"\"RatePerS\":78", "\"Burst\":79"}) {
+        const auto name = std::string{member}.substr(0, std::string{member}.find(':') + 1);
+        const auto configuration = decoded(member, name + value);
+        CHECK_FALSE(configuration.accounts.entries().at(0).isReadable);
+        CHECK(configuration.problems.size() == 1);
+    }
+    const auto cold = decoded("\"ColdPerS\":15.0", "\"ColdPerS\":" + value);
+    CHECK(cold.services.at(0).coldPerSecond > 0.0);
+    CHECK(cold.services.at(0).coldPerSecond <= 1.0);
+    CHECK(cold.services.at(0).coldStart == Millis{3000});
+    CHECK(cold.problems.size() == 1);
+    for (const auto *member : {"MaxHeaderBytes", "MaxBodyBytes"}) {
+        const auto limits
+                = decoded("\"MaxHeaderBytes\":16384", "\"" + std::string{member} + "\":" + value);
+        CHECK(limits.limits.headerBytes == InputLimits{}.headerBytes);
+        CHECK(limits.limits.bodyBytes == InputLimits{}.bodyBytes);
+        CHECK(limits.limits.idleTimeout == Millis{15'000});
+        CHECK(limits.problems.size() == 1);
+    }
+    const auto service = decoded("\"ColdStart\":\"3s\"", "\"ColdStart\":" + value);
+    CHECK(service.services.at(0).coldPerSecond == Approx(15.0));
+    CHECK(service.problems.size() == 1);
+}
+
+TEST_CASE("A limit that is 0 or not set is none")
+{
+    const auto decoded = [](const std::string &from, const std::string &to) {
+        return std::get<Configuration>(
+                decode("op/config", replaced(kConfiguration, from, to)).value());
+    };
+    REQUIRE(decoded("\"RatePerS\":78", "\"RatePerS\":0").accounts.entries().at(0).rate == 0.0);
+    REQUIRE(decoded("\"RatePerS\":78,", "").accounts.entries().at(0).rate == 0.0);
+    REQUIRE(decoded("\"ColdPerS\":15.0", "\"ColdPerS\":0").services.at(0).coldPerSecond == 0.0);
+    REQUIRE(decoded(",\"ColdPerS\":15.0", "").services.at(0).coldPerSecond == 0.0);
+    REQUIRE(decoded(",\"ColdPerS\":15.0", "").problems.empty());
+}
+
+TEST_CASE("Limits on requests that are no object are named and have their defaults")
+{
+    const auto value = GENERATE(as<std::string>{}, "null", "[]", "7", "\"\"",
+                                "{\"MaxBodyBytes\":9,\"MaxBodyBytes\":7}",
+                                "{},\"Limits\":{\"MaxBodyBytes\":9}");
+    const auto configuration = std::get<Configuration>(
+            decode("op/config",
+                   replaced(kConfiguration, R"({"MaxHeaderBytes":16384,"IdleTimeout":"15000ms"})",
+                            value))
+                    .value());
+    REQUIRE(configuration.limits.bodyBytes == InputLimits{}.bodyBytes);
+    REQUIRE(configuration.problems.size() == 1);
+}
+
 // Guards against a route that is opened by the second of two values.
 TEST_CASE("A route that names a member twice is refused alone")
 {
