Configuration: a version whose number is not whole is rejected

What callers saw: nothing at once. A number of -1 came into force as the highest one, and no later version did; 7.5 and 1e30 came into force as other numbers.

Cause: the number was cast. A negative one wrapped, a fraction was cut off.

--- a/test/platform/store_item_decoder.cpp
+++ b/test/platform/store_item_decoder.cpp
@@ -272,6 +272,16 @@
     REQUIRE(configuration.problems.size() == 1);
 }
 
+// Guards against a version that no later one replaces, since its number was cut off or wrapped.
+TEST_CASE("A version whose number is not whole is an error")
+{
+    const auto value = GENERATE(as<std::string>{}, "-1", "7.5", "1e30", "true", "null", "\"7\"",
+                                "18446744073709551615", "7,\"Version\":9");
+    CAPTURE(value);
+    REQUIRE_FALSE(
+            decode("op/config", replaced(kConfiguration, "\"Version\":7", "\"Version\":" + value)));
+}
+
 // Guards against a route that is opened by the second of two values.
 TEST_CASE("A route that names a member twice is refused alone")
 {
