Evacuations: the key names the zone, whatever the value holds

What callers saw: an evacuated zone went on getting calls if the value of its item was nested deeper than 32 levels.

Cause: the check of the nesting came before the kind of the item, though the value of an evacuation is not read. The item counted as unreadable, which for an evacuation means that there is none.

--- a/test/platform/store_item_decoder.cpp
+++ b/test/platform/store_item_decoder.cpp
@@ -346,6 +346,7 @@
 
 TEST_CASE("Evacuated zones and unknown items are distinguished")
 {
-    REQUIRE(std::get<EvacuatedZone>(decode("op/evacuate/north", "{}").value()).zone == "north");
+    const auto value = GENERATE(as<std::string>{}, "{}", "", "null", "\xff", std::string(99, '['));
+    REQUIRE(std::get<EvacuatedZone>(decode("op/evacuate/north", value).value()).zone == "north");
     REQUIRE(std::holds_alternative<UnknownItem>(decode("my/leader", "x").value()));
 }
