Requests: a caller whose key is not valid is no call of a server

What callers saw: on an open route, a caller whose account had just been removed, or with any invented key, counted as a call of a server, which go first at a gate that has callers waiting.

Cause: "no account found" stood for "no key". Calls of servers carry none.

Change: where keys are needed, only a request without a key on an open route counts as nested.

Test: "a caller with a removed key on an open route is no nested call" fails on the code before, nested_calls_total 1 instead of 0.

--- a/src/celeryramp/engine/request_dispatcher.cpp
+++ b/src/celeryramp/engine/request_dispatcher.cpp
@@ -182,8 +182,7 @@
     const auto parent = metadata.parentId.empty()
             ? std::nullopt
             : m_dependencies.gate.runningRequests().find(metadata.parentId);
-    policy.isNested
-            = routing.needsKeys() ? route->isOpen && account == nullptr : parent.has_value();
+    policy.isNested = routing.needsKeys() ? route->isOpen && !metadata.key : parent.has_value();
     policy.maySpill = proxy::maySpill(request.body.size(), policy.answerBytes, route->priority,
                                       m_dependencies.settings.linkMegabits > 0.0);
     auto &call = m_calls.emplace(id, Call{}).first->second;
--- a/test/engine/last_account.cpp
+++ b/test/engine/last_account.cpp
@@ -122,3 +122,15 @@
     REQUIRE(second->answer.status == 401);
     REQUIRE(receivedRequests(mesh) == 1);
 }
+
+// Guards against callers that count as calls of servers, which go first, once their account is
+// gone.
+TEST_CASE("Last account: a caller with a removed key on an open route is no nested call")
+{
+    Mesh mesh{1};
+    mesh.publishAccounts(AccountList{});
+    REQUIRE(status(mesh, 0, "/safe/", "k1") == 200);
+    REQUIRE(mesh.metric(0, "nested_calls_total") == 0);
+    REQUIRE(status(mesh, 0, "/safe/") == 200);
+    REQUIRE(mesh.metric(0, "nested_calls_total") == 1);
+}
