Settings: bounds that are no table are an error

What operators saw: nothing. A node with bounds = "", 7 or an array started with the default bounds, that of revoked keys among them.

Cause: the reader took a member of another type for one that is not there.

Test: "Bounds that are no table are an error" fails on the code before.

--- a/src/celeryramp/engine/settings_reader.cpp
+++ b/src/celeryramp/engine/settings_reader.cpp
@@ -263,6 +263,9 @@
             }
         }
     }
+    if (table.contains("bounds") && !table["bounds"].is_table()) {
+        return SettingsError{"bounds", "not a table"};
+    }
     if (const auto *bounds = table["bounds"].as_table()) {
         if (auto error = internal::readBounds(*bounds, settings.engine)) {
             return std::move(*error);
--- a/test/engine/settings_reader.cpp
+++ b/test/engine/settings_reader.cpp
@@ -164,6 +164,19 @@
     REQUIRE(settings.error().place == place);
 }
 
+// Guards against bounds, such as that of revoked keys, that are lifted because they cannot be read.
+TEST_CASE("Bounds that are no table are an error")
+{
+    const auto bounds = kValidSettings.find("[bounds]");
+    for (const auto *value : {"\"\"", "7", "[]", "[{ revocation = \"5000ms\" }]"}) {
+        CAPTURE(value);
+        const auto settings
+                = readSettings(kValidSettings.substr(0, bounds) + "bounds = " + value + "\n");
+        REQUIRE_FALSE(settings);
+        REQUIRE(settings.error().place == "bounds");
+    }
+}
+
 TEST_CASE("Invalid TOML is reported with a reason")
 {
     const auto settings = readSettings("name = ");
