Review of a configuration: routes for accounts without any key are noted

In celeryrampd each route says whether it needs an account, so that no key refuses calls and opens nothing. An operator who takes the last key away was not told that those routes then answer nobody.

Test: "routes for accounts without any key are noted and stay closed"; the note is missing on the code before, the routes stayed closed before too.

--- a/src/celeryramp/ctl/config_review.cpp
+++ b/src/celeryramp/ctl/config_review.cpp
@@ -113,6 +113,10 @@
         for (const auto &[id, key] : m_model.keys) {
             withKeys.insert(key.account);
         }
+        if (needsAccounts && m_model.keys.empty()) {
+            note(ReviewKind::NeverMatches, "keys", "/keys",
+                 "there is no key, so all calls on routes for accounts are refused");
+        }
         const double capacity = capacityAtTarget();
         for (const auto &[name, account] : m_model.accounts) {
             const auto place = "/accounts/" + name;
--- a/test/ctl/config_review.cpp
+++ b/test/ctl/config_review.cpp
@@ -84,6 +84,17 @@
                     ReviewKind::NeverMatches, "/accounts/acme"));
 }
 
+TEST_CASE("review: routes for accounts without any key are noted and stay closed")
+{
+    const auto snapshot = edited("keys", [](json &part) { part["keys"] = json::object(); });
+    const auto notes = reviewConfig(*snapshot);
+    REQUIRE(std::any_of(notes.begin(), notes.end(),
+                        [](const ReviewNote &note) { return note.place == "/keys"; }));
+    REQUIRE(snapshot->findAccountByKey("k1.secret") == nullptr);
+    REQUIRE(std::any_of(snapshot->model().routes.begin(), snapshot->model().routes.end(),
+                        [](const Route &route) { return route.access == RouteAccess::Account; }));
+}
+
 TEST_CASE("review: limits that contradict each other are noted")
 {
     // Three zones share a burst of one call.
