--- a/test/proxy/fleet_limiter.cpp
+++ b/test/proxy/fleet_limiter.cpp
@@ -27,7 +27,7 @@
     {
         directory::Configuration configuration;
         configuration.version = 1;
-        configuration.accounts = {m_account};
+        configuration.accounts = directory::AccountList{{m_account}};
         m_routing = std::make_unique<directory::RoutingTable>(
                 std::move(directory::RoutingTable::build(configuration).value()));
         for (int i = 0; i < kZones; ++i) {
