Tests: the requests that reached the servers are counted in one place

Mesh::receivedRequests replaces the same function in two test files; the checks are the same. The comment of KeyVerdict::Accepted left out an invalid key on an open route. No statement of the product changes.

--- a/src/celeryramp/directory/key_check.h
+++ b/src/celeryramp/directory/key_check.h
@@ -8,7 +8,7 @@
 
 /*! @brief Whether a request may run with the API key that it carries, if any. */
 enum class KeyVerdict : std::uint8_t {
-    Accepted, /*!< The key is valid, or the request carries none and needs none. */
+    Accepted, /*!< The key is valid, or the request needs none. */
     Undecided, /*!< The accounts, or the limits of this one, could not be read. */
     Rejected
 };
--- a/test/engine/last_account.cpp
+++ b/test/engine/last_account.cpp
@@ -24,15 +24,6 @@
     return mesh.callAndWait(node, "GET", target, headers).answer.status;
 }
 
-std::size_t receivedRequests(const Mesh &mesh)
-{
-    std::size_t n = 0;
-    for (const auto &node : mesh.nodes) {
-        n += node->server->seen.size();
-    }
-    return n;
-}
-
 } // namespace
 
 // Guards against requests that run without a valid key once the last account was removed.
@@ -41,7 +32,7 @@
     Mesh mesh{2};
     REQUIRE(status(mesh, 0, "/keyed/", "k1") == 200);
     mesh.publishAccounts(AccountList{});
-    const auto before = receivedRequests(mesh);
+    const auto before = mesh.receivedRequests();
     for (int node = 0; node < 2; ++node) {
         REQUIRE(status(mesh, node, "/keyed/", "k1") == 401);
         REQUIRE(status(mesh, node, "/keyed/", "never-held") == 401);
@@ -49,7 +40,7 @@
         REQUIRE(mesh.gauge(node, "directory_keys_required") == 1);
         REQUIRE(mesh.gauge(node, "directory_accounts") == 0);
     }
-    REQUIRE(receivedRequests(mesh) == before);
+    REQUIRE(mesh.receivedRequests() == before);
     REQUIRE(status(mesh, 0, "/safe/") == 200);
 
     SECTION("a node that starts under this version refuses them too")
@@ -107,7 +98,7 @@
     const auto second = std::make_shared<Outcome>();
     const http::Headers key{{"T-Key", "k1"}};
     const auto connection = mesh.call(0, "GET", "/keyed/", first, key);
-    REQUIRE(mesh.runUntil([&] { return receivedRequests(mesh) == 1; }, Millis{1000}));
+    REQUIRE(mesh.runUntil([&] { return mesh.receivedRequests() == 1; }, Millis{1000}));
     mesh.publishAccounts(AccountList{});
     REQUIRE(mesh.runUntil([&] { return first->isDone; }, Millis{2000}));
     REQUIRE(first->answer.status == 200);
@@ -120,7 +111,7 @@
     connection->send(std::move(exchange));
     REQUIRE(mesh.runUntil([&] { return second->isDone; }, Millis{2000}));
     REQUIRE(second->answer.status == 401);
-    REQUIRE(receivedRequests(mesh) == 1);
+    REQUIRE(mesh.receivedRequests() == 1);
 }
 
 // Guards against callers that count as calls of servers, which go first, once their account is
--- a/test/engine/lost_answer.cpp
+++ b/test/engine/lost_answer.cpp
@@ -7,19 +7,6 @@
 using test::ScriptedServer;
 using Script = test::ScriptedServer::Script;
 
-namespace {
-
-std::size_t receivedRequests(const Mesh &mesh)
-{
-    std::size_t n = 0;
-    for (const auto &node : mesh.nodes) {
-        n += node->server->seen.size();
-    }
-    return n;
-}
-
-} // namespace
-
 TEST_CASE("Lost answer: work that has run is not run again and not reported as not run")
 {
     Mesh mesh{3};
@@ -36,12 +23,12 @@
     for (int i = 0; i < (isUsedConnection ? 20 : 0); ++i) {
         REQUIRE(mesh.callAndWait(0, "POST", "/once/", {}, "x").answer.status == 200);
     }
-    const auto before = receivedRequests(mesh);
+    const auto before = mesh.receivedRequests();
     for (int i = 0; i < 3; ++i) {
         const auto outcome = mesh.callAndWait(i % 3, "POST", "/once/", {}, "x");
         REQUIRE(outcome.answer.status == 502);
     }
-    REQUIRE(receivedRequests(mesh) == before + 3);
+    REQUIRE(mesh.receivedRequests() == before + 3);
 }
 
 TEST_CASE("Lost answer: the deadline passes and the outcome is unknown")
@@ -52,7 +39,7 @@
     }
     const auto outcome = mesh.callAndWait(0, "POST", "/once/", {}, "x");
     REQUIRE(outcome.answer.status == 504);
-    REQUIRE(receivedRequests(mesh) == 1);
+    REQUIRE(mesh.receivedRequests() == 1);
 }
 
 TEST_CASE("Lost answer: a repeatable request is run once more at most by the attempts of its route")
@@ -63,5 +50,5 @@
     }
     const auto outcome = mesh.callAndWait(0, "GET", "/safe/");
     REQUIRE(outcome.answer.status == 502);
-    REQUIRE(receivedRequests(mesh) == 2);
+    REQUIRE(mesh.receivedRequests() == 2);
 }
--- a/test/support/mesh.cpp
+++ b/test/support/mesh.cpp
@@ -208,6 +208,15 @@
     return sumOfLines(node, name + " ");
 }
 
+std::size_t Mesh::receivedRequests() const
+{
+    std::size_t n = 0;
+    for (const auto &node : nodes) {
+        n += node->server->seen.size();
+    }
+    return n;
+}
+
 double Mesh::sumOfLines(int node, const std::string &prefix)
 {
     http::Request request;
--- a/test/support/mesh.h
+++ b/test/support/mesh.h
@@ -106,6 +106,9 @@
     /*! @return A gauge of a node; 0 if there is none. */
     [[nodiscard]] double gauge(int node, const std::string &name);
 
+    /*! @return Number of requests that reached the servers. */
+    [[nodiscard]] std::size_t receivedRequests() const;
+
     /*! @brief Runs the event loop for a time. */
     void run(Millis time);
     /*! @brief Runs the event loop until a condition holds. @return False on timeout. */
